--- /dev/null
+++ b/src/directory/directory-sync.ts
@@ -0,0 +1,235 @@
+/**
+ * Keeps the directory and the store in step: publishes this node's record once,
+ * follows those of the others, and asks absent owners whether they are back.
+ */
+import type { Clock } from '../model/clock.js';
+import type { PeerCaller } from '../peer/peer-caller.js';
+import type { PeerReport, PeerSender } from '../peer/peer-protocol.js';
+import { CollectionWatcher, type WatchTiming } from '../source/collection-watcher.js';
+import type { ObjectStore, StoredObject } from '../source/object-store.js';
+import type { OwnerDirectory } from './owner-directory.js';
+import type { OwnerEntry, OwnerRecord } from './owner-entry.js';
+
+/** Kind of the objects by which nodes find one another. */
+export const NODE_KIND = 'spindlepaddle-nodes';
+
+/** Pause between two looks for absent owners that are due, in milliseconds. */
+const PROBE_TICK_MS = 100;
+
+/** Waits between status calls to one absent owner, in milliseconds. */
+const FIRST_PROBE_WAIT_MS = 400;
+const LONGEST_PROBE_WAIT_MS = 4_000;
+
+/** A status call that takes longer, in milliseconds, has failed. */
+const STATUS_TIMEOUT_MS = 500;
+
+/** Pause before the own record is written again after a failure, in milliseconds. */
+const PUBLISH_RETRY_MS = 400;
+
+/** What the synchronisation needs of its node. */
+export interface DirectorySyncOptions {
+  readonly clock: Clock;
+  readonly store: ObjectStore;
+  readonly directory: OwnerDirectory;
+  readonly caller: PeerCaller;
+  readonly own: () => OwnerRecord;
+  readonly timing: WatchTiming;
+  readonly onConnected: (connected: boolean, detail: string) => void;
+  readonly onOwner: (node: string, change: string, detail: string) => void;
+  readonly onReport: (address: string, report: PeerReport) => void;
+  readonly random?: () => number;
+}
+
+/** One per node. */
+export class DirectorySync {
+  private readonly watcher: CollectionWatcher<OwnerRecord>;
+  private ownRevision: number | undefined;
+  private published: OwnerRecord | undefined;
+  private publishing = false;
+  private stopped = false;
+  private listed = false;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: DirectorySyncOptions) {
+    this.watcher = new CollectionWatcher<OwnerRecord>(
+      options.store,
+      NODE_KIND,
+      {
+        onList: (objects) => this.onList(objects),
+        onChange: (object, gone) => this.onChange(object, gone),
+        onConnected: options.onConnected,
+      },
+      options.timing,
+    );
+  }
+
+  /** True once the other nodes have been read from the store. */
+  get isListed(): boolean {
+    return this.listed;
+  }
+
+  start(): void {
+    this.timer = setInterval(() => this.probeDue(), PROBE_TICK_MS);
+    void this.watcher.run();
+  }
+
+  /** Stops following; `leaving` removes the own record for good. */
+  async stop(leaving: boolean): Promise<void> {
+    this.stopped = true;
+    clearInterval(this.timer);
+    this.watcher.stop();
+    if (leaving && this.ownRevision !== undefined) {
+      await this.options.store.remove(NODE_KIND, this.options.own().node, this.ownRevision);
+    }
+  }
+
+  /** Tells every known node the own status: the back end is ready again. */
+  announce(): void {
+    const { caller, directory } = this.options;
+    for (const entry of directory.all()) {
+      if (!entry.isLocal) {
+        void caller.status(entry.record.address, STATUS_TIMEOUT_MS);
+      }
+    }
+  }
+
+  /** A node that was heard of directly: it joins even if the store does not serve this node. */
+  notePeer(sender: PeerSender, report: PeerReport | undefined): void {
+    const entry = this.options.directory.atAddress(sender.address);
+    if (entry && report) {
+      this.noteReport(entry, report);
+    }
+  }
+
+  /** Publishes the own record if the store holds another one. */
+  async publish(): Promise<void> {
+    if (this.publishing || this.stopped || !this.listed) {
+      return;
+    }
+    this.publishing = true;
+    while (!this.stopped && !this.isPublished()) {
+      const done = await this.write();
+      if (!done) {
+        await new Promise((resolve) => setTimeout(resolve, PUBLISH_RETRY_MS * (0.5 + Math.random())));
+      }
+    }
+    this.publishing = false;
+  }
+
+  private isPublished(): boolean {
+    return JSON.stringify(this.published) === JSON.stringify(this.options.own());
+  }
+
+  private async write(): Promise<boolean> {
+    const { store, own } = this.options;
+    const record = own();
+    const result =
+      this.ownRevision === undefined
+        ? await store.create(NODE_KIND, record.node, record)
+        : await store.replace(NODE_KIND, {
+            name: record.node,
+            revision: this.ownRevision,
+            spec: record,
+          });
+    if (result.ok) {
+      this.ownRevision = result.value.revision;
+      this.published = record;
+      return true;
+    }
+    if (result.failure === 'conflict' || result.failure === 'not-found') {
+      // An earlier write of this node may have been carried out late: read what is there.
+      this.ownRevision = undefined;
+      this.published = undefined;
+      await this.watcher.refresh();
+    }
+    return false;
+  }
+
+  private onList(objects: readonly StoredObject<OwnerRecord>[]): void {
+    const own = this.options.own().node;
+    this.listed = true;
+    for (const object of objects) {
+      this.take(object);
+    }
+    this.options.directory.retain(new Set([own, ...objects.map((object) => object.name)]));
+    if (!objects.some((object) => object.name === own)) {
+      this.ownRevision = undefined;
+      this.published = undefined;
+    }
+    void this.publish();
+  }
+
+  private onChange(object: StoredObject<OwnerRecord>, gone: boolean): void {
+    const own = this.options.own().node;
+    if (!gone) {
+      this.take(object);
+      return;
+    }
+    if (object.name === own) {
+      this.ownRevision = undefined;
+      this.published = undefined;
+      void this.publish();
+      return;
+    }
+    this.options.directory.remove(object.name);
+    this.options.onOwner(object.name, 'removed', 'store');
+  }
+
+  private take(object: StoredObject<OwnerRecord>): void {
+    const { directory, own } = this.options;
+    if (!isRecord(object.spec)) {
+      return;
+    }
+    if (object.name === own().node) {
+      if (object.revision >= (this.ownRevision ?? 0)) {
+        this.ownRevision = object.revision;
+        this.published = object.spec;
+      }
+      return;
+    }
+    directory.put({ ...object.spec, node: object.name });
+  }
+
+  private probeDue(): void {
+    const { clock, directory } = this.options;
+    const now = clock.now();
+    for (const entry of directory.all()) {
+      if (entry.absence && !entry.isLocal && now >= entry.probeAt) {
+        entry.probeAt = now + probeWaitMs(entry.failedProbes);
+        entry.failedProbes += 1;
+        void this.probe(entry);
+      }
+    }
+  }
+
+  private async probe(entry: OwnerEntry): Promise<void> {
+    const report = await this.options.caller.status(entry.record.address, STATUS_TIMEOUT_MS);
+    if (report) {
+      this.noteReport(entry, report);
+    }
+  }
+
+  private noteReport(entry: OwnerEntry, report: PeerReport): void {
+    const before = entry.absence;
+    entry.noteReport(report, this.options.clock.now());
+    if (before && !entry.absence) {
+      this.options.onOwner(entry.record.node, 'ready', before);
+    }
+    this.options.onReport(entry.record.address, report);
+  }
+}
+
+function probeWaitMs(failures: number): number {
+  return Math.min(FIRST_PROBE_WAIT_MS * 2 ** failures, LONGEST_PROBE_WAIT_MS);
+}
+
+function isRecord(value: unknown): value is OwnerRecord {
+  const record = value as Partial<OwnerRecord> | null;
+  return (
+    typeof record === 'object' &&
+    record !== null &&
+    typeof record.address === 'string' &&
+    typeof record.zone === 'string' &&
+    typeof record.service === 'string'
+  );
+}
--- /dev/null
+++ b/src/directory/owner-directory.ts
@@ -0,0 +1,131 @@
+/** The owners that this node knows, by service, and the choice among them. */
+import { OwnerEntry, type OwnerRecord } from './owner-entry.js';
+
+/** An owner's score varies by this share, so that nodes do not all choose the same one. */
+const SCORE_JITTER = 0.15;
+
+/** The owner on the same machine costs one hop less: its score counts this much. */
+const LOCAL_FACTOR = 0.8;
+
+/** Assumed service time, in milliseconds, when no owner has reported one. */
+const DEFAULT_SERVICE_MS = 20;
+
+/** Creates the entry of an owner. */
+export type EntryFactory = (record: OwnerRecord) => OwnerEntry;
+
+/** Owned by the node; takes the time as an argument. */
+export class OwnerDirectory {
+  private readonly entries = new Map<string, OwnerEntry>();
+  private readonly byService = new Map<string, OwnerEntry[]>();
+
+  constructor(
+    private readonly zone: string,
+    private readonly createEntry: EntryFactory,
+    private readonly random: () => number = Math.random,
+  ) {}
+
+  /** Every known owner. */
+  all(): readonly OwnerEntry[] {
+    return [...this.entries.values()];
+  }
+
+  /** The entry whose node listens at an address. */
+  atAddress(address: string): OwnerEntry | undefined {
+    return this.all().find((entry) => entry.record.address === address);
+  }
+
+  /** Adds an owner or replaces what was known of it, if that has changed. */
+  put(record: OwnerRecord): void {
+    const known = this.entries.get(record.node);
+    if (known && isSame(known.record, record)) {
+      return;
+    }
+    // Two nodes cannot share an address: the older record is out of date.
+    for (const other of this.all()) {
+      if (other.record.address === record.address && other.record.node !== record.node) {
+        this.entries.delete(other.record.node);
+      }
+    }
+    this.entries.set(record.node, this.createEntry(record));
+    this.index();
+  }
+
+  /** Forgets an owner. */
+  remove(node: string): void {
+    if (this.entries.delete(node)) {
+      this.index();
+    }
+  }
+
+  /** Forgets every owner but the named ones. */
+  retain(nodes: ReadonlySet<string>): void {
+    for (const node of [...this.entries.keys()]) {
+      if (!nodes.has(node)) {
+        this.entries.delete(node);
+      }
+    }
+    this.index();
+  }
+
+  /** Owners of a service, whether or not they can be asked. */
+  ownersOf(service: string): readonly OwnerEntry[] {
+    return this.byService.get(service) ?? [];
+  }
+
+  /** The best owner for a task, or undefined when none is left. */
+  choose(
+    service: string,
+    priority: number,
+    tried: ReadonlySet<OwnerEntry>,
+    now: number,
+  ): OwnerEntry | undefined {
+    const open = this.ownersOf(service).filter(
+      (entry) => !tried.has(entry) && entry.available(priority, now),
+    );
+    const near = open.filter((entry) => entry.record.zone === this.zone);
+    return this.best(near.length > 0 ? near : open, now);
+  }
+
+  /** Milliseconds until some owner of a service may take a task again. */
+  restMs(service: string, now: number): number {
+    const rests = this.ownersOf(service)
+      .filter((entry) => !entry.absence)
+      .map((entry) => entry.restMs(now));
+    return rests.length > 0 ? Math.min(...rests) : Number.POSITIVE_INFINITY;
+  }
+
+  private best(candidates: readonly OwnerEntry[], now: number): OwnerEntry | undefined {
+    const means = candidates.flatMap((entry) => entry.meanServiceMs ?? []);
+    const typicalMs =
+      means.length > 0
+        ? means.reduce((sum, mean) => sum + mean, 0) / means.length
+        : DEFAULT_SERVICE_MS;
+    let best: OwnerEntry | undefined;
+    let bestScore = Number.POSITIVE_INFINITY;
+    for (const entry of candidates) {
+      const jitter = 1 + this.random() * SCORE_JITTER;
+      const factor = entry.isLocal ? LOCAL_FACTOR : 1;
+      const score = entry.expectedMs(now, typicalMs) * jitter * factor;
+      if (score < bestScore) {
+        best = entry;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  private index(): void {
+    this.byService.clear();
+    for (const entry of this.entries.values()) {
+      const list = this.byService.get(entry.record.service) ?? [];
+      list.push(entry);
+      this.byService.set(entry.record.service, list);
+    }
+  }
+}
+
+function isSame(left: OwnerRecord, right: OwnerRecord): boolean {
+  return (
+    left.address === right.address && left.zone === right.zone && left.service === right.service
+  );
+}
--- /dev/null
+++ b/src/directory/owner-entry.ts
@@ -0,0 +1,134 @@
+/** What this node knows of one owner: from its reports and from what it has seen itself. */
+import type { NotRunReason, Owner } from '../owner/owner.js';
+import type { PeerReport } from '../peer/peer-protocol.js';
+
+/** Identity of a node that owns a back end. */
+export interface OwnerRecord {
+  readonly node: string;
+  /** `host:port` for other nodes. */
+  readonly address: string;
+  readonly zone: string;
+  /** Service of the back end that runs beside the node. */
+  readonly service: string;
+}
+
+/** Why an owner is not asked. */
+export type Absence = 'no-back-end' | 'draining' | 'stopping' | 'other-service' | 'silent';
+
+/** A report tells nothing of the present load after this time, in milliseconds. */
+const REPORT_LIFETIME_MS = 1_000;
+
+/** An owner that turned a task away as busy is left alone at the most this long, in milliseconds. */
+const MAX_REST_MS = 60;
+
+/** Assumed until an owner has reported. */
+const DEFAULT_SLOTS = 4;
+
+/** Owned by the directory. */
+export class OwnerEntry {
+  /** Tasks of this node that the owner has not finished. */
+  outstanding = 0;
+  absence: Absence | undefined;
+  /** Steady time in milliseconds of the next status call while the owner is absent. */
+  probeAt = 0;
+  /** Status calls without success since the owner became absent. */
+  failedProbes = 0;
+  private report: PeerReport | undefined;
+  private reportedAt = Number.NEGATIVE_INFINITY;
+  private outstandingAtReport = 0;
+  private restUntil = 0;
+  private restPriority = 0;
+
+  constructor(
+    readonly record: OwnerRecord,
+    readonly owner: Owner,
+    /** True for the owner on this very node. */
+    readonly isLocal: boolean,
+  ) {}
+
+  /** True when a task of this priority may be offered. */
+  available(priority: number, now: number): boolean {
+    if (this.absence) {
+      return false;
+    }
+    return now >= this.restUntil || priority < this.restPriority;
+  }
+
+  get slots(): number {
+    return this.report?.slots || DEFAULT_SLOTS;
+  }
+
+  /** Tasks at the owner, as far as known. */
+  load(now: number): number {
+    if (!this.report) {
+      return this.outstanding;
+    }
+    const freshness = Math.max(0, 1 - (now - this.reportedAt) / REPORT_LIFETIME_MS);
+    const others = this.report.inFlight + this.report.queued - this.outstandingAtReport;
+    return this.outstanding + Math.max(0, others) * freshness;
+  }
+
+  /** Expected time in milliseconds until one more task would be done. Lower is better. */
+  expectedMs(now: number, defaultServiceMs: number): number {
+    const serviceMs = this.report?.meanServiceMs || defaultServiceMs;
+    return ((this.load(now) + 1) * serviceMs) / this.slots;
+  }
+
+  get meanServiceMs(): number | undefined {
+    return this.report?.meanServiceMs;
+  }
+
+  /** Takes the owner's own report. */
+  noteReport(report: PeerReport, now: number): void {
+    this.report = report;
+    this.reportedAt = now;
+    this.outstandingAtReport = this.outstanding;
+    if (report.ready && report.service === this.record.service) {
+      this.absence = undefined;
+      this.failedProbes = 0;
+    }
+  }
+
+  /** Takes note of a task that was turned away. */
+  noteTurnedAway(
+    reason: NotRunReason,
+    priority: number,
+    retryAfterMs: number | undefined,
+    now: number,
+  ): void {
+    switch (reason) {
+      case 'busy':
+        this.restUntil = now + Math.min(MAX_REST_MS, retryAfterMs ?? MAX_REST_MS);
+        this.restPriority = priority;
+        return;
+      case 'no-back-end':
+      case 'draining':
+      case 'stopping':
+      case 'other-service':
+        this.makeAbsent(reason, now);
+        return;
+      case 'connect-failed':
+      case 'other-instance':
+        this.makeAbsent('no-back-end', now);
+        return;
+      default:
+    }
+  }
+
+  /** The owner is not asked again until it has said that it is ready. */
+  makeAbsent(absence: Absence, now: number): void {
+    if (!this.absence) {
+      this.probeAt = now + FIRST_PROBE_MS;
+      this.failedProbes = 0;
+    }
+    this.absence = absence;
+  }
+
+  /** Milliseconds until the owner may be asked again. */
+  restMs(now: number): number {
+    return Math.max(0, this.restUntil - now);
+  }
+}
+
+/** Time until an absent owner is first asked for its status, in milliseconds. */
+const FIRST_PROBE_MS = 300;
--- /dev/null
+++ b/src/ingress/client-answer.ts
@@ -0,0 +1,76 @@
+/** Final answers to clients: a back end's own, or a refusal by the node. */
+import type { OutgoingHttpHeaders, ServerResponse } from 'node:http';
+import { type MessageBody, sendBody } from '../owner/message-body.js';
+import type { OwnerAnswer } from '../owner/owner.js';
+
+/** Why a node answers by itself. */
+export type RefusalCode =
+  | 'no-configuration'
+  | 'no-route'
+  | 'too-large'
+  | 'busy'
+  | 'no-owner'
+  | 'retry-budget-spent'
+  | 'attempts-spent'
+  | 'deadline'
+  | 'timeout'
+  | 'lost';
+
+/** A refusal; 503 promises that the request has not run and never will. */
+export interface ClientRefusal {
+  readonly code: RefusalCode;
+  readonly status: 404 | 413 | 502 | 503 | 504;
+  /** Milliseconds after which to come back, for 503. */
+  readonly retryAfterMs?: number;
+}
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Sends a refusal. */
+export function sendRefusal(
+  response: ServerResponse,
+  refusal: ClientRefusal,
+  requestId: readonly string[],
+  closes: boolean,
+): void {
+  const body = Buffer.from(`${JSON.stringify({ error: refusal.code })}\n`);
+  const fields = [
+    ...requestId,
+    'Content-Type',
+    'application/json',
+    'Content-Length',
+    String(body.length),
+    ...(refusal.retryAfterMs === undefined
+      ? []
+      : ['Retry-After', (refusal.retryAfterMs / MILLISECONDS_PER_SECOND).toFixed(3)]),
+    ...(closes ? ['Connection', 'close'] : []),
+  ];
+  response.writeHead(refusal.status, fields as unknown as OutgoingHttpHeaders);
+  response.end(body);
+}
+
+/** Passes a back end's answer on. Rejects when it breaks off; the connection must then break too. */
+export async function sendAnswer(
+  response: ServerResponse,
+  answer: OwnerAnswer,
+  method: string,
+  closes: boolean,
+): Promise<void> {
+  const fields = [
+    ...answer.headers,
+    ...framingOf(answer, method),
+    ...(closes ? ['Connection', 'close'] : []),
+  ];
+  response.writeHead(answer.status, fields as unknown as OutgoingHttpHeaders);
+  await sendBody(answer.body as MessageBody, response);
+}
+
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+
+function framingOf(answer: OwnerAnswer, method: string): string[] {
+  const hasNone = method === 'HEAD' || [NO_CONTENT, NOT_MODIFIED].includes(answer.status);
+  return answer.body.kind === 'bytes' && !hasNone
+    ? ['Content-Length', String(answer.body.bytes.length)]
+    : [];
+}
--- /dev/null
+++ b/src/ingress/dispatch.ts
@@ -0,0 +1,159 @@
+/**
+ * Brings one client's request to an owner: chooses, offers, repeats where that
+ * is allowed, and gives up at once when nothing is left to try.
+ */
+import type { Clock } from '../model/clock.js';
+import type { OwnerDirectory } from '../directory/owner-directory.js';
+import type { OwnerEntry } from '../directory/owner-entry.js';
+import type { OwnerAnswer, OwnerNotRun, OwnerOutcome, OwnerTask } from '../owner/owner.js';
+import type { ClientRefusal } from './client-answer.js';
+import type { SharedRetryBudget } from './shared-retry-budget.js';
+
+/** Offers that one request may make in all, turned away or not. */
+const MAX_OFFERS = 8;
+
+/** Shortest and longest time, in milliseconds, after which a client is told to come back. */
+const MIN_RETRY_AFTER_MS = 20;
+const MAX_RETRY_AFTER_MS = 1_000;
+
+/** Told when no owner of the service is known to be ready. */
+const NO_OWNER_RETRY_AFTER_MS = 250;
+
+/** One offer and its fate, for the log. */
+export interface OfferRecord {
+  readonly owner: string;
+  readonly zone: string;
+  readonly result: string;
+  readonly tookMs: number;
+}
+
+/** How a dispatch ended. */
+export interface DispatchResult {
+  readonly result: OwnerAnswer | ClientRefusal;
+  readonly offers: readonly OfferRecord[];
+}
+
+/** What every dispatch of a node shares. */
+export interface DispatchContext {
+  readonly clock: Clock;
+  readonly directory: OwnerDirectory;
+  readonly budget: SharedRetryBudget;
+}
+
+/** One per request. */
+export class Dispatch {
+  private readonly tried = new Set<OwnerEntry>();
+  private readonly offers: OfferRecord[] = [];
+  /** Back ends that the request has, or may have, been sent to. */
+  private arrivals = 0;
+  /** True once a back end may have run the request. */
+  private mayHaveRun = false;
+  private lastNotRun: OwnerNotRun | undefined;
+
+  constructor(
+    private readonly context: DispatchContext,
+    private readonly task: OwnerTask,
+    private readonly maxAttempts: number,
+  ) {}
+
+  /** True when no back end can have run the request so far. */
+  get certainlyNotRun(): boolean {
+    return !this.mayHaveRun;
+  }
+
+  get history(): readonly OfferRecord[] {
+    return this.offers;
+  }
+
+  /** Runs to the final answer; the caller's timer may end it sooner by cancelling the task. */
+  async run(): Promise<DispatchResult> {
+    this.context.budget.noteRequest(this.task.service, this.context.clock.now());
+    for (;;) {
+      const refusal = this.obstacle();
+      if (refusal) {
+        return { result: refusal, offers: this.offers };
+      }
+      const entry = this.chooseOwner();
+      if (!entry) {
+        return { result: this.noOwner(), offers: this.offers };
+      }
+      const outcome = await this.offer(entry);
+      if (outcome.kind === 'answer') {
+        return { result: outcome, offers: this.offers };
+      }
+    }
+  }
+
+  /** Why no further offer may be made, if so. */
+  private obstacle(): ClientRefusal | undefined {
+    const now = this.context.clock.now();
+    if (now >= this.task.deadlineAt || this.task.cancellation.cancelled) {
+      return this.giveUp('deadline');
+    }
+    if (this.mayHaveRun && !this.task.repeatable) {
+      return this.giveUp('lost');
+    }
+    if (this.arrivals >= this.maxAttempts || this.offers.length >= MAX_OFFERS) {
+      return this.giveUp('attempts-spent');
+    }
+    if (this.arrivals > 0 && !this.context.budget.withdraw(this.task.service, now)) {
+      return this.giveUp('retry-budget-spent');
+    }
+    return undefined;
+  }
+
+  private chooseOwner(): OwnerEntry | undefined {
+    const { directory, clock } = this.context;
+    return directory.choose(this.task.service, this.task.priority, this.tried, clock.now());
+  }
+
+  private async offer(entry: OwnerEntry): Promise<OwnerOutcome> {
+    const { clock } = this.context;
+    const startedAt = clock.now();
+    this.tried.add(entry);
+    entry.outstanding += 1;
+    const outcome = await entry.owner.run(this.task);
+    entry.outstanding -= 1;
+    const now = clock.now();
+    if (outcome.kind === 'not-run') {
+      this.lastNotRun = outcome;
+      this.arrivals += outcome.arrived ? 1 : 0;
+      entry.noteTurnedAway(outcome.reason, this.task.priority, outcome.retryAfterMs, now);
+    } else {
+      this.arrivals += 1;
+      this.mayHaveRun = true;
+    }
+    this.offers.push({
+      owner: entry.record.node,
+      zone: entry.record.zone,
+      result: outcome.kind === 'answer' ? `answer ${outcome.status}` : `${outcome.kind} ${outcome.reason}`,
+      tookMs: Math.round(now - startedAt),
+    });
+    return outcome;
+  }
+
+  /** No owner is left to ask: the request has not run unless an earlier offer may have. */
+  private noOwner(): ClientRefusal {
+    if (this.mayHaveRun) {
+      return this.giveUp('no-owner');
+    }
+    const isBusy = this.lastNotRun?.reason === 'busy';
+    const now = this.context.clock.now();
+    const restMs = this.context.directory.restMs(this.task.service, now);
+    const isResting = Number.isFinite(restMs);
+    const retryAfterMs =
+      this.lastNotRun?.retryAfterMs ?? (isResting ? restMs : NO_OWNER_RETRY_AFTER_MS);
+    return {
+      code: isBusy || isResting ? 'busy' : 'no-owner',
+      status: 503,
+      retryAfterMs: Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, retryAfterMs)),
+    };
+  }
+
+  private giveUp(code: ClientRefusal['code']): ClientRefusal {
+    if (this.mayHaveRun) {
+      return { code, status: code === 'deadline' ? 504 : 502 };
+    }
+    return { code, status: 503, retryAfterMs: this.lastNotRun?.retryAfterMs ?? MIN_RETRY_AFTER_MS };
+  }
+}
--- /dev/null
+++ b/src/owner/admission-control.ts
@@ -0,0 +1,172 @@
+/**
+ * Decides at an owner which tasks run, wait or are turned away. The back end
+ * never gets more than its slots. A task waits only while it can still be
+ * answered within its target latency; the most urgent go first.
+ */
+
+/** What a task asks for. */
+export interface AdmissionRequest {
+  readonly route: string;
+  readonly priority: number;
+  /** Steady time in milliseconds until which an answer is worth most. */
+  readonly targetAt: number;
+  readonly deadlineAt: number;
+}
+
+/** A task that waits. */
+export interface Waiter {
+  readonly request: AdmissionRequest;
+  readonly since: number;
+  /** Called once when the task may run. */
+  admit(): void;
+  /** Called once when the task is turned away after all. */
+  turnAway(retryAfterMs: number): void;
+}
+
+/** The answer to a task's arrival. */
+export type AdmissionDecision =
+  | { readonly kind: 'run' }
+  | { readonly kind: 'wait' }
+  | { readonly kind: 'busy'; readonly retryAfterMs: number };
+
+/** Weight of the newest service time in the moving averages. */
+const AVERAGE_WEIGHT = 0.1;
+
+/** Assumed service time, in milliseconds, until one has been seen. */
+const INITIAL_SERVICE_MS = 20;
+
+/** Waiting tasks for each slot, at the most. */
+const MAX_WAITING_PER_SLOT = 8;
+
+/** Shortest time, in milliseconds, after which a client is told to come back. */
+const MIN_RETRY_AFTER_MS = 20;
+
+/** Owned by the local owner; the time is passed in. */
+export class AdmissionControl {
+  private readonly waiting: Waiter[] = [];
+  private readonly routeMs = new Map<string, number>();
+  private overallMs = INITIAL_SERVICE_MS;
+  private running = 0;
+  private slots = 0;
+
+  get inFlight(): number {
+    return this.running;
+  }
+
+  get queued(): number {
+    return this.waiting.length;
+  }
+
+  /** Moving average of the time that the back end takes for a task, in milliseconds. */
+  get meanServiceMs(): number {
+    return this.overallMs;
+  }
+
+  get capacity(): number {
+    return this.slots;
+  }
+
+  /** Sets the number of tasks that may run at once. */
+  setSlots(slots: number, now: number): void {
+    this.slots = slots;
+    this.fill(now);
+  }
+
+  /** Decides about a task; the caller adds a waiter after `wait`. */
+  decide(request: AdmissionRequest, now: number): AdmissionDecision {
+    const ahead = this.aheadOf(request.priority);
+    if (this.running < this.slots && ahead === 0) {
+      return { kind: 'run' };
+    }
+    const waitMs = this.expectedWaitMs(ahead);
+    const inTime = now + waitMs + this.expectedServiceMs(request.route) <= horizonOf(request);
+    if (!inTime || this.waiting.length >= this.slots * MAX_WAITING_PER_SLOT) {
+      return { kind: 'busy', retryAfterMs: this.retryAfterMs() };
+    }
+    return { kind: 'wait' };
+  }
+
+  /** A task begins to run. */
+  started(): void {
+    this.running += 1;
+  }
+
+  /** A task has ended; `serviceMs` is undefined when its time says nothing of the back end. */
+  finished(route: string, serviceMs: number | undefined, now: number): void {
+    this.running -= 1;
+    if (serviceMs !== undefined) {
+      this.overallMs += (serviceMs - this.overallMs) * AVERAGE_WEIGHT;
+      const known = this.routeMs.get(route) ?? serviceMs;
+      this.routeMs.set(route, known + (serviceMs - known) * AVERAGE_WEIGHT);
+    }
+    this.fill(now);
+  }
+
+  /** Adds a task after `wait`; the queue is kept in order of priority, then of arrival. */
+  enqueue(waiter: Waiter): void {
+    let index = this.waiting.length;
+    while (index > 0 && this.priorityAt(index - 1) > waiter.request.priority) {
+      index -= 1;
+    }
+    this.waiting.splice(index, 0, waiter);
+  }
+
+  /** Takes back a task that no longer wants to run. */
+  remove(waiter: Waiter): void {
+    const index = this.waiting.indexOf(waiter);
+    if (index >= 0) {
+      this.waiting.splice(index, 1);
+    }
+  }
+
+  /** Turns away every task that waits. */
+  turnAllAway(): void {
+    for (const waiter of this.waiting.splice(0)) {
+      waiter.turnAway(MIN_RETRY_AFTER_MS);
+    }
+  }
+
+  /** Milliseconds after which there is likely to be room. */
+  retryAfterMs(): number {
+    return Math.max(MIN_RETRY_AFTER_MS, this.expectedWaitMs(this.waiting.length));
+  }
+
+  private fill(now: number): void {
+    while (this.running < this.slots) {
+      const next = this.waiting.shift();
+      if (!next) {
+        return;
+      }
+      if (now + this.expectedServiceMs(next.request.route) > horizonOf(next.request)) {
+        next.turnAway(this.retryAfterMs());
+      } else {
+        next.admit();
+      }
+    }
+  }
+
+  private expectedWaitMs(ahead: number): number {
+    return this.slots === 0 ? this.overallMs : ((ahead + 1) * this.overallMs) / this.slots;
+  }
+
+  private expectedServiceMs(route: string): number {
+    return this.routeMs.get(route) ?? this.overallMs;
+  }
+
+  private aheadOf(priority: number): number {
+    let ahead = 0;
+    while (ahead < this.waiting.length && this.priorityAt(ahead) <= priority) {
+      ahead += 1;
+    }
+    return ahead;
+  }
+
+  private priorityAt(index: number): number {
+    return (this.waiting[index] as Waiter).request.priority;
+  }
+}
+
+/** A task that can no longer meet its target is not worth a slot that others can use in time. */
+function horizonOf(request: AdmissionRequest): number {
+  return Math.min(request.targetAt, request.deadlineAt);
+}
--- /dev/null
+++ b/src/owner/back-end-call.ts
@@ -0,0 +1,243 @@
+/**
+ * Sends one task to the back end and verifies the answer: it must echo the
+ * request's id, be whole, and bear the back end's signature. Says exactly what
+ * is known when there is no such answer.
+ */
+import http from 'node:http';
+import type { Socket } from 'node:net';
+import type { BackEnd } from '../registry/back-end-registry.js';
+import type { HeaderNames } from './header-names.js';
+import { collectBody, type MessageBody, sendBody } from './message-body.js';
+import type { OwnerOutcome, OwnerTask, UnknownReason } from './owner.js';
+import { endToEndFields } from './raw-headers.js';
+
+/** An answer up to this size, in bytes, is read whole before any of it is passed on. */
+const MAX_HELD_ANSWER_BYTES = 256 * 1024;
+
+/** A connection to a back end on the same machine stands within this time, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 400;
+
+/** Answers that promise, by their status alone, that the request was not run. */
+const MISDIRECTED = 421;
+
+/** Methods whose requests have a body, if only an empty one. */
+const BODY_METHODS = new Set(['POST', 'PUT', 'PATCH']);
+
+/** What the call needs besides the task. */
+export interface BackEndCallOptions {
+  readonly backEnd: BackEnd;
+  readonly names: HeaderNames;
+  readonly agent: http.Agent;
+  /** Milliseconds that are left for the back end. */
+  readonly remainingMs: number;
+}
+
+/** How a call ended. */
+export interface BackEndCallResult {
+  readonly outcome: OwnerOutcome;
+  /** True when nothing listens at the back end's address. */
+  readonly unreachable: boolean;
+}
+
+/** Sends the task; resolves once, never rejects. */
+export function callBackEnd(
+  task: OwnerTask,
+  body: MessageBody,
+  options: BackEndCallOptions,
+): Promise<BackEndCallResult> {
+  return new BackEndCall(task, body, options).run();
+}
+
+class BackEndCall {
+  /** True from the moment the first byte may leave for the back end. */
+  private sent = false;
+  private settled = false;
+  private request: http.ClientRequest | undefined;
+  private forget: () => void = () => {};
+  private resolve: (result: BackEndCallResult) => void = () => {};
+
+  constructor(
+    private readonly task: OwnerTask,
+    private readonly body: MessageBody,
+    private readonly options: BackEndCallOptions,
+  ) {}
+
+  run(): Promise<BackEndCallResult> {
+    return new Promise((resolve) => {
+      this.resolve = resolve;
+      if (this.task.cancellation.cancelled) {
+        this.notRun('cancelled', false);
+        return;
+      }
+      const request = this.open();
+      this.request = request;
+      request.on('socket', (socket) => this.onSocket(request, socket));
+      request.on('response', (response) => void this.onResponse(request, response));
+      request.on('error', (error) => this.onError(error));
+      this.forget = this.task.cancellation.onCancel(() => {
+        request.destroy();
+        if (this.sent) {
+          this.unknown('cancelled');
+        } else {
+          this.notRun('cancelled', false);
+        }
+      });
+    });
+  }
+
+  private open(): http.ClientRequest {
+    const { backEnd, names, agent, remainingMs } = this.options;
+    const separator = backEnd.address.lastIndexOf(':');
+    const headers = [
+      ...this.task.headers,
+      names.deadline,
+      String(Math.max(1, Math.floor(remainingMs))),
+      names.expectInstance,
+      backEnd.instance,
+      names.callerService,
+      this.task.callerService,
+      ...this.framing(),
+    ];
+    return http.request({
+      host: backEnd.address.slice(0, separator),
+      port: Number(backEnd.address.slice(separator + 1)),
+      method: this.task.method,
+      path: this.task.target,
+      headers: headers as unknown as http.OutgoingHttpHeaders,
+      agent,
+    });
+  }
+
+  private framing(): string[] {
+    if (this.body.kind === 'stream') {
+      return ['Transfer-Encoding', 'chunked', 'Connection', 'keep-alive'];
+    }
+    const { length } = this.body.bytes;
+    const isFramed = this.task.hasBody || length > 0 || BODY_METHODS.has(this.task.method);
+    return [
+      ...(isFramed ? ['Content-Length', String(length)] : []),
+      'Connection',
+      'keep-alive',
+    ];
+  }
+
+  /** Nothing is written before the connection stands, so a failed connect proves "not run". */
+  private onSocket(request: http.ClientRequest, socket: Socket): void {
+    if (!socket.connecting) {
+      this.write(request);
+      return;
+    }
+    const timer = setTimeout(() => request.destroy(new Error('connect limit')), CONNECT_TIMEOUT_MS);
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      if (!request.destroyed) {
+        this.write(request);
+      }
+    });
+    socket.once('close', () => clearTimeout(timer));
+  }
+
+  private write(request: http.ClientRequest): void {
+    this.sent = true;
+    sendBody(this.body, request).catch(() => request.destroy());
+  }
+
+  private async onResponse(
+    request: http.ClientRequest,
+    response: http.IncomingMessage,
+  ): Promise<void> {
+    const { names } = this.options;
+    const { headers } = response;
+    if (headers[names.requestId.toLowerCase()] !== this.task.requestId) {
+      request.destroy();
+      this.unknown('foreign-answer');
+      return;
+    }
+    if (headers[names.notRun.toLowerCase()] !== undefined || response.statusCode === MISDIRECTED) {
+      response.resume();
+      response.on('error', () => {});
+      this.closeIfUnfinished(request);
+      const wrongInstance = response.statusCode === MISDIRECTED;
+      this.notRun(wrongInstance ? 'other-instance' : 'rejected-by-back-end', true);
+      return;
+    }
+    if (this.isSpoilt(response)) {
+      request.destroy();
+      this.unknown('spoilt-answer');
+      return;
+    }
+    await this.takeAnswer(request, response);
+  }
+
+  private isSpoilt(response: http.IncomingMessage): boolean {
+    const status = response.statusCode ?? 0;
+    const isSuccess = status >= 200 && status < 300;
+    const isSigned = response.headers[this.options.names.signature.toLowerCase()] !== undefined;
+    return response.headers['content-encoding'] !== undefined || (isSuccess && !isSigned);
+  }
+
+  private async takeAnswer(
+    request: http.ClientRequest,
+    response: http.IncomingMessage,
+  ): Promise<void> {
+    const body = await collectBody(response, MAX_HELD_ANSWER_BYTES).catch(() => undefined);
+    this.closeIfUnfinished(request);
+    if (body === undefined) {
+      this.unknown(this.task.cancellation.cancelled ? 'cancelled' : 'spoilt-answer');
+      return;
+    }
+    this.settle({
+      outcome: {
+        kind: 'answer',
+        status: response.statusCode ?? 0,
+        headers: endToEndFields(response.rawHeaders, response.headers.connection),
+        body,
+      },
+      unreachable: false,
+    });
+  }
+
+  /**
+   * A back end may answer before it has read the whole body and read on later.
+   * What it reads then must be this body or nothing, so the connection is closed.
+   */
+  private closeIfUnfinished(request: http.ClientRequest): void {
+    if (!request.writableFinished) {
+      request.destroy();
+    }
+  }
+
+  private onError(error: Error): void {
+    if (this.sent) {
+      this.unknown('connection-lost');
+      return;
+    }
+    this.settle({
+      outcome: { kind: 'not-run', reason: 'connect-failed', arrived: false },
+      unreachable: (error as NodeJS.ErrnoException).code === 'ECONNREFUSED' || isTimeout(error),
+    });
+  }
+
+  private notRun(
+    reason: 'cancelled' | 'other-instance' | 'rejected-by-back-end',
+    arrived: boolean,
+  ): void {
+    this.settle({ outcome: { kind: 'not-run', reason, arrived }, unreachable: false });
+  }
+
+  private unknown(reason: UnknownReason): void {
+    this.settle({ outcome: { kind: 'unknown', reason }, unreachable: false });
+  }
+
+  private settle(result: BackEndCallResult): void {
+    if (!this.settled) {
+      this.settled = true;
+      this.forget();
+      this.resolve(result);
+    }
+  }
+}
+
+function isTimeout(error: Error): boolean {
+  return error.message === 'connect limit';
+}
--- /dev/null
+++ b/src/owner/health-question.ts
@@ -0,0 +1,41 @@
+/** Asks a back end for its health: which incarnation it is and how many slots it has. */
+import http from 'node:http';
+import type { HealthReport } from '../registry/back-end-registry.js';
+import type { HeaderNames } from './header-names.js';
+
+/** An answer that takes longer, in milliseconds, counts as none. */
+const TIMEOUT_MS = 600;
+
+/** Resolves with undefined unless the back end says that it is ready; never rejects. */
+export function askHealth(
+  address: string,
+  path: string,
+  names: HeaderNames,
+): Promise<HealthReport | undefined> {
+  return new Promise((resolve) => {
+    const separator = address.lastIndexOf(':');
+    const request = http.get({
+      host: address.slice(0, separator),
+      port: Number(address.slice(separator + 1)),
+      path,
+      agent: false,
+    });
+    const timer = setTimeout(() => request.destroy(new Error('timed out')), TIMEOUT_MS);
+    request.on('close', () => clearTimeout(timer));
+    request.on('error', () => resolve(undefined));
+    request.on('response', (response) => {
+      response.on('error', () => {});
+      response.resume();
+      const instance = response.headers[names.instance.toLowerCase()];
+      const isReady = response.statusCode === 200 && typeof instance === 'string';
+      resolve(isReady ? { instance, slots: slotsOf(response, names) } : undefined);
+    });
+  });
+}
+
+/** The third number of a load report: running, waiting, slots. */
+function slotsOf(response: http.IncomingMessage, names: HeaderNames): number | undefined {
+  const load = response.headers[names.load.toLowerCase()];
+  const slots = typeof load === 'string' ? Number(load.split(',')[2]) : Number.NaN;
+  return Number.isInteger(slots) && slots > 0 ? slots : undefined;
+}
--- /dev/null
+++ b/src/peer/peer-caller.ts
@@ -0,0 +1,72 @@
+/** Short calls to other nodes: their status and their configuration. */
+import http from 'node:http';
+import { collectBody } from '../owner/message-body.js';
+import {
+  CALL_FIELD,
+  decodeReport,
+  encodeReport,
+  encodeSender,
+  type PeerCall,
+  type PeerReport,
+  type PeerSender,
+  REPORT_FIELD,
+  SENDER_FIELD,
+} from './peer-protocol.js';
+
+/** Largest configuration that is taken from another node, in bytes. */
+const MAX_CONFIGURATION_BYTES = 64 * 1024 * 1024;
+
+/** Calls other nodes on connections of their own. */
+export class PeerCaller {
+  constructor(
+    private readonly sender: () => PeerSender,
+    private readonly report: () => PeerReport,
+  ) {}
+
+  /** Tells another node one's own status and asks for its; undefined when it does not answer. */
+  async status(address: string, timeoutMs: number): Promise<PeerReport | undefined> {
+    const response = await this.call(address, 'status', timeoutMs);
+    response?.resume();
+    const text = response?.headers[REPORT_FIELD];
+    return typeof text === 'string' ? decodeReport(text) : undefined;
+  }
+
+  /** Asks for the configuration that another node holds. */
+  async configuration(address: string, timeoutMs: number): Promise<Buffer | undefined> {
+    const response = await this.call(address, 'configuration', timeoutMs);
+    if (response?.statusCode !== 200) {
+      response?.resume();
+      return undefined;
+    }
+    const body = await collectBody(response, MAX_CONFIGURATION_BYTES).catch(() => undefined);
+    return body?.kind === 'bytes' ? body.bytes : undefined;
+  }
+
+  private call(
+    address: string,
+    call: PeerCall,
+    timeoutMs: number,
+  ): Promise<http.IncomingMessage | undefined> {
+    return new Promise((resolve) => {
+      const separator = address.lastIndexOf(':');
+      const request = http.get({
+        host: address.slice(0, separator),
+        port: Number(address.slice(separator + 1)),
+        path: '/',
+        agent: false,
+        headers: {
+          [CALL_FIELD]: call,
+          [SENDER_FIELD]: encodeSender(this.sender()),
+          [REPORT_FIELD]: encodeReport(this.report()),
+        },
+      });
+      const timer = setTimeout(() => request.destroy(new Error('timed out')), timeoutMs);
+      request.on('close', () => clearTimeout(timer));
+      request.on('error', () => resolve(undefined));
+      request.on('response', (response) => {
+        response.on('error', () => {});
+        resolve(response);
+      });
+    });
+  }
+}
--- /dev/null
+++ b/src/routing/route-matcher.ts
@@ -0,0 +1,68 @@
+/** Finds the route of a request: the longest prefix of its path among the routes of its host. */
+import type { MeshConfiguration, MeshRoute, MeshService } from './mesh-configuration.js';
+import { TrafficSplit } from './traffic-split.js';
+
+/** A route made ready for requests. */
+export interface MatchedRoute {
+  readonly route: MeshRoute;
+  readonly split: TrafficSplit;
+}
+
+/** Immutable but for the state of the splits; a node holds one at a time. */
+export class RouteMatcher {
+  private readonly hosts = new Map<string, Map<string, MatchedRoute>>();
+  private readonly services = new Map<string, MeshService>();
+
+  constructor(readonly configuration: MeshConfiguration) {
+    for (const route of configuration.routes) {
+      const host = route.host.toLowerCase();
+      const prefixes = this.hosts.get(host) ?? new Map<string, MatchedRoute>();
+      prefixes.set(route.pathPrefix, { route, split: new TrafficSplit(route.split) });
+      this.hosts.set(host, prefixes);
+    }
+    for (const service of configuration.services) {
+      this.services.set(service.name, service);
+    }
+  }
+
+  get version(): number {
+    return this.configuration.version;
+  }
+
+  service(name: string): MeshService | undefined {
+    return this.services.get(name);
+  }
+
+  /** `host` may carry a port; `target` is the request's target as it was sent. */
+  match(host: string, target: string): MatchedRoute | undefined {
+    const prefixes = this.hosts.get(hostName(host));
+    if (!prefixes) {
+      return undefined;
+    }
+    const path = pathOf(target);
+    for (let end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+      const found = prefixes.get(path.slice(0, end + 1));
+      if (found) {
+        return found;
+      }
+      if (end === 0) {
+        return undefined;
+      }
+    }
+    return undefined;
+  }
+}
+
+function hostName(host: string): string {
+  const colon = host.lastIndexOf(':');
+  const isPort = colon > host.lastIndexOf(']');
+  return (colon > 0 && isPort ? host.slice(0, colon) : host).toLowerCase();
+}
+
+/** The path of an origin-form or absolute-form target (RFC 9112, section 3.2). */
+function pathOf(target: string): string {
+  const query = target.indexOf('?');
+  const withoutQuery = query < 0 ? target : target.slice(0, query);
+  const absolute = /^https?:\/\/[^/]*/i.exec(withoutQuery);
+  return absolute ? withoutQuery.slice(absolute[0].length) : withoutQuery;
+}
--- /dev/null
+++ b/src/sidecar/registration-server.ts
@@ -0,0 +1,68 @@
+/** Listens for the back end on this machine and for the readiness question. */
+import http from 'node:http';
+import { collectBody } from '../owner/message-body.js';
+import { listenOn } from '../peer/peer-server.js';
+
+/** Largest body of a call, in bytes. */
+const MAX_BODY_BYTES = 64 * 1024;
+
+/** A call as it came, read whole. */
+export interface SmallCall {
+  readonly method: string;
+  readonly path: string;
+  readonly body: Buffer;
+}
+
+/** Answer to a small call. */
+export interface SmallAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: string;
+}
+
+/** Handles calls whose bodies are small. */
+export type SmallHandler = (call: SmallCall) => SmallAnswer | Promise<SmallAnswer>;
+
+/** Serves small calls; a handler that fails answers 500. */
+export class SmallServer {
+  private readonly server: http.Server;
+
+  constructor(private readonly handler: SmallHandler) {
+    this.server = http.createServer((request, response) => void this.serve(request, response));
+  }
+
+  listen(host: string, port: number): Promise<number> {
+    return listenOn(this.server, host, port);
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const body = await collectBody(request, MAX_BODY_BYTES).catch(() => undefined);
+    if (body?.kind !== 'bytes') {
+      response.destroy();
+      return;
+    }
+    const answer = await this.answerTo(request, body.bytes);
+    response.writeHead(answer.status, {
+      'content-type': answer.contentType,
+      'content-length': Buffer.byteLength(answer.body),
+    });
+    response.end(answer.body);
+  }
+
+  private async answerTo(request: http.IncomingMessage, body: Buffer): Promise<SmallAnswer> {
+    try {
+      return await this.handler({
+        method: request.method ?? 'GET',
+        path: request.url ?? '/',
+        body,
+      });
+    } catch {
+      return { status: 500, contentType: 'text/plain', body: 'failed\n' };
+    }
+  }
+}
--- /dev/null
+++ b/src/sidecar/sidecar-node.ts
@@ -0,0 +1,376 @@
+/** A node beside one back end: ingress, owner, directory, configuration and lifecycle together. */
+import http from 'node:http';
+import type { DecisionLog } from '../diagnostics/decision-log.js';
+import type { SidecarMetrics } from '../diagnostics/sidecar-metrics.js';
+import { DirectorySync } from '../directory/directory-sync.js';
+import { OwnerDirectory } from '../directory/owner-directory.js';
+import { OwnerEntry, type OwnerRecord } from '../directory/owner-entry.js';
+import { IngressServer, type RequestRecord } from '../ingress/ingress-server.js';
+import { SharedRetryBudget } from '../ingress/shared-retry-budget.js';
+import type { Clock } from '../model/clock.js';
+import type { HeaderNames } from '../owner/header-names.js';
+import { LocalOwner } from '../owner/local-owner.js';
+import { PeerCaller } from '../peer/peer-caller.js';
+import type { PeerReport, PeerSender } from '../peer/peer-protocol.js';
+import { PeerServer } from '../peer/peer-server.js';
+import { RemoteOwner } from '../peer/remote-owner.js';
+import type { BackEnd, Heartbeat } from '../registry/back-end-registry.js';
+import { CollectionWatcher } from '../source/collection-watcher.js';
+import { type ConfigurationCandidate, ConfigurationHolder } from '../source/configuration-holder.js';
+import type { ObjectStore, StoredObject } from '../source/object-store.js';
+import { SmallServer } from './registration-server.js';
+import type { SidecarSettings } from './sidecar-settings.js';
+
+/** Longest waits of watches, in milliseconds. */
+const CONFIGURATION_WAIT_MS = 6_000;
+const DIRECTORY_WAIT_MS = 15_000;
+
+/** Changes that come within these times, in milliseconds, are taken together. */
+const CONFIGURATION_SETTLE_MS = 500;
+const DIRECTORY_SETTLE_MS = 500;
+
+/** An owner that has neither answered nor acknowledged a task by then is silent, in milliseconds. */
+const SILENCE_LIMIT_MS = 250;
+
+/** A configuration is asked of another node for at the most this long, in milliseconds. */
+const PEER_CONFIGURATION_TIMEOUT_MS = 1_000;
+
+/** While stopping: time in which clients learn to go elsewhere, in milliseconds. */
+const STOP_NOTICE_MS = 2_600;
+
+/** While stopping: pause between two looks at what is in flight, in milliseconds. */
+const STOP_TICK_MS = 50;
+
+/** While stopping: left of the grace for the very end, in milliseconds. */
+const STOP_MARGIN_MS = 300;
+
+/** What the deployment brings: how the outside speaks. */
+export interface Outside {
+  readonly store: ObjectStore;
+  readonly names: HeaderNames;
+  /** Kind and name of the configuration object. */
+  readonly configurationKind: string;
+  readonly configurationName: string;
+  /** Translates a stored configuration; undefined when it has no version. */
+  readonly decodeConfiguration: (spec: unknown) => ConfigurationCandidate | undefined;
+  /** Translates a configuration that another node gave. */
+  readonly decodeConfigurationBytes: (bytes: Buffer) => ConfigurationCandidate | undefined;
+  /** Translates a call of the back end. */
+  readonly decodeRegistration: (method: string, path: string, body: Buffer) => Registration;
+  /** True for the readiness question. */
+  readonly isReadinessCall: (method: string, path: string) => boolean;
+}
+
+/** What a back end says to its node. */
+export type Registration =
+  | { readonly kind: 'heartbeat'; readonly beat: Heartbeat }
+  | { readonly kind: 'deregister'; readonly instance: string }
+  | { readonly kind: 'unreadable'; readonly reason: string };
+
+/** One per process. */
+export class SidecarNode {
+  private readonly holder = new ConfigurationHolder();
+  private readonly owner: LocalOwner;
+  private readonly directory: OwnerDirectory;
+  private readonly sync: DirectorySync;
+  private readonly configuration: CollectionWatcher<unknown>;
+  private readonly ingress: IngressServer;
+  private readonly peers: PeerServer;
+  private readonly readiness: SmallServer;
+  private readonly registrations: SmallServer;
+  private readonly peerAgent = new http.Agent({ keepAlive: true, scheduling: 'lifo' });
+  private readonly caller: PeerCaller;
+  private stopping = false;
+  private fetchingVersion = 0;
+
+  constructor(
+    private settings: SidecarSettings,
+    private readonly outside: Outside,
+    private readonly clock: Clock,
+    private readonly log: DecisionLog,
+    private readonly metrics: SidecarMetrics,
+  ) {
+    const { names, store } = outside;
+    this.owner = new LocalOwner({
+      clock,
+      names,
+      service: () => this.settings.service,
+      backEndAddress: () => this.settings.backEndAddress,
+      healthPath: (service) => this.holder.routes?.service(service)?.healthPath,
+      drainMs: () => this.settings.drainMs,
+      onBackEnd: (backEnd, cause) => this.onBackEnd(backEnd, cause),
+    });
+    this.caller = new PeerCaller(
+      () => this.sender(),
+      () => this.report(),
+    );
+    this.directory = new OwnerDirectory(settings.zone, (record) => this.entryOf(record));
+    this.directory.put(this.record());
+    this.sync = new DirectorySync({
+      clock,
+      store,
+      directory: this.directory,
+      caller: this.caller,
+      own: () => this.record(),
+      timing: { waitMs: DIRECTORY_WAIT_MS, settleMs: DIRECTORY_SETTLE_MS },
+      onConnected: (connected, detail) => this.onStore('directory', connected, detail),
+      onOwner: (node, change, detail) => this.log.event('owner', { owner: node, change, detail }),
+      onReport: (address, report) => this.noteVersion(address, report.version),
+    });
+    this.configuration = new CollectionWatcher<unknown>(
+      store,
+      outside.configurationKind,
+      {
+        onList: (objects) => objects.forEach((object) => this.onConfiguration(object)),
+        onChange: (object, gone) => gone || this.onConfiguration(object),
+        onConnected: (connected, detail) => this.onStore('configuration', connected, detail),
+      },
+      { waitMs: CONFIGURATION_WAIT_MS, settleMs: CONFIGURATION_SETTLE_MS },
+    );
+    this.ingress = new IngressServer({
+      clock,
+      names,
+      directory: this.directory,
+      budget: new SharedRetryBudget(
+        () => this.settings.retryBudget,
+        () => this.directory.all().length,
+      ),
+      routes: () => this.holder.routes,
+      callerService: () => this.settings.service,
+      onFinished: (record) => this.onFinished(record),
+    });
+    this.peers = new PeerServer({
+      clock,
+      owner: this.owner,
+      report: () => this.report(),
+      configuration: () => this.holder.bytes(),
+      onPeer: (sender, report) => this.onPeer(sender, report),
+    });
+    this.readiness = new SmallServer((call) => this.onReadinessCall(call.method, call.path));
+    this.registrations = new SmallServer((call) =>
+      this.onRegistration(call.method, call.path, call.body),
+    );
+  }
+
+  /** Opens every port and begins to follow the store. */
+  async start(): Promise<void> {
+    const { listen } = this.settings;
+    await Promise.all([
+      listenAt(this.peers, listen.peers),
+      listenAt(this.registrations, listen.registrations),
+      listenAt(this.readiness, listen.readiness),
+      listenAt(this.ingress, listen.clients),
+    ]);
+    this.sync.start();
+    void this.configuration.run();
+    this.owner.start();
+    this.log.event('started', {
+      zone: this.settings.zone,
+      service: this.settings.service,
+      startupMs: Math.round(this.clock.now()),
+    });
+  }
+
+  /** Takes settings that have changed while the node runs; addresses stay. */
+  reload(settings: SidecarSettings): void {
+    this.settings = { ...settings, listen: this.settings.listen };
+    this.log.event('reloaded', { service: settings.service });
+    void this.sync.publish();
+  }
+
+  /** Planned stop: out of rotation first, then everything in flight, then the end. */
+  async stop(): Promise<void> {
+    const deadline = this.clock.now() + this.settings.graceMs - STOP_MARGIN_MS;
+    this.stopping = true;
+    this.log.event('stopping', { inFlight: this.ingress.inFlight, version: this.holder.version });
+    this.ingress.startStopping();
+    await this.waitUntil(() => false, Math.min(this.clock.now() + STOP_NOTICE_MS, deadline));
+    this.owner.stopAdmitting();
+    const isIdle = () => this.ingress.inFlight === 0 && this.owner.report.inFlight === 0;
+    await this.waitUntil(isIdle, deadline);
+    this.configuration.stop();
+    const backEnd = this.owner.report;
+    await Promise.race([
+      this.sync.stop(!backEnd.ready && backEnd.service === undefined),
+      new Promise((resolve) => setTimeout(resolve, STOP_TICK_MS)),
+    ]);
+    this.log.event('stopped', { inFlight: this.ingress.inFlight });
+    this.close();
+  }
+
+  /** Closes everything at once. */
+  close(): void {
+    this.owner.close();
+    this.ingress.close();
+    this.peers.close();
+    this.readiness.close();
+    this.registrations.close();
+    this.peerAgent.destroy();
+    this.configuration.stop();
+    void this.sync.stop(false);
+    this.outside.store.close();
+  }
+
+  private async waitUntil(condition: () => boolean, until: number): Promise<void> {
+    while (!condition() && this.clock.now() < until) {
+      await new Promise((resolve) => setTimeout(resolve, STOP_TICK_MS));
+    }
+  }
+
+  private record(): OwnerRecord {
+    const { node, zone, service, listen } = this.settings;
+    return { node, address: listen.peers, zone, service };
+  }
+
+  private entryOf(record: OwnerRecord): OwnerEntry {
+    if (record.node === this.settings.node) {
+      return new OwnerEntry(record, this.owner, true);
+    }
+    const remote = new RemoteOwner(record.address, {
+      clock: this.clock,
+      agent: this.peerAgent,
+      sender: () => this.sender(),
+      silenceLimitMs: () => SILENCE_LIMIT_MS,
+      onReport: (report) => {
+        entry.noteReport(report, this.clock.now());
+        this.noteVersion(record.address, report.version);
+      },
+      onFailure: (cause) => {
+        if (!entry.absence) {
+          this.log.event('owner', { owner: record.node, change: 'absent', detail: cause });
+        }
+        entry.makeAbsent('silent', this.clock.now());
+      },
+    });
+    const entry = new OwnerEntry(record, remote, false);
+    return entry;
+  }
+
+  private sender(): PeerSender {
+    return { address: this.settings.listen.peers, version: this.holder.version };
+  }
+
+  private report(): PeerReport {
+    return { ...this.owner.report, version: this.holder.version };
+  }
+
+  private onPeer(sender: PeerSender, report: PeerReport | undefined): void {
+    this.sync.notePeer(sender, report);
+    this.noteVersion(sender.address, sender.version);
+  }
+
+  /** Another node knows a newer configuration: the store is asked first, then that node. */
+  private noteVersion(address: string, version: number): void {
+    if (version > this.holder.version && version > this.fetchingVersion) {
+      this.fetchingVersion = version;
+      void this.fetchVersion(address, version).finally(() => {
+        this.fetchingVersion = 0;
+      });
+    }
+  }
+
+  private async fetchVersion(address: string, version: number): Promise<void> {
+    if (this.configuration.isConnected && (await this.configuration.refresh())) {
+      if (this.holder.version >= version) {
+        return;
+      }
+    }
+    const bytes = await this.caller.configuration(address, PEER_CONFIGURATION_TIMEOUT_MS);
+    const candidate = bytes && this.outside.decodeConfigurationBytes(bytes);
+    if (candidate) {
+      this.offer(candidate, address);
+    }
+  }
+
+  private onConfiguration(object: StoredObject<unknown>): void {
+    if (object.name !== this.outside.configurationName) {
+      return;
+    }
+    const candidate = this.outside.decodeConfiguration(object.spec);
+    if (candidate) {
+      this.offer(candidate, 'store');
+    } else {
+      this.log.event('configuration-unreadable', { revision: object.revision });
+    }
+  }
+
+  private offer(candidate: ConfigurationCandidate, origin: string): void {
+    const result = this.holder.offer(candidate);
+    if (result.kind === 'in-force') {
+      const { routes, limits } = this.holder.routes?.configuration ?? {};
+      this.log.event('configuration', { version: result.version, origin, routes: routes?.length });
+      this.metrics.configurationInForce(result.version, this.clock.now());
+      if (limits) {
+        this.ingress.setLimits(limits);
+      }
+    } else if (result.kind === 'held-off') {
+      const findings = result.findings.slice(0, 5);
+      this.log.event('configuration-held-off', { version: result.version, origin, findings });
+    }
+  }
+
+  private onBackEnd(backEnd: BackEnd | undefined, cause: string): void {
+    const { ready, slots } = this.owner.report;
+    this.log.event('back-end', {
+      instance: backEnd?.instance,
+      service: backEnd?.service,
+      state: backEnd?.state,
+      cause,
+      slots,
+    });
+    const entry = this.directory.all().find((candidate) => candidate.isLocal);
+    if (ready) {
+      entry?.noteReport(this.report(), this.clock.now());
+      this.sync.announce();
+    } else {
+      entry?.makeAbsent('no-back-end', this.clock.now());
+    }
+  }
+
+  private onStore(use: string, connected: boolean, detail: string): void {
+    this.log.event('store', { use, connected, detail, version: this.holder.version });
+  }
+
+  private onFinished(record: RequestRecord): void {
+    this.metrics.requestFinished(record);
+    const isPlain = record.status < 400 && record.status > 0 && record.offers.length < 2;
+    if (!isPlain) {
+      const { durationMs, allowedMs, ...rest } = record;
+      this.log.decision('request', {
+        ...rest,
+        durationMs: Math.round(durationMs),
+        allowedMs: Math.round(allowedMs),
+      });
+    }
+  }
+
+  private onReadinessCall(method: string, path: string) {
+    const isReady = !this.stopping && this.holder.routes !== undefined && this.sync.isListed;
+    const isKnown = this.outside.isReadinessCall(method, path);
+    const status = isKnown ? (isReady ? 200 : 503) : 404;
+    return { status, contentType: 'application/json', body: `{"ready":${isReady}}` };
+  }
+
+  private onRegistration(method: string, path: string, body: Buffer) {
+    const registration = this.outside.decodeRegistration(method, path, body);
+    switch (registration.kind) {
+      case 'heartbeat':
+        this.owner.heartbeat(registration.beat);
+        return { status: 200, contentType: 'application/json', body: '{}' };
+      case 'deregister':
+        this.owner.deregister(registration.instance);
+        return { status: 200, contentType: 'application/json', body: '{}' };
+      default:
+        this.log.event('registration-unreadable', { path, reason: registration.reason });
+        return { status: 400, contentType: 'application/json', body: '{}' };
+    }
+  }
+}
+
+function listenAt(
+  server: { listen(host: string, port: number): Promise<number> },
+  address: string,
+): Promise<number> {
+  const separator = address.lastIndexOf(':');
+  return server.listen(address.slice(0, separator), Number(address.slice(separator + 1)));
+}
--- /dev/null
+++ b/src/sidecar/sidecar-process.ts
@@ -0,0 +1,89 @@
+/** The life of a sidecar process: settings, signals, start and stop. */
+import { statSync } from 'node:fs';
+import type { DecisionLog } from '../diagnostics/decision-log.js';
+import type { SidecarMetrics } from '../diagnostics/sidecar-metrics.js';
+import type { Clock } from '../model/clock.js';
+import { type Outside, SidecarNode } from './sidecar-node.js';
+import { checkSidecarSettings, type SidecarSettings } from './sidecar-settings.js';
+
+/** The settings file is looked at this often, in milliseconds: it may change without a signal. */
+const SETTINGS_INTERVAL_MS = 2_000;
+
+/** Exit code for settings that cannot be used. */
+const EXIT_SETTINGS = 2;
+
+/** What a process is made of. */
+export interface SidecarProcess {
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly metrics: SidecarMetrics;
+  readonly settingsFile: string;
+  /** Reads the settings file into the product's settings, unchecked; may throw. */
+  readonly readSettings: () => unknown;
+  readonly outside: Outside;
+}
+
+/** Runs until SIGTERM. */
+export async function runSidecar(parts: SidecarProcess): Promise<void> {
+  const settings = load(parts);
+  if (!settings) {
+    process.exitCode = EXIT_SETTINGS;
+    return;
+  }
+  const node = new SidecarNode(settings, parts.outside, parts.clock, parts.log, parts.metrics);
+  process.on('SIGTERM', () => {
+    void node.stop().finally(() => process.exit(0));
+  });
+  process.on('SIGHUP', () => reload(parts, node));
+  process.on('uncaughtException', (error) => {
+    parts.log.event('unexpected', { error: String(error.stack ?? error) });
+  });
+  process.on('unhandledRejection', (error) => {
+    parts.log.event('unexpected', { error: String(error) });
+  });
+  watchSettings(parts, node);
+  await node.start();
+}
+
+function load(parts: SidecarProcess): SidecarSettings | undefined {
+  try {
+    return checkSidecarSettings(parts.readSettings()).caseOf({
+      Left: (findings) => {
+        parts.log.event('settings-refused', { findings });
+        return undefined;
+      },
+      Right: (settings) => settings,
+    });
+  } catch (error) {
+    parts.log.event('settings-refused', { error: String(error) });
+    return undefined;
+  }
+}
+
+/** Settings that cannot be used are reported; the ones in force stay. */
+function reload(parts: SidecarProcess, node: SidecarNode): void {
+  const settings = load(parts);
+  if (settings) {
+    node.reload(settings);
+  }
+}
+
+function watchSettings(parts: SidecarProcess, node: SidecarNode): void {
+  let known = modifiedAt(parts.settingsFile);
+  const timer = setInterval(() => {
+    const found = modifiedAt(parts.settingsFile);
+    if (found !== known) {
+      known = found;
+      reload(parts, node);
+    }
+  }, SETTINGS_INTERVAL_MS);
+  timer.unref();
+}
+
+function modifiedAt(file: string): number {
+  try {
+    return statSync(file).mtimeMs;
+  } catch {
+    return 0;
+  }
+}
--- /dev/null
+++ b/src/sidecar/sidecar-settings.ts
@@ -0,0 +1,50 @@
+/** Settings of a sidecar: a node beside one back end. */
+import { type Either, Left, Right } from 'purify-ts';
+import { z } from 'zod';
+import type { Finding } from '../model/finding.js';
+
+const ADDRESS = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/;
+const address = z.string().regex(ADDRESS, 'expected IP:PORT, such as 127.0.0.1:8080');
+
+const settingsSchema = z.object({
+  node: z.string().min(1),
+  zone: z.string().min(1),
+  /** Service of the back end on this machine. */
+  service: z.string().min(1),
+  backEndAddress: address,
+  listen: z.object({
+    clients: address,
+    peers: address,
+    readiness: address,
+    registrations: address,
+    /** Metrics, or none. */
+    metrics: address.optional(),
+  }),
+  /** Longest time, in milliseconds, between an acknowledged drain and the last new work. */
+  drainMs: z.number().positive().default(2_000),
+  /** Milliseconds from SIGTERM to SIGKILL. */
+  graceMs: z.number().positive().default(6_000),
+  retryBudget: z
+    .object({
+      ratio: z.number().min(0).default(0.2),
+      windowMs: z.number().positive().default(10_000),
+      slack: z.number().min(0).default(64),
+    })
+    .prefault({}),
+});
+
+export type SidecarSettings = z.infer<typeof settingsSchema>;
+
+/** Checks settings; every finding carries its place. Unknown fields are ignored. */
+export function checkSidecarSettings(candidate: unknown): Either<Finding[], SidecarSettings> {
+  const result = settingsSchema.safeParse(candidate);
+  return result.success
+    ? Right(result.data)
+    : Left(
+        result.error.issues.map((issue) => ({
+          code: issue.code,
+          path: issue.path.join('.'),
+          message: issue.message,
+        })),
+      );
+}
--- /dev/null
+++ b/src/source/collection-watcher.ts
@@ -0,0 +1,141 @@
+/**
+ * List, then watch: follows one kind of object. Lost history (410) leads to a
+ * new list; failures lead to jittered back-off, so that a herd of nodes does not
+ * storm the store.
+ */
+import type { ObjectStore, StoredObject, StoreFailure } from './object-store.js';
+
+/** Receives what a watcher learns, in order. */
+export interface CollectionHandler<Spec> {
+  /** Everything that there is now. */
+  onList(objects: readonly StoredObject<Spec>[]): void;
+  onChange(object: StoredObject<Spec>, gone: boolean): void;
+  /** Called when the store begins or ceases to answer. */
+  onConnected(connected: boolean, detail: string): void;
+}
+
+/** Time limits in milliseconds. */
+export interface WatchTiming {
+  /** Longest wait of one watch. */
+  readonly waitMs: number;
+  /** Pause after a watch that brought changes, so that quick changes come together. */
+  readonly settleMs: number;
+}
+
+const FIRST_BACKOFF_MS = 150;
+const LONGEST_BACKOFF_MS = 2_000;
+const BACKOFF_FACTOR = 2;
+
+/** Follows one kind until stopped. */
+export class CollectionWatcher<Spec> {
+  private revision: number | undefined;
+  private stopped = false;
+  private connected = false;
+  private backoffMs = FIRST_BACKOFF_MS;
+  private wake: () => void = () => {};
+  private refreshWanted = false;
+
+  constructor(
+    private readonly store: ObjectStore,
+    private readonly kind: string,
+    private readonly handler: CollectionHandler<Spec>,
+    private readonly timing: WatchTiming,
+    private readonly random: () => number = Math.random,
+  ) {}
+
+  /** True while the last call to the store was answered. */
+  get isConnected(): boolean {
+    return this.connected;
+  }
+
+  /** Runs until {@link stop}. */
+  async run(): Promise<void> {
+    while (!this.stopped) {
+      const failure = this.revision === undefined ? await this.list() : await this.watch();
+      if (failure === 'history-gone') {
+        this.revision = undefined;
+      } else if (failure) {
+        this.note(false, failure);
+        await this.pause(this.nextBackoff());
+      }
+    }
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.wake();
+  }
+
+  /** Lists anew at once, beside a watch that waits: something newer is known to exist. */
+  async refresh(): Promise<boolean> {
+    if (this.refreshWanted || this.stopped) {
+      return true;
+    }
+    this.refreshWanted = true;
+    const failure = await this.list();
+    this.refreshWanted = false;
+    return failure === undefined;
+  }
+
+  private async list(): Promise<StoreFailure | undefined> {
+    const result = await this.store.list<Spec>(this.kind);
+    if (this.stopped) {
+      return undefined;
+    }
+    if (!result.ok) {
+      return result.failure;
+    }
+    this.note(true, 'list');
+    if (result.value.revision >= (this.revision ?? 0)) {
+      this.revision = result.value.revision;
+      this.handler.onList(result.value.items);
+    }
+    return undefined;
+  }
+
+  private async watch(): Promise<StoreFailure | undefined> {
+    const from = this.revision ?? 0;
+    const result = await this.store.watch<Spec>(this.kind, from, this.timing.waitMs);
+    if (this.stopped) {
+      return undefined;
+    }
+    if (!result.ok) {
+      return result.failure;
+    }
+    this.note(true, 'watch');
+    this.revision = Math.max(this.revision ?? 0, result.value.revision);
+    for (const event of result.value.events) {
+      this.handler.onChange(event.object, event.gone);
+    }
+    if (result.value.events.length > 0) {
+      await this.pause(this.timing.settleMs);
+    }
+    return undefined;
+  }
+
+  private note(connected: boolean, detail: string): void {
+    if (connected) {
+      this.backoffMs = FIRST_BACKOFF_MS;
+    }
+    if (connected !== this.connected) {
+      this.connected = connected;
+      this.handler.onConnected(connected, detail);
+    }
+  }
+
+  private nextBackoff(): number {
+    const current = this.backoffMs;
+    this.backoffMs = Math.min(current * BACKOFF_FACTOR, LONGEST_BACKOFF_MS);
+    return current * (0.5 + this.random());
+  }
+
+  private pause(delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, delayMs);
+      this.wake = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+}
--- /dev/null
+++ b/src/source/configuration-holder.ts
@@ -0,0 +1,62 @@
+/**
+ * Holds the configuration in force. A newer version replaces the held one whole;
+ * an older one, whichever way it comes, never does; one that cannot be used
+ * whole is held off whole and reported once.
+ */
+import type { Finding } from '../model/finding.js';
+import { checkMeshConfiguration } from '../routing/mesh-configuration.js';
+import { RouteMatcher } from '../routing/route-matcher.js';
+
+/** A configuration as it came, with the means to give it to another node. */
+export interface ConfigurationCandidate {
+  readonly version: number;
+  /** In the product's model, unchecked. */
+  readonly candidate: unknown;
+  /** What another node can decode again. */
+  readonly bytes: () => Buffer;
+}
+
+/** What became of a candidate. */
+export type OfferResult =
+  | { readonly kind: 'in-force'; readonly version: number }
+  | { readonly kind: 'not-newer' }
+  | { readonly kind: 'held-off'; readonly version: number; readonly findings: readonly Finding[] };
+
+/** One per node. */
+export class ConfigurationHolder {
+  private matcher: RouteMatcher | undefined;
+  private held: ConfigurationCandidate | undefined;
+  private refusedVersion = 0;
+
+  /** The routes in force, or undefined before the first configuration. */
+  get routes(): RouteMatcher | undefined {
+    return this.matcher;
+  }
+
+  get version(): number {
+    return this.matcher?.version ?? 0;
+  }
+
+  /** The configuration in force as bytes for another node. */
+  bytes(): Buffer | undefined {
+    return this.held?.bytes();
+  }
+
+  /** Takes a candidate if it is newer than what is held. */
+  offer(offered: ConfigurationCandidate): OfferResult {
+    if (!(offered.version > Math.max(this.version, this.refusedVersion))) {
+      return { kind: 'not-newer' };
+    }
+    return checkMeshConfiguration(offered.candidate).caseOf<OfferResult>({
+      Left: (findings) => {
+        this.refusedVersion = offered.version;
+        return { kind: 'held-off', version: offered.version, findings };
+      },
+      Right: (configuration) => {
+        this.matcher = new RouteMatcher(configuration);
+        this.held = offered;
+        return { kind: 'in-force', version: offered.version };
+      },
+    });
+  }
+}
--- /dev/null
+++ b/src/source/object-store.ts
@@ -0,0 +1,66 @@
+/**
+ * What the mesh needs of an object store: objects by kind and name, conditional
+ * writes, and watches. Implementations translate; they decide nothing.
+ */
+
+/** One stored object. The revision grows with every change of the store. */
+export interface StoredObject<Spec> {
+  readonly name: string;
+  readonly revision: number;
+  readonly spec: Spec;
+}
+
+/** All objects of a kind and the store's revision at that moment. */
+export interface StoreListing<Spec> {
+  readonly items: readonly StoredObject<Spec>[];
+  readonly revision: number;
+}
+
+/** One change. */
+export interface StoreEvent<Spec> {
+  readonly object: StoredObject<Spec>;
+  readonly gone: boolean;
+}
+
+/** Changes since a revision, and the revision to go on from. */
+export interface StoreChanges<Spec> {
+  readonly events: readonly StoreEvent<Spec>[];
+  readonly revision: number;
+}
+
+/**
+ * Why a call failed. `unknown`: it may have been carried out, or may still be.
+ * `throttled` and `unavailable`: nothing was done.
+ */
+export type StoreFailure =
+  | 'conflict'
+  | 'not-found'
+  | 'history-gone'
+  | 'throttled'
+  | 'unavailable'
+  | 'rejected'
+  | 'unknown';
+
+export type StoreResult<Value> =
+  | { readonly ok: true; readonly value: Value }
+  | { readonly ok: false; readonly failure: StoreFailure; readonly detail: string };
+
+/** Calls never reject. */
+export interface ObjectStore {
+  list<Spec>(kind: string): Promise<StoreResult<StoreListing<Spec>>>;
+  /** Waits up to `waitMs` for changes after a revision. */
+  watch<Spec>(
+    kind: string,
+    revision: number,
+    waitMs: number,
+  ): Promise<StoreResult<StoreChanges<Spec>>>;
+  create<Spec>(kind: string, name: string, spec: Spec): Promise<StoreResult<StoredObject<Spec>>>;
+  /** Replaces an object if its revision is still the given one. */
+  replace<Spec>(
+    kind: string,
+    object: StoredObject<Spec>,
+  ): Promise<StoreResult<StoredObject<Spec>>>;
+  /** Deletes an object if its revision is still the given one. */
+  remove(kind: string, name: string, revision: number): Promise<StoreResult<undefined>>;
+  close(): void;
+}
