--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -124,8 +124,16 @@
       store,
       outside.configurationKind,
       {
-        onList: (objects) => objects.forEach((object) => this.onConfiguration(object)),
-        onChange: (object, gone) => gone || this.onConfiguration(object),
+        onList: (objects) => {
+          for (const object of objects) {
+            this.onConfiguration(object);
+          }
+        },
+        onChange: (object, gone) => {
+          if (!gone) {
+            this.onConfiguration(object);
+          }
+        },
         onConnected: (connected, detail) => this.onStore('configuration', connected, detail),
       },
       { waitMs: CONFIGURATION_WAIT_MS, settleMs: CONFIGURATION_SETTLE_MS },
