--- /dev/null
+++ b/src/owner/admission-control.test.ts
@@ -0,0 +1,116 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { AdmissionControl, type AdmissionRequest, type Waiter } from './admission-control.js';
+
+function request(overrides: Partial<AdmissionRequest> = {}): AdmissionRequest {
+  return { route: 'read', priority: 1, targetAt: 1_000, deadlineAt: 2_000, ...overrides };
+}
+
+/** An admission control with all of its slots taken and a known service time. */
+function full(slots: number, serviceMs: number): AdmissionControl {
+  const admission = new AdmissionControl();
+  admission.setSlots(slots, 0);
+  for (let index = 0; index < 200; index += 1) {
+    admission.started();
+    admission.finished('read', serviceMs, 0);
+  }
+  for (let index = 0; index < slots; index += 1) {
+    admission.started();
+  }
+  return admission;
+}
+
+function waiterOf(asked: AdmissionRequest, fate: string[], name: string): Waiter {
+  return {
+    request: asked,
+    since: 0,
+    admit: () => fate.push(`${name} runs`),
+    turnAway: () => fate.push(`${name} is turned away`),
+  };
+}
+
+describe('AdmissionControl', () => {
+  it('runs a task while a slot is free', () => {
+    const admission = new AdmissionControl();
+    admission.setSlots(1, 0);
+    expect(admission.decide(request(), 0)).toEqual({ kind: 'run' });
+    admission.started();
+    expect(admission.decide(request(), 0).kind).not.toBe('run');
+  });
+
+  it('turns a task away at once when it could no longer meet its target', () => {
+    const admission = full(2, 100);
+    expect(admission.decide(request({ targetAt: 160 }), 0).kind).toBe('wait');
+    const decision = admission.decide(request({ targetAt: 140 }), 0);
+    expect(decision.kind).toBe('busy');
+    expect(decision.kind === 'busy' && decision.retryAfterMs).toBeGreaterThan(0);
+  });
+
+  it('lets the more urgent go first, and equals in the order of arrival', () => {
+    const admission = full(1, 10);
+    const fate: string[] = [];
+    admission.enqueue(waiterOf(request({ priority: 2 }), fate, 'background'));
+    admission.enqueue(waiterOf(request({ priority: 1 }), fate, 'first'));
+    admission.enqueue(waiterOf(request({ priority: 1 }), fate, 'second'));
+    for (let index = 0; index < 3; index += 1) {
+      admission.finished('read', 10, 20);
+      admission.started();
+    }
+    expect(fate).toEqual(['first runs', 'second runs', 'background runs']);
+  });
+
+  it('does not spend a slot on a task whose target has become out of reach', () => {
+    const admission = full(1, 100);
+    const fate: string[] = [];
+    admission.enqueue(waiterOf(request({ targetAt: 150 }), fate, 'stale'));
+    admission.enqueue(waiterOf(request({ targetAt: 900 }), fate, 'fresh'));
+    admission.finished('read', 100, 120);
+    expect(fate).toEqual(['stale is turned away', 'fresh runs']);
+  });
+
+  it('forgets a task that was taken back', () => {
+    const admission = full(1, 10);
+    const fate: string[] = [];
+    const waiter = waiterOf(request(), fate, 'gone');
+    admission.enqueue(waiter);
+    admission.remove(waiter);
+    admission.finished('read', 10, 10);
+    expect(fate).toEqual([]);
+  });
+
+  it('never has more tasks running than slots, in any order of events', () => {
+    const step = fc.record({
+      kind: fc.constantFrom('arrive', 'finish', 'slots'),
+      priority: fc.integer({ min: 0, max: 3 }),
+      slots: fc.integer({ min: 1, max: 5 }),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+        const admission = new AdmissionControl();
+        admission.setSlots(5, 0);
+        let running = 0;
+        const begin = () => {
+          admission.started();
+          running += 1;
+          expect(running).toBeLessThanOrEqual(5);
+        };
+        steps.forEach(({ kind, priority }, now) => {
+          if (kind === 'finish' && running > 0) {
+            running -= 1;
+            admission.finished('read', 10, now);
+          } else if (kind === 'arrive') {
+            const asked = request({ priority, targetAt: now + 500 });
+            const decision = admission.decide(asked, now);
+            if (decision.kind === 'run') {
+              begin();
+            } else if (decision.kind === 'wait') {
+              admission.enqueue({ request: asked, since: now, admit: begin, turnAway: () => {} });
+            }
+          }
+        });
+        expect(admission.inFlight).toBe(running);
+      }),
+      { seed: 11, numRuns: 300 },
+    );
+  });
+});
--- /dev/null
+++ b/src/registry/back-end-registry.test.ts
@@ -0,0 +1,115 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { type BackEnd, BackEndRegistry, type Heartbeat } from './back-end-registry.js';
+
+const FALLBACK = {
+  service: 'catalogue',
+  address: '127.0.0.1:1',
+  state: 'ready',
+  coldUntil: 0,
+  sequence: -1,
+} as const;
+
+function beat(overrides: Partial<Heartbeat> = {}): Heartbeat {
+  return {
+    instance: 'i-1',
+    service: 'catalogue',
+    address: '127.0.0.1:1',
+    slots: 4,
+    state: 'ready',
+    coldRemainingMs: 0,
+    sequence: 1,
+    ...overrides,
+  };
+}
+
+function registryWith(instance = 'i-1') {
+  const changes: (BackEnd | undefined)[] = [];
+  const registry = new BackEndRegistry((backEnd) => changes.push(backEnd));
+  registry.heartbeat(beat({ instance }), 0);
+  registry.verified({ instance, slots: 4 }, FALLBACK);
+  return { registry, changes };
+}
+
+describe('BackEndRegistry', () => {
+  it('gives an unknown incarnation no work before it has said who it is', () => {
+    const registry = new BackEndRegistry(() => {});
+    expect(registry.heartbeat(beat(), 0)).toBe('unverified');
+    expect(registry.current).toBeUndefined();
+    registry.verified({ instance: 'i-1', slots: 9 }, FALLBACK);
+    expect(registry.current).toMatchObject({ instance: 'i-1', slots: 4, state: 'ready' });
+  });
+
+  it('knows a back end from its health answer alone after a restart of the node', () => {
+    const registry = new BackEndRegistry(() => {});
+    registry.verified({ instance: 'i-1', slots: 6 }, FALLBACK);
+    expect(registry.current).toMatchObject({ instance: 'i-1', slots: 6 });
+    expect(registry.heartbeat(beat({ sequence: 0 }), 5)).toBe('applied');
+  });
+
+  it('ignores a late heartbeat of the same incarnation', () => {
+    const { registry } = registryWith();
+    registry.heartbeat(beat({ sequence: 7, state: 'draining' }), 10);
+    expect(registry.heartbeat(beat({ sequence: 6 }), 20)).toBe('old');
+    expect(registry.current?.state).toBe('draining');
+  });
+
+  it('keeps an incarnation fenced that deregistered without draining', () => {
+    const { registry } = registryWith();
+    registry.deregister('i-1');
+    expect(registry.current?.state).toBe('draining');
+    expect(registry.heartbeat(beat({ sequence: 99 }), 20)).toBe('old');
+    registry.verified({ instance: 'i-1', slots: 4 }, FALLBACK);
+    expect(registry.current?.state).toBe('draining');
+  });
+
+  it('never returns to an incarnation that another has followed', () => {
+    const { registry } = registryWith('i-1');
+    registry.heartbeat(beat({ instance: 'i-2', sequence: 1 }), 10);
+    registry.verified({ instance: 'i-2', slots: 4 }, FALLBACK);
+    registry.heartbeat(beat({ instance: 'i-1', sequence: 50 }), 20);
+    registry.verified({ instance: 'i-1', slots: 4 }, FALLBACK);
+    expect(registry.current?.instance).toBe('i-2');
+  });
+
+  it('does not take a drain of another incarnation for its own', () => {
+    const { registry } = registryWith('i-2');
+    registry.heartbeat(beat({ instance: 'i-1', state: 'draining', sequence: 3 }), 10);
+    registry.deregister('i-1');
+    expect(registry.current).toMatchObject({ instance: 'i-2', state: 'ready' });
+  });
+
+  it('never makes a fenced incarnation ready again, in any order of events', () => {
+    const event = fc.record({
+      kind: fc.constantFrom('ready', 'draining', 'deregister', 'verified'),
+      instance: fc.constantFrom('i-1', 'i-2', 'i-3'),
+      sequence: fc.integer({ min: 1, max: 6 }),
+    });
+    fc.assert(
+      fc.property(fc.array(event, { maxLength: 30 }), (events) => {
+        const registry = new BackEndRegistry(() => {});
+        const fenced = new Set<string>();
+        for (const { kind, instance, sequence } of events) {
+          const wasCurrent = registry.current?.instance === instance;
+          if (kind === 'deregister') {
+            registry.deregister(instance);
+            fenced.add(instance);
+          } else if (kind === 'verified') {
+            registry.verified({ instance, slots: 2 }, FALLBACK);
+          } else {
+            const state = kind === 'draining' ? 'draining' : 'ready';
+            const result = registry.heartbeat(beat({ instance, sequence, state }), 0);
+            if (state === 'draining' && (result === 'applied' || !wasCurrent)) {
+              fenced.add(instance);
+            }
+          }
+          const current = registry.current;
+          if (current && fenced.has(current.instance)) {
+            expect(current.state).toBe('draining');
+          }
+        }
+      }),
+      { seed: 7, numRuns: 500 },
+    );
+  });
+});
--- /dev/null
+++ b/src/routing/routing.test.ts
@@ -0,0 +1,90 @@
+import { describe, expect, it } from 'vitest';
+import { checkMeshConfiguration, type MeshConfiguration } from './mesh-configuration.js';
+import { RouteMatcher } from './route-matcher.js';
+import { TrafficSplit } from './traffic-split.js';
+
+function candidate(routes: unknown[]): unknown {
+  return { version: 3, routes, services: [{ name: 'desk' }, { name: 'vault' }] };
+}
+
+function route(name: string, pathPrefix: string, host = 'a.example') {
+  return { name, host, pathPrefix, kind: 'safe', split: [{ service: 'desk', weight: 1 }] };
+}
+
+function checked(routes: unknown[]): MeshConfiguration {
+  return checkMeshConfiguration(candidate(routes)).unsafeCoerce();
+}
+
+describe('RouteMatcher', () => {
+  const matcher = new RouteMatcher(
+    checked([route('all', '/'), route('read', '/read/'), route('deep', '/read/deep/')]),
+  );
+  it.each([
+    ['/read/deep/1', 'deep'],
+    ['/read/other', 'read'],
+    ['/read/deep', 'read'],
+    ['/reading/1', 'all'],
+    ['/?x=/read/', 'all'],
+    ['/read/%2e%2e/x?y#z', 'read'],
+    ['http://a.example/read/1', 'read'],
+  ])('matches %s to the longest prefix', (target, name) => {
+    expect(matcher.match('a.example:8080', target)?.route.name).toBe(name);
+  });
+
+  it('does not match another host, and ignores the case of the host', () => {
+    expect(matcher.match('b.example', '/read/1')).toBeUndefined();
+    expect(matcher.match('A.Example', '/read/1')?.route.name).toBe('read');
+  });
+});
+
+describe('checkMeshConfiguration', () => {
+  it('reports every finding with its place', () => {
+    const findings = checkMeshConfiguration({
+      version: 3,
+      routes: [{ ...route('a', 'no-slash'), kind: 'odd' }],
+      services: [],
+    })
+      .swap()
+      .unsafeCoerce();
+    expect(findings.map((finding) => finding.path)).toEqual([
+      'routes.0.pathPrefix',
+      'routes.0.kind',
+    ]);
+  });
+
+  it('holds off a configuration with a route to a service that is not there', () => {
+    const dangling = { ...route('a', '/a/'), split: [{ service: 'gone', weight: 1 }] };
+    const findings = checkMeshConfiguration(candidate([dangling]))
+      .swap()
+      .unsafeCoerce();
+    expect(findings).toMatchObject([{ code: 'dangling-reference', path: 'routes.0.split' }]);
+  });
+
+  it('ignores fields that it does not know', () => {
+    expect(checkMeshConfiguration(candidate([{ ...route('a', '/a/'), odd: 1 }])).isRight()).toBe(
+      true,
+    );
+  });
+});
+
+describe('TrafficSplit', () => {
+  it('gives every part its share of any run of requests', () => {
+    const split = new TrafficSplit(
+      [
+        { service: 'desk', weight: 90 },
+        { service: 'vault', weight: 10 },
+      ],
+      () => 0.5,
+    );
+    const chosen = Array.from({ length: 300 }, () => split.next());
+    expect(chosen.filter((service) => service === 'vault')).toHaveLength(30);
+  });
+
+  it('sends nothing to a part without weight', () => {
+    const split = new TrafficSplit([
+      { service: 'desk', weight: 1 },
+      { service: 'vault', weight: 0 },
+    ]);
+    expect(new Set(Array.from({ length: 50 }, () => split.next()))).toEqual(new Set(['desk']));
+  });
+});
