An owner that has not served yet, or was slow a while ago, gets work again

Cause: the new membership test found that a restarted owner was never chosen at low load: it reported an assumed service time as if it had been measured, and an old measurement never aged. Excluded: its record, its announcement (both arrived). Change: no service time is reported before one is measured; a reported one fades within four seconds towards the lower median of the service's owners. Tests: data path, admission, drains, stops, restarts and store trouble on real sockets in one process (24), directory choice (7); the two cases failed before.

--- /dev/null
+++ b/lab/application-stand-in.ts
@@ -0,0 +1,204 @@
+/** A back end beside a node: slots, heartbeats, and the faults that back ends show. */
+import http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
+
+/** How a back end treats the next request. */
+export type Behaviour =
+  | 'serve'
+  /** Runs it and never answers. */
+  | 'stay-silent'
+  /** Runs it and resets the connection. */
+  | 'reset'
+  /** Says that it did not run it. */
+  | 'turn-away'
+  /** Runs it and answers with another request's id. */
+  | 'answer-another'
+  /** Runs it and breaks its answer off. */
+  | 'cut-short'
+  /** Answers before it has read the body. */
+  | 'answer-early';
+
+/** One request that a back end has begun to work on. */
+export interface Run {
+  readonly requestId: string;
+  readonly instance: string;
+  readonly method: string;
+  readonly target: string;
+  readonly body: string;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly at: number;
+  /** Set when the connection closed before the answer was sent. */
+  cutAt: number | undefined;
+}
+
+let instances = 0;
+
+/** Listens until closed. */
+export class ApplicationStandIn {
+  readonly instance: string;
+  readonly runs: Run[] = [];
+  /** Behaviours of the next requests; then {@link Behaviour} `serve`. */
+  readonly behaviours: Behaviour[] = [];
+  serviceMs = 5;
+  draining = false;
+  running = 0;
+  mostRunning = 0;
+  private sequence = 0;
+  private readonly server = http.createServer((request, response) => this.serve(request, response));
+
+  constructor(
+    readonly service: string,
+    readonly slots: number,
+  ) {
+    instances += 1;
+    this.instance = `i-${instances}`;
+  }
+
+  /** Starts listening and resolves with its address. */
+  start(port = 0): Promise<string> {
+    return new Promise((resolve) => {
+      this.server.listen(port, '127.0.0.1', () => resolve(this.address));
+    });
+  }
+
+  get address(): string {
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  /** Ends at once. */
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /** Sends one heartbeat to its node. */
+  heartbeat(registrations: string, sequence?: number): Promise<number> {
+    this.sequence += 1;
+    return postJson(registrations, {
+      kind: 'heartbeat',
+      beat: {
+        instance: this.instance,
+        service: this.service,
+        address: this.address,
+        slots: this.slots,
+        state: this.draining ? 'draining' : 'ready',
+        coldRemainingMs: 0,
+        sequence: sequence ?? this.sequence,
+      },
+    });
+  }
+
+  deregister(registrations: string): Promise<number> {
+    return postJson(registrations, { kind: 'deregister', instance: this.instance });
+  }
+
+  private serve(request: http.IncomingMessage, response: http.ServerResponse): void {
+    if (request.url === '/health') {
+      response.writeHead(this.draining ? 503 : 200, {
+        [NAMES.instance]: this.instance,
+        [NAMES.load]: `${this.running},0,${this.slots}`,
+      });
+      response.end();
+      return;
+    }
+    const expected = request.headers[NAMES.expectInstance.toLowerCase()];
+    const behaviour = this.behaviours.shift() ?? 'serve';
+    const id = String(request.headers[NAMES.requestId.toLowerCase()] ?? '');
+    if (expected !== undefined && expected !== this.instance) {
+      response.writeHead(421, { [NAMES.requestId]: id, [NAMES.instance]: this.instance });
+      response.end();
+    } else if (behaviour === 'turn-away' || this.running >= this.slots) {
+      response.writeHead(503, { [NAMES.requestId]: id, [NAMES.notRun]: '1' });
+      response.end();
+    } else {
+      void this.run(request, response, id, behaviour);
+    }
+  }
+
+  private async run(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    requestId: string,
+    behaviour: Behaviour,
+  ): Promise<void> {
+    const chunks: Buffer[] = [];
+    if (behaviour !== 'answer-early') {
+      for await (const chunk of request) {
+        chunks.push(chunk as Buffer);
+      }
+    }
+    this.running += 1;
+    this.mostRunning = Math.max(this.mostRunning, this.running);
+    const run: Run = {
+      requestId,
+      instance: this.instance,
+      method: request.method ?? '',
+      target: request.url ?? '',
+      body: Buffer.concat(chunks).toString(),
+      headers: request.headers,
+      at: performance.now(),
+      cutAt: undefined,
+    };
+    this.runs.push(run);
+    response.on('close', () => {
+      if (!response.writableFinished) {
+        run.cutAt = performance.now();
+      }
+    });
+    await new Promise((resolve) => setTimeout(resolve, this.serviceMs));
+    this.running -= 1;
+    this.answer(request, response, requestId, behaviour);
+  }
+
+  private answer(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    requestId: string,
+    behaviour: Behaviour,
+  ): void {
+    const fields = { [NAMES.signature]: this.instance, 'content-type': 'text/plain' };
+    const body = `answer to ${requestId}`;
+    switch (behaviour) {
+      case 'stay-silent':
+        return;
+      case 'reset':
+        request.socket.resetAndDestroy();
+        return;
+      case 'answer-another':
+        response.writeHead(200, { ...fields, [NAMES.requestId]: 'another' });
+        response.end('answer to another');
+        return;
+      case 'cut-short':
+        response.writeHead(200, {
+          ...fields,
+          [NAMES.requestId]: requestId,
+          'content-length': body.length + 10,
+        });
+        response.write(body, () => request.socket.destroy());
+        return;
+      default:
+        response.writeHead(200, { ...fields, [NAMES.requestId]: requestId });
+        response.end(body);
+    }
+  }
+}
+
+function postJson(address: string, body: unknown): Promise<number> {
+  const separator = address.lastIndexOf(':');
+  return new Promise((resolve, reject) => {
+    const request = http.request({
+      host: address.slice(0, separator),
+      port: Number(address.slice(separator + 1)),
+      method: 'POST',
+      path: '/registrations',
+      agent: false,
+    });
+    request.on('error', reject);
+    request.on('response', (response) => {
+      response.resume();
+      response.on('end', () => resolve(response.statusCode ?? 0));
+    });
+    request.end(JSON.stringify(body));
+  });
+}
--- /dev/null
+++ b/lab/memory-store.ts
@@ -0,0 +1,190 @@
+/** An object store in memory with the faults that a real one shows, for tests. */
+import type {
+  ObjectStore,
+  StoreChanges,
+  StoredObject,
+  StoreEvent,
+  StoreFailure,
+  StoreListing,
+  StoreResult,
+} from '../src/source/object-store.js';
+
+interface LoggedChange extends StoreEvent<unknown> {
+  readonly kind: string;
+  readonly revision: number;
+}
+
+/** The store itself; each node gets a {@link StoreView} of its own. */
+export class MemoryStore {
+  readonly objects = new Map<string, Map<string, StoredObject<unknown>>>();
+  readonly log: LoggedChange[] = [];
+  revision = 0;
+  /** Changes at or below this revision are forgotten. */
+  forgotten = 0;
+  private readonly listeners = new Set<() => void>();
+
+  /** Writes an object without conditions, as an operator does. */
+  put(kind: string, name: string, spec: unknown): StoredObject<unknown> {
+    const object = { name, revision: this.revision + 1, spec: structuredClone(spec) };
+    this.kind(kind).set(name, object);
+    this.record(kind, object, false);
+    return object;
+  }
+
+  delete(kind: string, name: string): void {
+    const object = this.kind(kind).get(name);
+    if (object) {
+      this.kind(kind).delete(name);
+      this.record(kind, object, true);
+    }
+  }
+
+  /** Forgets the history of changes: a watch from before ends with `history-gone`. */
+  compact(): void {
+    this.forgotten = this.revision;
+    this.wake();
+  }
+
+  kind(kind: string): Map<string, StoredObject<unknown>> {
+    const objects = this.objects.get(kind) ?? new Map<string, StoredObject<unknown>>();
+    this.objects.set(kind, objects);
+    return objects;
+  }
+
+  /** Resolves at the next change, or after `waitMs`. */
+  nextChange(waitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const done = () => {
+        clearTimeout(timer);
+        this.listeners.delete(done);
+        resolve();
+      };
+      const timer = setTimeout(done, waitMs);
+      this.listeners.add(done);
+    });
+  }
+
+  /** Wakes every watch. */
+  wake(): void {
+    for (const listener of [...this.listeners]) {
+      listener();
+    }
+  }
+
+  private record(kind: string, object: StoredObject<unknown>, gone: boolean): void {
+    this.revision += 1;
+    this.log.push({ kind, object, gone, revision: this.revision });
+    this.wake();
+  }
+}
+
+/** One node's way to the store. */
+export class StoreView implements ObjectStore {
+  /** Answers every call with this failure while it is set. */
+  failure: StoreFailure | undefined;
+  /** Loses the answers of this many writes that are carried out. */
+  answersToLose = 0;
+  calls = 0;
+
+  constructor(private readonly store: MemoryStore) {}
+
+  list<Spec>(kind: string): Promise<StoreResult<StoreListing<Spec>>> {
+    return this.answer(() => ({
+      ok: true,
+      value: {
+        items: [...this.store.kind(kind).values()] as StoredObject<Spec>[],
+        revision: this.store.revision,
+      },
+    }));
+  }
+
+  async watch<Spec>(
+    kind: string,
+    revision: number,
+    waitMs: number,
+  ): Promise<StoreResult<StoreChanges<Spec>>> {
+    const until = performance.now() + waitMs;
+    const changes = () =>
+      this.store.log.filter((change) => change.kind === kind && change.revision > revision);
+    while (
+      !this.failure &&
+      this.store.forgotten <= revision &&
+      changes().length === 0 &&
+      performance.now() < until
+    ) {
+      await this.store.nextChange(until - performance.now());
+    }
+    return this.answer(() =>
+      this.store.forgotten > revision
+        ? failed('history-gone')
+        : {
+            ok: true,
+            value: {
+              events: changes() as unknown as StoreEvent<Spec>[],
+              revision: this.store.revision,
+            },
+          },
+    );
+  }
+
+  create<Spec>(kind: string, name: string, spec: Spec): Promise<StoreResult<StoredObject<Spec>>> {
+    return this.write(() =>
+      this.store.kind(kind).has(name)
+        ? failed('conflict')
+        : { ok: true, value: this.store.put(kind, name, spec) as StoredObject<Spec> },
+    );
+  }
+
+  replace<Spec>(
+    kind: string,
+    object: StoredObject<Spec>,
+  ): Promise<StoreResult<StoredObject<Spec>>> {
+    return this.write(() => {
+      const held = this.store.kind(kind).get(object.name);
+      if (!held) {
+        return failed('not-found');
+      }
+      return held.revision === object.revision
+        ? {
+            ok: true,
+            value: this.store.put(kind, object.name, object.spec) as StoredObject<Spec>,
+          }
+        : failed('conflict');
+    });
+  }
+
+  remove(kind: string, name: string, revision: number): Promise<StoreResult<undefined>> {
+    return this.write(() => {
+      if (this.store.kind(kind).get(name)?.revision !== revision) {
+        return failed('conflict');
+      }
+      this.store.delete(kind, name);
+      return { ok: true, value: undefined };
+    });
+  }
+
+  close(): void {
+    this.failure = 'unavailable';
+    this.store.wake();
+  }
+
+  private write<Value>(carryOut: () => StoreResult<Value>): Promise<StoreResult<Value>> {
+    return this.answer(() => {
+      const result = carryOut();
+      if (this.answersToLose > 0) {
+        this.answersToLose -= 1;
+        return failed('unknown');
+      }
+      return result;
+    });
+  }
+
+  private answer<Value>(carryOut: () => StoreResult<Value>): Promise<StoreResult<Value>> {
+    this.calls += 1;
+    return Promise.resolve(this.failure ? failed(this.failure) : carryOut());
+  }
+}
+
+function failed(failure: StoreFailure): { ok: false; failure: StoreFailure; detail: string } {
+  return { ok: false, failure, detail: 'stand-in' };
+}
--- /dev/null
+++ b/lab/sidecar-mesh.ts
@@ -0,0 +1,254 @@
+/** Sidecars with their back ends in one process, on real sockets, for tests. */
+import http from 'node:http';
+import { DecisionLog } from '../src/diagnostics/decision-log.js';
+import { SidecarMetrics } from '../src/diagnostics/sidecar-metrics.js';
+import { steadyClock } from '../src/model/clock.js';
+import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
+import { type Registration, SidecarNode } from '../src/sidecar/sidecar-node.js';
+import { checkSidecarSettings } from '../src/sidecar/sidecar-settings.js';
+import type { ConfigurationCandidate } from '../src/source/configuration-holder.js';
+import { ApplicationStandIn, type Run } from './application-stand-in.js';
+import { MemoryStore, StoreView } from './memory-store.js';
+
+const CONFIGURATION_KIND = 'configuration';
+const CONFIGURATION_NAME = 'current';
+
+/** Pause between two looks at a condition, in milliseconds. */
+const POLL_MS = 10;
+
+/** A route of a test; the rest has defaults. */
+export interface TestRoute {
+  readonly name: string;
+  readonly service: string;
+  readonly kind?: 'safe' | 'unsafe' | 'upload';
+  readonly timeoutMs?: number;
+  readonly targetLatencyMs?: number;
+  readonly priority?: number;
+  readonly maxAttempts?: number;
+  readonly split?: readonly { service: string; weight: number }[];
+}
+
+/** One machine: node, back end and way to the store. */
+export class Machine {
+  node: SidecarNode;
+  view: StoreView;
+  readonly lines: Record<string, unknown>[] = [];
+
+  constructor(
+    readonly name: string,
+    readonly zone: string,
+    readonly application: ApplicationStandIn,
+    private readonly store: MemoryStore,
+  ) {
+    this.view = new StoreView(store);
+    this.node = this.create(undefined);
+  }
+
+  async start(): Promise<void> {
+    await this.application.start();
+    this.node = this.create(undefined);
+    await this.node.start();
+  }
+
+  /** Ends the node at once and starts a new one at the same addresses. */
+  async restart(): Promise<void> {
+    const { addresses } = this.node;
+    this.node.close();
+    this.view = new StoreView(this.store);
+    this.node = this.create(addresses);
+    await this.node.start();
+  }
+
+  private create(listen: SidecarNode['addresses'] | undefined): SidecarNode {
+    const any = '127.0.0.1:0';
+    const settings = checkSidecarSettings({
+      node: this.name,
+      zone: this.zone,
+      service: this.application.service,
+      backEndAddress: listen ? this.application.address : this.addressOrNone(),
+      listen: listen ?? { clients: any, peers: any, readiness: any, registrations: any },
+      drainMs: 1_000,
+      graceMs: 4_000,
+    }).unsafeCoerce();
+    const sink = (bytes: Buffer, done: () => void) => {
+      for (const line of bytes.toString().trim().split('\n')) {
+        this.lines.push(JSON.parse(line) as Record<string, unknown>);
+      }
+      done();
+    };
+    return new SidecarNode(
+      settings,
+      {
+        store: this.view,
+        names: NAMES,
+        configurationKind: CONFIGURATION_KIND,
+        configurationName: CONFIGURATION_NAME,
+        decodeConfiguration,
+        decodeConfigurationBytes: (bytes) => decodeConfiguration(JSON.parse(bytes.toString())),
+        decodeRegistration: (_method, _path, body) => JSON.parse(body.toString()) as Registration,
+        isReadinessCall: (_method, path) => path === '/ready',
+      },
+      steadyClock,
+      new DecisionLog(this.name, () => steadyClock.now(), sink),
+      new SidecarMetrics(),
+    );
+  }
+
+  private addressOrNone(): string {
+    try {
+      return this.application.address;
+    } catch {
+      return '127.0.0.1:1';
+    }
+  }
+}
+
+/** A mesh of machines that share one store. */
+export class SidecarMesh {
+  readonly store = new MemoryStore();
+  readonly machines: Machine[] = [];
+  private version = 0;
+
+  /** Adds a machine and starts it. */
+  async add(service: string, options: { zone?: string; slots?: number } = {}): Promise<Machine> {
+    const name = `node-${this.machines.length + 1}`;
+    const application = new ApplicationStandIn(service, options.slots ?? 4);
+    const machine = new Machine(name, options.zone ?? 'zone-a', application, this.store);
+    this.machines.push(machine);
+    await machine.start();
+    return machine;
+  }
+
+  /** Writes a configuration with these routes; each has the host `mesh.example` and its name as prefix. */
+  configure(routes: readonly TestRoute[]): number {
+    this.version += 1;
+    const services = new Set(
+      routes.flatMap((route) => (route.split ?? [route]).map((part) => part.service)),
+    );
+    this.store.put(CONFIGURATION_KIND, CONFIGURATION_NAME, {
+      version: this.version,
+      routes: routes.map(({ service, ...route }) => ({
+        host: 'mesh.example',
+        pathPrefix: `/${route.name}/`,
+        kind: 'safe',
+        maxAttempts: 2,
+        split: [{ service, weight: 1 }],
+        ...route,
+      })),
+      services: [...services].map((name) => ({ name })),
+    });
+    return this.version;
+  }
+
+  /** Waits until every node is ready, knows every back end and would offer it work. */
+  async settled(): Promise<void> {
+    for (const machine of this.machines) {
+      await waitFor(
+        async () =>
+          (await machine.application.heartbeat(machine.node.addresses.registrations)) === 200,
+      );
+      await waitFor(
+        async () => (await call(machine.node.addresses.readiness, '/ready')).status === 200,
+      );
+      await waitFor(() => machine.node.status.backEndReady);
+      await waitFor(() => machine.node.status.ownersPresent === this.machines.length);
+    }
+  }
+
+  /** Everything that any back end has run. */
+  runs(): Run[] {
+    return this.machines.flatMap((machine) => machine.application.runs);
+  }
+
+  close(): void {
+    for (const machine of this.machines) {
+      machine.node.close();
+      machine.application.close();
+    }
+  }
+}
+
+function decodeConfiguration(spec: unknown): ConfigurationCandidate | undefined {
+  const version = (spec as { version?: unknown }).version;
+  return typeof version === 'number'
+    ? { version, candidate: spec, bytes: () => Buffer.from(JSON.stringify(spec)) }
+    : undefined;
+}
+
+/** Waits for a condition; the test's own time limit bounds it. */
+export async function waitFor(condition: () => boolean | Promise<boolean>): Promise<void> {
+  while (!(await condition())) {
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  }
+}
+
+/** What a client got. */
+export interface ClientResult {
+  /** 0 when the connection ended without an answer. */
+  readonly status: number;
+  readonly body: string;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly tookMs: number;
+}
+
+/** A client's request. */
+export interface ClientCall {
+  readonly method?: string;
+  readonly headers?: Record<string, string>;
+  readonly body?: string | Buffer;
+  readonly requestId?: string;
+  readonly deadlineMs?: number;
+  /** The client leaves after this time. */
+  readonly leaveAfterMs?: number;
+}
+
+let requests = 0;
+
+/** Sends one request on a connection of its own. */
+export function call(
+  address: string,
+  path: string,
+  options: ClientCall = {},
+): Promise<ClientResult> {
+  const separator = address.lastIndexOf(':');
+  const startedAt = performance.now();
+  requests += 1;
+  const requestId = options.requestId ?? `request-${requests}`;
+  return new Promise((resolve) => {
+    const none = (): void =>
+      resolve({ status: 0, body: '', headers: {}, tookMs: performance.now() - startedAt });
+    const request = http.request({
+      host: address.slice(0, separator),
+      port: Number(address.slice(separator + 1)),
+      path,
+      method: options.method ?? 'GET',
+      agent: false,
+      headers: {
+        host: 'mesh.example',
+        [NAMES.requestId]: requestId,
+        ...(options.deadlineMs === undefined
+          ? {}
+          : { [NAMES.deadline]: String(options.deadlineMs) }),
+        ...options.headers,
+      },
+    });
+    request.on('error', none);
+    request.on('response', (response) => {
+      const chunks: Buffer[] = [];
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('error', none);
+      response.on('end', () =>
+        resolve({
+          status: response.statusCode ?? 0,
+          body: Buffer.concat(chunks).toString(),
+          headers: response.headers,
+          tookMs: performance.now() - startedAt,
+        }),
+      );
+    });
+    if (options.leaveAfterMs !== undefined) {
+      setTimeout(() => request.destroy(), options.leaveAfterMs);
+    }
+    request.end(options.body);
+  });
+}
--- /dev/null
+++ b/src/directory/owner-directory.test.ts
@@ -0,0 +1,103 @@
+import { describe, expect, it } from 'vitest';
+import type { Owner } from '../owner/owner.js';
+import type { PeerReport } from '../peer/peer-protocol.js';
+import { OwnerDirectory } from './owner-directory.js';
+import { OwnerEntry, type OwnerRecord } from './owner-entry.js';
+
+const NO_OWNER: Owner = { run: () => Promise.reject(new Error('not used')) };
+
+function record(node: string, overrides: Partial<OwnerRecord> = {}): OwnerRecord {
+  return { node, address: `10.0.0.1:${node}`, zone: 'near', service: 'desk', ...overrides };
+}
+
+function report(overrides: Partial<PeerReport> = {}): PeerReport {
+  return {
+    service: 'desk',
+    ready: true,
+    inFlight: 0,
+    queued: 0,
+    slots: 4,
+    meanServiceMs: 10,
+    version: 1,
+    ...overrides,
+  };
+}
+
+function directoryOf(...records: OwnerRecord[]): OwnerDirectory {
+  const directory = new OwnerDirectory(
+    'near',
+    (each) => new OwnerEntry(each, NO_OWNER, false),
+    () => 0,
+  );
+  for (const each of records) {
+    directory.put(each);
+  }
+  return directory;
+}
+
+function entry(directory: OwnerDirectory, node: string): OwnerEntry {
+  return directory.all().find((each) => each.record.node === node) as OwnerEntry;
+}
+
+function chosen(directory: OwnerDirectory, now = 0, priority = 1): string | undefined {
+  return directory.choose('desk', priority, new Set(), now)?.record.node;
+}
+
+describe('OwnerDirectory', () => {
+  it('prefers the own zone and goes on to others when none there takes work', () => {
+    const directory = directoryOf(record('1'), record('2', { zone: 'far' }));
+    expect(chosen(directory)).toBe('1');
+    entry(directory, '1').noteTurnedAway('draining', 1, undefined, 0);
+    expect(chosen(directory)).toBe('2');
+    expect(directory.choose('desk', 1, new Set(directory.all()), 0)).toBeUndefined();
+  });
+
+  it('chooses the owner that is expected to be done first', () => {
+    const directory = directoryOf(record('1'), record('2'));
+    entry(directory, '1').noteReport(report({ inFlight: 4, queued: 2 }), 0);
+    entry(directory, '2').noteReport(report({ inFlight: 1 }), 0);
+    expect(chosen(directory)).toBe('2');
+    entry(directory, '2').outstanding = 9;
+    expect(chosen(directory)).toBe('1');
+  });
+
+  it('gives an owner that has not served yet its share', () => {
+    const directory = directoryOf(record('1'), record('2'));
+    entry(directory, '1').noteReport(report({ inFlight: 1, meanServiceMs: 5 }), 0);
+    entry(directory, '2').noteReport(report({ meanServiceMs: undefined }), 0);
+    expect(chosen(directory)).toBe('2');
+  });
+
+  it('tries an owner again that was slow a while ago', () => {
+    const directory = directoryOf(record('1'), record('2'));
+    entry(directory, '1').noteReport(report({ meanServiceMs: 500 }), 0);
+    entry(directory, '2').noteReport(report({ inFlight: 1 }), 0);
+    expect(chosen(directory, 10)).toBe('2');
+    entry(directory, '2').noteReport(report({ inFlight: 1 }), 5_000);
+    expect(chosen(directory, 5_000)).toBe('1');
+  });
+
+  it('leaves a busy owner alone for a moment, but offers it what is more urgent', () => {
+    const directory = directoryOf(record('1'));
+    entry(directory, '1').noteTurnedAway('busy', 2, 1_000, 0);
+    expect(chosen(directory, 10, 2)).toBeUndefined();
+    expect(chosen(directory, 10, 0)).toBe('1');
+    expect(chosen(directory, 1_000, 2)).toBe('1');
+  });
+
+  it('asks an absent owner again only once it has said that it is ready', () => {
+    const directory = directoryOf(record('1'));
+    entry(directory, '1').makeAbsent('silent', 0);
+    expect(chosen(directory, 60_000)).toBeUndefined();
+    entry(directory, '1').noteReport(report({ ready: false }), 60_000);
+    expect(chosen(directory, 60_000)).toBeUndefined();
+    entry(directory, '1').noteReport(report(), 60_000);
+    expect(chosen(directory, 60_000)).toBe('1');
+  });
+
+  it('forgets a record whose address another node has taken', () => {
+    const directory = directoryOf(record('1', { address: '10.0.0.9:1' }));
+    directory.put(record('2', { address: '10.0.0.9:1' }));
+    expect(directory.all().map((each) => each.record.node)).toEqual(['2']);
+  });
+});
--- a/src/directory/owner-directory.ts
+++ b/src/directory/owner-directory.ts
@@ -95,11 +95,7 @@
   }
 
   private best(candidates: readonly OwnerEntry[], now: number): OwnerEntry | undefined {
-    const means = candidates.flatMap((entry) => entry.meanServiceMs ?? []);
-    const typicalMs =
-      means.length > 0
-        ? means.reduce((sum, mean) => sum + mean, 0) / means.length
-        : DEFAULT_SERVICE_MS;
+    const typicalMs = median(candidates.flatMap((entry) => entry.meanServiceMs ?? []));
     let best: OwnerEntry | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
     for (const entry of candidates) {
@@ -124,6 +120,12 @@
   }
 }
 
+/** The lower median, so that a few slow owners do not count as typical. */
+function median(values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.floor((sorted.length - 1) / 2)] ?? DEFAULT_SERVICE_MS;
+}
+
 function isSame(left: OwnerRecord, right: OwnerRecord): boolean {
   return (
     left.address === right.address && left.zone === right.zone && left.service === right.service
--- a/src/directory/owner-entry.ts
+++ b/src/directory/owner-entry.ts
@@ -18,6 +18,9 @@
 /** A report tells nothing of the present load after this time, in milliseconds. */
 const REPORT_LIFETIME_MS = 1_000;
 
+/** A service time that was reported once is believed less and less for so long, in milliseconds. */
+const SERVICE_TIME_LIFETIME_MS = 4_000;
+
 /** An owner that turned a task away as busy is left alone at the most this long, in milliseconds. */
 const MAX_REST_MS = 60;
 
@@ -70,7 +73,9 @@
 
   /** Expected time in milliseconds until one more task would be done. Lower is better. */
   expectedMs(now: number, defaultServiceMs: number): number {
-    const serviceMs = this.report?.meanServiceMs || defaultServiceMs;
+    const belief = Math.max(0, 1 - (now - this.reportedAt) / SERVICE_TIME_LIFETIME_MS);
+    const reportedMs = this.report?.meanServiceMs ?? defaultServiceMs;
+    const serviceMs = reportedMs * belief + defaultServiceMs * (1 - belief);
     return ((this.load(now) + 1) * serviceMs) / this.slots;
   }
 
--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -57,9 +57,12 @@
     return this.waiting.length;
   }
 
-  /** Moving average of the time that the back end takes for a task, in milliseconds. */
-  get meanServiceMs(): number {
-    return this.overallMs;
+  /**
+   * Moving average of the time that the back end takes for a task, in
+   * milliseconds; undefined until it has finished one.
+   */
+  get meanServiceMs(): number | undefined {
+    return this.routeMs.size > 0 ? this.overallMs : undefined;
   }
 
   get capacity(): number {
@@ -95,6 +98,9 @@
   finished(route: string, serviceMs: number | undefined, now: number): void {
     this.running -= 1;
     if (serviceMs !== undefined) {
+      if (this.routeMs.size === 0) {
+        this.overallMs = serviceMs;
+      }
       this.overallMs += (serviceMs - this.overallMs) * AVERAGE_WEIGHT;
       const known = this.routeMs.get(route) ?? serviceMs;
       this.routeMs.set(route, known + (serviceMs - known) * AVERAGE_WEIGHT);
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -50,7 +50,8 @@
   readonly inFlight: number;
   readonly queued: number;
   readonly slots: number;
-  readonly meanServiceMs: number;
+  /** Milliseconds; undefined until the back end has finished a task. */
+  readonly meanServiceMs: number | undefined;
 }
 
 /** One per node. */
--- a/src/peer/peer-protocol.ts
+++ b/src/peer/peer-protocol.ts
@@ -102,7 +102,7 @@
     report.inFlight,
     report.queued,
     report.slots,
-    Math.round(report.meanServiceMs),
+    report.meanServiceMs === undefined ? '' : Math.round(report.meanServiceMs),
     report.version,
   ]);
 }
@@ -118,7 +118,7 @@
     inFlight: Number(inFlight),
     queued: Number(queued),
     slots: Number(slots),
-    meanServiceMs: Number(meanServiceMs),
+    meanServiceMs: meanServiceMs ? Number(meanServiceMs) : undefined,
     version: Number(version),
   };
 }
--- a/src/peer/remote-owner.ts
+++ b/src/peer/remote-owner.ts
@@ -81,9 +81,11 @@
       };
       request.on('socket', (socket) => {
         this.connected = !socket.connecting;
-        socket.once('connect', () => {
-          this.connected = true;
-        });
+        if (socket.connecting) {
+          socket.once('connect', () => {
+            this.connected = true;
+          });
+        }
       });
       request.on('information', acknowledge);
       request.on('continue', () => {
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -9,7 +9,7 @@
 import { SharedRetryBudget } from '../ingress/shared-retry-budget.js';
 import type { Clock } from '../model/clock.js';
 import type { HeaderNames } from '../owner/header-names.js';
-import { LocalOwner } from '../owner/local-owner.js';
+import { LocalOwner, type OwnerReport } from '../owner/local-owner.js';
 import { PeerCaller } from '../peer/peer-caller.js';
 import type { PeerReport, PeerSender } from '../peer/peer-protocol.js';
 import { PeerServer } from '../peer/peer-server.js';
@@ -70,6 +70,18 @@
   | { readonly kind: 'deregister'; readonly instance: string }
   | { readonly kind: 'unreadable'; readonly reason: string };
 
+/** What a node believes at one moment. */
+export interface SidecarStatus {
+  readonly version: number;
+  readonly backEndReady: boolean;
+  readonly owner: OwnerReport;
+  /** Requests of clients without a final answer. */
+  readonly inFlight: number;
+  readonly ownersPresent: number;
+  readonly ownersAbsent: number;
+  readonly storeConnected: boolean;
+}
+
 /** One per process. */
 export class SidecarNode {
   private readonly holder = new ConfigurationHolder();
@@ -163,15 +175,36 @@
     );
   }
 
+  /** What the node believes now, for metrics and tests. */
+  get status(): SidecarStatus {
+    const owners = this.directory.all();
+    return {
+      version: this.holder.version,
+      backEndReady: this.owner.report.ready,
+      owner: this.owner.report,
+      inFlight: this.ingress.inFlight,
+      ownersPresent: owners.filter((entry) => !entry.absence).length,
+      ownersAbsent: owners.filter((entry) => entry.absence).length,
+      storeConnected: this.configuration.isConnected,
+    };
+  }
+
+  /** Addresses in use. */
+  get addresses(): SidecarSettings['listen'] {
+    return this.settings.listen;
+  }
+
   /** Opens every port and begins to follow the store. */
   async start(): Promise<void> {
     const { listen } = this.settings;
-    await Promise.all([
+    const [peers, registrations, readiness, clients] = await Promise.all([
       listenAt(this.peers, listen.peers),
       listenAt(this.registrations, listen.registrations),
       listenAt(this.readiness, listen.readiness),
       listenAt(this.ingress, listen.clients),
     ]);
+    this.settings = { ...this.settings, listen: { peers, registrations, readiness, clients } };
+    this.directory.put(this.record());
     this.sync.start();
     void this.configuration.run();
     this.owner.start();
@@ -378,10 +411,13 @@
   }
 }
 
-function listenAt(
+/** Listens at an address and resolves with the one in use: port 0 lets the kernel choose. */
+async function listenAt(
   server: { listen(host: string, port: number): Promise<number> },
   address: string,
-): Promise<number> {
+): Promise<string> {
   const separator = address.lastIndexOf(':');
-  return server.listen(address.slice(0, separator), Number(address.slice(separator + 1)));
+  const host = address.slice(0, separator);
+  const port = await server.listen(host, Number(address.slice(separator + 1)));
+  return `${host}:${port}`;
 }
--- /dev/null
+++ b/test/sidecar-data-path.test.ts
@@ -0,0 +1,194 @@
+/** Two hops between clients and back ends, with the faults that back ends show. */
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { call, SidecarMesh, waitFor } from '../lab/sidecar-mesh.js';
+
+let mesh: SidecarMesh;
+
+beforeEach(() => {
+  mesh = new SidecarMesh();
+});
+
+afterEach(() => {
+  mesh.close();
+});
+
+/** Two owners of `desk` and one of `vault`, each on its own machine. */
+async function threeMachines() {
+  const first = await mesh.add('desk');
+  const second = await mesh.add('desk');
+  const vault = await mesh.add('vault');
+  mesh.configure([
+    { name: 'read', service: 'desk', timeoutMs: 800 },
+    { name: 'grant', service: 'desk', kind: 'unsafe', timeoutMs: 800 },
+    { name: 'upload', service: 'vault', kind: 'upload', timeoutMs: 2_000 },
+  ]);
+  await mesh.settled();
+  return { first, second, vault };
+}
+
+describe('the two-hop data path', () => {
+  it('brings requests to their services unchanged and answers whole', async () => {
+    const { vault, first } = await threeMachines();
+    const address = vault.node.addresses.clients;
+    const read = await call(address, '/read/%41/../x?y=%2F', {
+      requestId: 'r-1',
+      headers: { 'spindlepaddle-caller-service': 'forged', 'X-Other': 'kept' },
+    });
+    expect(read).toMatchObject({ status: 200, body: 'answer to r-1' });
+    expect(read.headers['spindlepaddle-signature']).toBeDefined();
+    const [run] = mesh.runs();
+    expect(run).toMatchObject({ target: '/read/%41/../x?y=%2F', method: 'GET' });
+    expect(run?.headers).toMatchObject({
+      'x-request-id': 'r-1',
+      'x-other': 'kept',
+      'spindlepaddle-caller-service': 'vault',
+    });
+    const body = 'x'.repeat(300_000);
+    const upload = await call(first.node.addresses.clients, '/upload/1', { method: 'POST', body });
+    expect(upload.status).toBe(200);
+    expect(vault.application.runs[0]?.body).toBe(body);
+  });
+
+  it('streams a long upload from another machine', async () => {
+    const { vault, first } = await threeMachines();
+    const body = 'y'.repeat(3_000_000);
+    const upload = await call(first.node.addresses.clients, '/upload/1', { method: 'POST', body });
+    expect(upload.status).toBe(200);
+    expect(vault.application.runs[0]?.body).toBe(body);
+  });
+
+  it.each(['reset', 'answer-another', 'cut-short'] as const)(
+    'runs a safe request again after a back end that does %s',
+    async (behaviour) => {
+      const { vault, first, second } = await threeMachines();
+      first.application.behaviours.push(behaviour);
+      second.application.behaviours.push(behaviour);
+      const results = await Promise.all(
+        [1, 2, 3].map((index) => call(vault.node.addresses.clients, `/read/${index}`)),
+      );
+      expect(results.map((result) => result.status)).toContain(200);
+      for (const result of results) {
+        expect([200, 502]).toContain(result.status);
+      }
+    },
+  );
+
+  it.each(['reset', 'answer-another', 'cut-short'] as const)(
+    'runs an unsafe request once, and does not promise "not run", when a back end does %s',
+    async (behaviour) => {
+      const { vault, first, second } = await threeMachines();
+      first.application.behaviours.push(behaviour);
+      second.application.behaviours.push(behaviour);
+      const result = await call(vault.node.addresses.clients, '/grant/1', {
+        method: 'POST',
+        body: 'once',
+        requestId: `once-${behaviour}`,
+      });
+      expect(result.status).toBe(502);
+      expect(mesh.runs().filter((run) => run.requestId === `once-${behaviour}`)).toHaveLength(1);
+    },
+  );
+
+  it('offers an unsafe request to another owner when a back end turns it away', async () => {
+    const { vault, first, second } = await threeMachines();
+    first.application.behaviours.push('turn-away');
+    second.application.behaviours.push('turn-away');
+    const results = [];
+    for (let index = 0; index < 3; index += 1) {
+      results.push(
+        await call(vault.node.addresses.clients, `/grant/${index}`, { method: 'POST', body: 'b' }),
+      );
+    }
+    expect(results.map((result) => result.status)).toContain(200);
+    expect(mesh.runs()).toHaveLength(results.filter((result) => result.status === 200).length);
+  });
+
+  it('gives the final answer at the time-out of the route and ends the work', async () => {
+    const { vault, first, second } = await threeMachines();
+    first.application.serviceMs = 5_000;
+    second.application.serviceMs = 5_000;
+    const result = await call(vault.node.addresses.clients, '/grant/1', {
+      method: 'POST',
+      body: 'b',
+    });
+    expect(result.status).toBe(504);
+    expect(result.tookMs).toBeGreaterThan(780);
+    expect(result.tookMs).toBeLessThan(1_300);
+    await waitFor(() => mesh.runs().every((run) => run.cutAt !== undefined));
+  });
+
+  it('ends the work at the back end when the client leaves', async () => {
+    const { vault, first, second } = await threeMachines();
+    first.application.serviceMs = 5_000;
+    second.application.serviceMs = 5_000;
+    const result = await call(vault.node.addresses.clients, '/read/1', { leaveAfterMs: 200 });
+    expect(result.status).toBe(0);
+    await waitFor(() => mesh.runs().length === 1 && mesh.runs()[0]?.cutAt !== undefined);
+    const [run] = mesh.runs();
+    expect((run?.cutAt ?? 0) - (run?.at ?? 0)).toBeLessThan(700);
+  });
+
+  it('hands the time that is left on', async () => {
+    const { vault } = await threeMachines();
+    await call(vault.node.addresses.clients, '/read/1', { deadlineMs: 400 });
+    const left = Number(mesh.runs()[0]?.headers['spindlepaddle-deadline-ms']);
+    expect(left).toBeGreaterThan(200);
+    expect(left).toBeLessThanOrEqual(400);
+  });
+
+  it('answers 404 without a route and 503 without a configuration', async () => {
+    const { vault } = await threeMachines();
+    expect((await call(vault.node.addresses.clients, '/nothing/')).status).toBe(404);
+    const empty = new SidecarMesh();
+    const machine = await empty.add('desk');
+    const early = await call(machine.node.addresses.clients, '/read/1');
+    empty.close();
+    expect(early.status).toBe(503);
+    expect(Number(early.headers['retry-after'])).toBeGreaterThan(0);
+  });
+});
+
+describe('admission at the owner', () => {
+  it('never gives a back end more than its slots, and refuses at once what cannot be in time', async () => {
+    const only = await mesh.add('desk', { slots: 2 });
+    const entry = await mesh.add('vault');
+    mesh.configure([
+      { name: 'read', service: 'desk', targetLatencyMs: 300, timeoutMs: 2_000 },
+      { name: 'other', service: 'vault' },
+    ]);
+    await mesh.settled();
+    only.application.serviceMs = 100;
+    for (let index = 0; index < 20; index += 1) {
+      await call(entry.node.addresses.clients, '/read/warm-up');
+    }
+    const results = await Promise.all(
+      Array.from({ length: 30 }, (_, index) =>
+        call(entry.node.addresses.clients, `/read/${index}`),
+      ),
+    );
+    expect(only.application.mostRunning).toBe(2);
+    const refused = results.filter((result) => result.status === 503);
+    expect(refused.length).toBeGreaterThan(10);
+    expect(results.filter((result) => result.status === 200).length).toBeGreaterThanOrEqual(2);
+    for (const result of refused) {
+      expect(Number(result.headers['retry-after'])).toBeGreaterThan(0);
+    }
+    const early = refused.filter((result) => result.tookMs < 150);
+    expect(early.length).toBeGreaterThan(refused.length / 2);
+  });
+
+  it('spreads a split by its weights', async () => {
+    const desk = await mesh.add('desk');
+    const vault = await mesh.add('vault');
+    const split = [
+      { service: 'desk', weight: 70 },
+      { service: 'vault', weight: 30 },
+    ];
+    mesh.configure([{ name: 'read', service: 'desk', split }]);
+    await mesh.settled();
+    for (let index = 0; index < 100; index += 1) {
+      await call(desk.node.addresses.clients, `/read/${index}`);
+    }
+    expect(Math.abs(vault.application.runs.length - 30)).toBeLessThanOrEqual(1);
+  });
+});
--- /dev/null
+++ b/test/sidecar-membership.test.ts
@@ -0,0 +1,151 @@
+/** Drains, stops, restarts and store trouble among sidecars. */
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { call, type Machine, SidecarMesh, waitFor } from '../lab/sidecar-mesh.js';
+
+let mesh: SidecarMesh;
+
+beforeEach(() => {
+  mesh = new SidecarMesh();
+});
+
+afterEach(() => {
+  mesh.close();
+});
+
+const ROUTES = [
+  { name: 'read', service: 'desk', timeoutMs: 1_000 },
+  { name: 'grant', service: 'desk', kind: 'unsafe', timeoutMs: 3_000 },
+  { name: 'other', service: 'vault' },
+] as const;
+
+async function threeMachines(): Promise<[Machine, Machine, Machine]> {
+  const first = await mesh.add('desk');
+  const second = await mesh.add('desk');
+  const entry = await mesh.add('vault');
+  mesh.configure(ROUTES);
+  await mesh.settled();
+  return [first, second, entry];
+}
+
+/** Sends requests one after the other and returns their statuses. */
+async function statuses(machine: Machine, count: number): Promise<number[]> {
+  const found: number[] = [];
+  for (let index = 0; index < count; index += 1) {
+    found.push((await call(machine.node.addresses.clients, `/read/${index}`)).status);
+  }
+  return found;
+}
+
+describe('a back end that leaves', () => {
+  it('gets no new work once its drain is acknowledged, and the other serves on', async () => {
+    const [first, second, entry] = await threeMachines();
+    first.application.draining = true;
+    expect(await first.application.heartbeat(first.node.addresses.registrations)).toBe(200);
+    const before = first.application.runs.length;
+    expect(new Set(await statuses(entry, 20))).toEqual(new Set([200]));
+    expect(first.application.runs).toHaveLength(before);
+    expect(second.application.runs.length).toBeGreaterThanOrEqual(20);
+  });
+
+  it('stays fenced after it deregistered, even when its node starts again and an old heartbeat comes', async () => {
+    const [first, , entry] = await threeMachines();
+    expect(await first.application.deregister(first.node.addresses.registrations)).toBe(200);
+    first.application.draining = true;
+    await first.restart();
+    await first.application.heartbeat(first.node.addresses.registrations, 1);
+    const before = first.application.runs.length;
+    expect(new Set(await statuses(entry, 20))).toEqual(new Set([200]));
+    expect(first.application.runs).toHaveLength(before);
+  });
+});
+
+describe('a node that ends', () => {
+  it('is left alone by the others until it is back', async () => {
+    const [first, second, entry] = await threeMachines();
+    first.node.close();
+    expect(new Set(await statuses(entry, 10))).toEqual(new Set([200]));
+    expect(second.application.runs.length).toBeGreaterThanOrEqual(10);
+    await first.restart();
+    await waitFor(() => entry.node.status.ownersPresent === 3);
+    await waitFor(async () => {
+      await statuses(entry, 2);
+      return first.application.runs.length > 0;
+    });
+  });
+
+  it('cuts an unsafe request that runs into an unknown outcome, not into a second run', async () => {
+    const [first, second, entry] = await threeMachines();
+    first.application.serviceMs = 1_000;
+    second.application.serviceMs = 1_000;
+    const pending = call(entry.node.addresses.clients, '/grant/1', {
+      method: 'POST',
+      body: 'b',
+      requestId: 'granted-once',
+    });
+    await waitFor(() => mesh.runs().length === 1);
+    const owner = first.application.runs.length === 1 ? first : second;
+    owner.node.close();
+    expect((await pending).status).toBe(502);
+    expect(mesh.runs()).toHaveLength(1);
+  });
+
+  it('finishes what is in flight at a planned stop and is not ready meanwhile', async () => {
+    const [first, second, entry] = await threeMachines();
+    first.application.serviceMs = 1_500;
+    second.application.serviceMs = 1_500;
+    const pending = call(entry.node.addresses.clients, '/grant/1', { method: 'POST', body: 'b' });
+    await waitFor(() => mesh.runs().length === 1);
+    const stopping = entry.node.stop();
+    expect((await call(entry.node.addresses.readiness, '/ready')).status).toBe(503);
+    expect((await pending).status).toBe(200);
+    await stopping;
+  });
+});
+
+describe('the store in trouble', () => {
+  it('refuses truthfully at a start without the store and serves once it is there', async () => {
+    const machine = await mesh.add('desk');
+    machine.view.failure = 'unavailable';
+    mesh.store.wake();
+    mesh.configure(ROUTES);
+    const early = await call(machine.node.addresses.clients, '/read/1');
+    expect(early.status).toBe(503);
+    expect((await call(machine.node.addresses.readiness, '/ready')).status).toBe(503);
+    machine.view.failure = undefined;
+    await mesh.settled();
+    expect((await call(machine.node.addresses.clients, '/read/2')).status).toBe(200);
+  });
+
+  it('keeps serving without the store, and a node that it drops follows through the others', async () => {
+    const [, , entry] = await threeMachines();
+    entry.view.failure = 'unavailable';
+    mesh.store.wake();
+    await waitFor(() => !entry.node.status.storeConnected);
+    expect(new Set(await statuses(entry, 5))).toEqual(new Set([200]));
+    const version = mesh.configure([...ROUTES, { name: 'added', service: 'desk' }]);
+    await waitFor(async () => {
+      await statuses(entry, 1);
+      return entry.node.status.version === version;
+    });
+    expect((await call(entry.node.addresses.clients, '/added/1')).status).toBe(200);
+  });
+
+  it('follows changes after the history is gone', async () => {
+    const [first] = await threeMachines();
+    mesh.store.compact();
+    const version = mesh.configure([...ROUTES, { name: 'added', service: 'desk' }]);
+    await waitFor(() => first.node.status.version === version);
+  });
+
+  it('finds the own record although the answer to its write was lost', async () => {
+    const machine = await mesh.add('desk');
+    machine.node.close();
+    mesh.store.delete('spindlepaddle-nodes', machine.name);
+    const restarted = machine.restart();
+    machine.view.answersToLose = 1;
+    await restarted;
+    await waitFor(() => mesh.store.kind('spindlepaddle-nodes').has(machine.name));
+    mesh.configure(ROUTES);
+    await mesh.settled();
+  });
+});
