Metrics address, stages, tasks and store calls of a sidecar

Counters by outcome and reason, histograms by stage, gauges of what the node believes; a task that found no answer is one structured line at its owner with the load that decided.

--- a/src/diagnostics/sidecar-metrics.ts
+++ b/src/diagnostics/sidecar-metrics.ts
@@ -1,24 +1,28 @@
 /** Metrics of a sidecar in the Prometheus text format. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { RequestRecord } from '../ingress/ingress-server.js';
+import type { TaskRecord } from '../owner/local-owner.js';
 
 const DURATION_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
-/** Values read at the moment of a scrape. */
+/** Values read at the moment of a scrape; the name of each is the metric's. */
 export interface SidecarGauges {
-  readonly in_flight: number;
+  readonly requests_in_flight: number;
   readonly owner_running: number;
   readonly owner_queued: number;
   readonly owner_slots: number;
+  readonly owner_ready: number;
   readonly owners_present: number;
   readonly owners_absent: number;
+  readonly configuration_version: number;
+  readonly configuration_age_seconds: number;
   readonly store_connected: number;
   readonly log_lines_dropped: number;
 }
 
-/** One per node. */
+/** One per node: it owns a registry, so that nodes in one process do not share counters. */
 export class SidecarMetrics {
   private readonly registry = new Registry();
   private readonly requests = new Counter({
@@ -33,30 +37,48 @@
     labelNames: ['result'],
     registers: [this.registry],
   });
-  private readonly duration = new Histogram({
-    name: 'spindlepaddle_request_seconds',
-    help: 'Time from the head of a request to its final answer',
-    labelNames: ['service'],
-    buckets: DURATION_BUCKETS_SECONDS,
+  private readonly tasks = new Counter({
+    name: 'spindlepaddle_tasks_total',
+    help: 'Tasks at this owner by result',
+    labelNames: ['result'],
     registers: [this.registry],
   });
-  private readonly version = new Gauge({
-    name: 'spindlepaddle_configuration_version',
-    help: 'Configuration version in force',
+  private readonly storeCalls = new Counter({
+    name: 'spindlepaddle_store_calls_total',
+    help: 'Calls to the store by operation and result',
+    labelNames: ['operation', 'result'],
+    registers: [this.registry],
+  });
+  private readonly stages = new Histogram({
+    name: 'spindlepaddle_stage_seconds',
+    help: 'Time by route and stage: total at the ingress, queue and back end at the owner',
+    labelNames: ['service', 'stage'],
+    buckets: DURATION_BUCKETS_SECONDS,
     registers: [this.registry],
   });
   private readonly gauges = new Map<string, Gauge>();
 
+  /** A client has its final answer, or has left. */
   requestFinished(record: RequestRecord): void {
     this.requests.inc({ status: `${Math.floor(record.status / 100)}xx`, code: record.code });
     for (const offer of record.offers) {
       this.offers.inc({ result: offer.result });
     }
-    this.duration.observe({ service: record.service }, record.durationMs / MILLISECONDS_PER_SECOND);
+    this.stage(record.service, 'total', record.durationMs);
   }
 
-  configurationInForce(version: number, _now: number): void {
-    this.version.set(version);
+  /** A task has left this owner. */
+  taskFinished(record: TaskRecord): void {
+    this.tasks.inc({ result: record.result });
+    this.stage(record.service, 'queue', record.queuedMs);
+    if (record.backEndMs !== undefined) {
+      this.stage(record.service, 'back-end', record.backEndMs);
+    }
+  }
+
+  /** The store has answered, or not. */
+  storeCalled(operation: string, result: string): void {
+    this.storeCalls.inc({ operation, result });
   }
 
   /** The text of a scrape. */
@@ -67,6 +89,10 @@
     return this.registry.metrics();
   }
 
+  private stage(service: string, stage: string, durationMs: number): void {
+    this.stages.observe({ service, stage }, durationMs / MILLISECONDS_PER_SECOND);
+  }
+
   private gauge(name: string): Gauge {
     const known = this.gauges.get(name);
     if (known) {
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -41,6 +41,20 @@
   /** Milliseconds after an acknowledged drain in which work may still begin. */
   readonly drainMs: () => number;
   readonly onBackEnd: (backEnd: BackEnd | undefined, cause: string) => void;
+  readonly onTask: (record: TaskRecord) => void;
+}
+
+/** One task that has left this owner, for logs and metrics. */
+export interface TaskRecord {
+  readonly requestId: string;
+  readonly route: string;
+  readonly service: string;
+  /** Kind of the outcome, with its status or reason. */
+  readonly result: string;
+  readonly instance: string | undefined;
+  readonly queuedMs: number;
+  /** Undefined when nothing was sent to the back end. */
+  readonly backEndMs: number | undefined;
 }
 
 /** What others may know of this owner. */
@@ -54,6 +68,13 @@
   readonly meanServiceMs: number | undefined;
 }
 
+/** Steady times of one task, in milliseconds. */
+interface TaskTimes {
+  readonly arrivedAt: number;
+  admittedAt?: number;
+  sentAt?: number;
+}
+
 /** One per node. */
 export class LocalOwner implements Owner {
   private readonly admission = new AdmissionControl();
@@ -119,6 +140,26 @@
   }
 
   async run(task: OwnerTask): Promise<OwnerOutcome> {
+    const times: TaskTimes = { arrivedAt: this.options.clock.now() };
+    const outcome = await this.admitAndRun(task, times);
+    const { arrivedAt, admittedAt, sentAt } = times;
+    const now = this.options.clock.now();
+    this.options.onTask({
+      requestId: task.requestId,
+      route: task.route,
+      service: task.service,
+      result:
+        outcome.kind === 'answer'
+          ? `answer ${outcome.status}`
+          : `${outcome.kind} ${outcome.reason}`,
+      instance: this.registry.current?.instance,
+      queuedMs: Math.round((admittedAt ?? now) - arrivedAt),
+      backEndMs: sentAt === undefined ? undefined : Math.round(now - sentAt),
+    });
+    return outcome;
+  }
+
+  private async admitAndRun(task: OwnerTask, times: TaskTimes): Promise<OwnerOutcome> {
     const obstacle = this.obstacleFor(task);
     if (obstacle) {
       return turnedAway(obstacle);
@@ -136,7 +177,7 @@
     } else {
       this.admission.started();
     }
-    return this.runAdmitted(task);
+    return this.runAdmitted(task, times);
   }
 
   /** Resolves with undefined when the task holds a slot. */
@@ -164,9 +205,9 @@
     });
   }
 
-  private async runAdmitted(task: OwnerTask): Promise<OwnerOutcome> {
+  private async runAdmitted(task: OwnerTask, times: TaskTimes): Promise<OwnerOutcome> {
     const { clock } = this.options;
-    let sentAt: number | undefined;
+    times.admittedAt = clock.now();
     let outcome: OwnerOutcome = turnedAway('cancelled');
     try {
       task.onProgress('admitted');
@@ -176,15 +217,16 @@
         outcome = turnedAway(obstacle);
         return outcome;
       }
-      sentAt = clock.now();
+      times.sentAt = clock.now();
       outcome = await this.send(task, body);
       return outcome;
     } catch {
       // The body broke off before anything was sent to the back end.
       return outcome;
     } finally {
+      const { sentAt } = times;
       const tells = sentAt !== undefined && outcome.kind === 'answer';
-      const serviceMs = tells ? clock.now() - (sentAt as number) : undefined;
+      const serviceMs = tells ? clock.now() - sentAt : undefined;
       this.admission.finished(task.route, serviceMs, clock.now());
     }
   }
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -9,7 +9,7 @@
 import { SharedRetryBudget } from '../ingress/shared-retry-budget.js';
 import type { Clock } from '../model/clock.js';
 import type { HeaderNames } from '../owner/header-names.js';
-import { LocalOwner, type OwnerReport } from '../owner/local-owner.js';
+import { LocalOwner, type OwnerReport, type TaskRecord } from '../owner/local-owner.js';
 import { PeerCaller } from '../peer/peer-caller.js';
 import type { PeerReport, PeerSender } from '../peer/peer-protocol.js';
 import { PeerServer } from '../peer/peer-server.js';
@@ -21,6 +21,7 @@
   ConfigurationHolder,
 } from '../source/configuration-holder.js';
 import type { ObjectStore, StoredObject } from '../source/object-store.js';
+import { ObservedStore } from '../source/observed-store.js';
 import { SmallServer } from './registration-server.js';
 import type { SidecarSettings } from './sidecar-settings.js';
 
@@ -47,6 +48,12 @@
 /** While stopping: left of the grace for the very end, in milliseconds. */
 const STOP_MARGIN_MS = 300;
 
+/** Path and media type of the metrics (Prometheus text format, version 0.0.4). */
+const METRICS_PATH = '/metrics';
+const METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
 /** What the deployment brings: how the outside speaks. */
 export interface Outside {
   readonly store: ObjectStore;
@@ -95,7 +102,10 @@
   private readonly registrations: SmallServer;
   private readonly peerAgent = new http.Agent({ keepAlive: true, scheduling: 'lifo' });
   private readonly caller: PeerCaller;
+  private readonly metricsServer: SmallServer;
   private stopping = false;
+  /** Steady time in milliseconds since which the configuration is in force. */
+  private inForceSince = 0;
   private fetchingVersion = 0;
 
   constructor(
@@ -105,7 +115,12 @@
     private readonly log: DecisionLog,
     private readonly metrics: SidecarMetrics,
   ) {
-    const { names, store } = outside;
+    const { names } = outside;
+    const store = new ObservedStore(
+      outside.store,
+      () => clock.now(),
+      (operation, result) => metrics.storeCalled(operation, result),
+    );
     this.owner = new LocalOwner({
       clock,
       names,
@@ -114,6 +129,7 @@
       healthPath: (service) => this.holder.routes?.service(service)?.healthPath,
       drainMs: () => this.settings.drainMs,
       onBackEnd: (backEnd, cause) => this.onBackEnd(backEnd, cause),
+      onTask: (record) => this.onTask(record),
     });
     this.caller = new PeerCaller(
       () => this.sender(),
@@ -169,6 +185,7 @@
       configuration: () => this.holder.bytes(),
       onPeer: (sender, report) => this.onPeer(sender, report),
     });
+    this.metricsServer = new SmallServer((call) => this.onMetricsCall(call.path));
     this.readiness = new SmallServer((call) => this.onReadinessCall(call.method, call.path));
     this.registrations = new SmallServer((call) =>
       this.onRegistration(call.method, call.path, call.body),
@@ -203,7 +220,11 @@
       listenAt(this.readiness, listen.readiness),
       listenAt(this.ingress, listen.clients),
     ]);
-    this.settings = { ...this.settings, listen: { peers, registrations, readiness, clients } };
+    const metrics = listen.metrics && (await listenAt(this.metricsServer, listen.metrics));
+    this.settings = {
+      ...this.settings,
+      listen: { peers, registrations, readiness, clients, metrics },
+    };
     this.directory.put(this.record());
     this.sync.start();
     void this.configuration.run();
@@ -248,6 +269,7 @@
     this.ingress.close();
     this.peers.close();
     this.readiness.close();
+    this.metricsServer.close();
     this.registrations.close();
     this.peerAgent.destroy();
     this.configuration.stop();
@@ -343,7 +365,7 @@
     if (result.kind === 'in-force') {
       const { routes, limits } = this.holder.routes?.configuration ?? {};
       this.log.event('configuration', { version: result.version, origin, routes: routes?.length });
-      this.metrics.configurationInForce(result.version, this.clock.now());
+      this.inForceSince = this.clock.now();
       if (limits) {
         this.ingress.setLimits(limits);
       }
@@ -388,6 +410,42 @@
     }
   }
 
+  /** A task that found no answer at this owner. */
+  private onTask(record: TaskRecord): void {
+    this.metrics.taskFinished(record);
+    if (!record.result.startsWith('answer')) {
+      const { inFlight, queued, slots, meanServiceMs } = this.owner.report;
+      this.log.decision('task', {
+        ...record,
+        inFlight,
+        queued,
+        slots,
+        meanServiceMs: meanServiceMs && Math.round(meanServiceMs),
+      });
+    }
+  }
+
+  private async onMetricsCall(path: string) {
+    const { version, owner, inFlight, ownersPresent, ownersAbsent, storeConnected } = this.status;
+    if (path.split('?')[0] !== METRICS_PATH) {
+      return { status: 404, contentType: 'text/plain', body: 'see /metrics\n' };
+    }
+    const body = await this.metrics.scrape({
+      requests_in_flight: inFlight,
+      owner_running: owner.inFlight,
+      owner_queued: owner.queued,
+      owner_slots: owner.slots,
+      owner_ready: Number(owner.ready),
+      owners_present: ownersPresent,
+      owners_absent: ownersAbsent,
+      configuration_version: version,
+      configuration_age_seconds: (this.clock.now() - this.inForceSince) / MILLISECONDS_PER_SECOND,
+      store_connected: Number(storeConnected),
+      log_lines_dropped: this.log.dropped,
+    });
+    return { status: 200, contentType: METRICS_TYPE, body };
+  }
+
   private onReadinessCall(method: string, path: string) {
     const isReady = !this.stopping && this.holder.routes !== undefined && this.sync.isListed;
     const isKnown = this.outside.isReadinessCall(method, path);
--- /dev/null
+++ b/src/source/observed-store.ts
@@ -0,0 +1,61 @@
+/** An object store whose calls are counted by operation and result. */
+import type {
+  ObjectStore,
+  StoreChanges,
+  StoredObject,
+  StoreListing,
+  StoreResult,
+} from './object-store.js';
+
+/** Hears of every call. */
+export type StoreObserver = (operation: string, result: string, durationMs: number) => void;
+
+/** Passes every call on. */
+export class ObservedStore implements ObjectStore {
+  constructor(
+    private readonly store: ObjectStore,
+    private readonly now: () => number,
+    private readonly observer: StoreObserver,
+  ) {}
+
+  list<Spec>(kind: string): Promise<StoreResult<StoreListing<Spec>>> {
+    return this.observe('list', this.store.list<Spec>(kind));
+  }
+
+  watch<Spec>(
+    kind: string,
+    revision: number,
+    waitMs: number,
+  ): Promise<StoreResult<StoreChanges<Spec>>> {
+    return this.observe('watch', this.store.watch<Spec>(kind, revision, waitMs));
+  }
+
+  create<Spec>(kind: string, name: string, spec: Spec): Promise<StoreResult<StoredObject<Spec>>> {
+    return this.observe('create', this.store.create(kind, name, spec));
+  }
+
+  replace<Spec>(
+    kind: string,
+    object: StoredObject<Spec>,
+  ): Promise<StoreResult<StoredObject<Spec>>> {
+    return this.observe('replace', this.store.replace(kind, object));
+  }
+
+  remove(kind: string, name: string, revision: number): Promise<StoreResult<undefined>> {
+    return this.observe('remove', this.store.remove(kind, name, revision));
+  }
+
+  close(): void {
+    this.store.close();
+  }
+
+  private async observe<Value>(
+    operation: string,
+    call: Promise<StoreResult<Value>>,
+  ): Promise<StoreResult<Value>> {
+    const startedAt = this.now();
+    const result = await call;
+    this.observer(operation, result.ok ? 'ok' : result.failure, this.now() - startedAt);
+    return result;
+  }
+}
