--- a/src/directory/directory-sync.ts
+++ b/src/directory/directory-sync.ts
@@ -20,6 +20,9 @@
 const FIRST_PROBE_WAIT_MS = 400;
 const LONGEST_PROBE_WAIT_MS = 4_000;
 
+/** Nodes that are told at once when the back end becomes ready. */
+const MAX_ANNOUNCED = 16;
+
 /** A status call that takes longer, in milliseconds, has failed. */
 const STATUS_TIMEOUT_MS = 500;
 
@@ -83,13 +86,17 @@
     }
   }
 
-  /** Tells every known node the own status: the back end is ready again. */
+  /**
+   * Tells other nodes that the back end here is ready: those of the own zone
+   * first, and not more than a few. The others ask by themselves before long.
+   */
   announce(): void {
-    const { caller, directory } = this.options;
-    for (const entry of directory.all()) {
-      if (!entry.isLocal) {
-        void caller.status(entry.record.address, STATUS_TIMEOUT_MS);
-      }
+    const { caller, directory, own } = this.options;
+    const others = directory.all().filter((entry) => !entry.isLocal);
+    const near = others.filter((entry) => entry.record.zone === own().zone);
+    const far = others.filter((entry) => entry.record.zone !== own().zone);
+    for (const entry of [...near, ...far].slice(0, MAX_ANNOUNCED)) {
+      void caller.status(entry.record.address, STATUS_TIMEOUT_MS);
     }
   }
 
