--- a/src/ingress/ingress-server.ts
+++ b/src/ingress/ingress-server.ts
@@ -102,6 +102,12 @@
     this.stopping = true;
   }
 
+  /** Takes no new requests; those in flight go on. */
+  stopAccepting(): void {
+    // Closes idle connections too: the answers on the others tell their clients to close.
+    this.server.close();
+  }
+
   close(): void {
     this.server.close();
     this.server.closeAllConnections();
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -112,6 +112,11 @@
     this.connections.close();
   }
 
+  /** True when the back end has said that it leaves. */
+  get isLeaving(): boolean {
+    return this.registry.current?.state === 'draining';
+  }
+
   get report(): OwnerReport {
     const backEnd = this.registry.current;
     return {
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -39,8 +39,17 @@
 /** A configuration is asked of another node for at the most this long, in milliseconds. */
 const PEER_CONFIGURATION_TIMEOUT_MS = 1_000;
 
-/** While stopping: time in which clients learn to go elsewhere, in milliseconds. */
-const STOP_NOTICE_MS = 2_600;
+/** While stopping: share of the grace after which the back end gets no new tasks. */
+const STOP_TASKS_SHARE = 0.3;
+
+/** While stopping: share of the grace in which clients learn to go elsewhere. */
+const STOP_NOTICE_SHARE = 0.42;
+
+/** While stopping: share of the grace after which nothing more is taken from clients. */
+const STOP_ACCEPTING_SHARE = 0.48;
+
+/** While stopping: longest time for removing the own record, in milliseconds. */
+const STOP_REMOVE_MS = 100;
 
 /** While stopping: pause between two looks at what is in flight, in milliseconds. */
 const STOP_TICK_MS = 50;
@@ -243,21 +252,28 @@
     void this.sync.publish();
   }
 
-  /** Planned stop: out of rotation first, then everything in flight, then the end. */
+  /**
+   * Planned stop: out of rotation first, then no new tasks for the back end, then
+   * no new requests of clients, then everything in flight, then the end.
+   */
   async stop(): Promise<void> {
-    const deadline = this.clock.now() + this.settings.graceMs - STOP_MARGIN_MS;
+    const startedAt = this.clock.now();
+    const after = (share: number) => startedAt + this.settings.graceMs * share;
+    const deadline = startedAt + this.settings.graceMs - STOP_MARGIN_MS;
     this.stopping = true;
     this.log.event('stopping', { inFlight: this.ingress.inFlight, version: this.holder.version });
     this.ingress.startStopping();
-    await this.waitUntil(() => false, Math.min(this.clock.now() + STOP_NOTICE_MS, deadline));
+    await this.waitUntil(() => false, after(STOP_TASKS_SHARE));
     this.owner.stopAdmitting();
+    await this.waitUntil(() => false, after(STOP_NOTICE_SHARE));
+    // What the back end still runs may call other services through this node.
+    await this.waitUntil(() => this.owner.report.inFlight === 0, after(STOP_ACCEPTING_SHARE));
+    this.ingress.stopAccepting();
     const isIdle = () => this.ingress.inFlight === 0 && this.owner.report.inFlight === 0;
     await this.waitUntil(isIdle, deadline);
-    this.configuration.stop();
-    const backEnd = this.owner.report;
     await Promise.race([
-      this.sync.stop(!backEnd.ready && backEnd.service === undefined),
-      new Promise((resolve) => setTimeout(resolve, STOP_TICK_MS)),
+      this.sync.stop(this.owner.isLeaving),
+      new Promise((resolve) => setTimeout(resolve, STOP_REMOVE_MS)),
     ]);
     this.log.event('stopped', { inFlight: this.ingress.inFlight });
     this.close();
--- a/test/sidecar-membership.test.ts
+++ b/test/sidecar-membership.test.ts
@@ -12,6 +12,9 @@
   mesh.close();
 });
 
+/** After this time of a grace of four seconds nothing new may be taken. */
+const LATE_IN_GRACE_MS = 2_600;
+
 const ROUTES = [
   { name: 'read', service: 'desk', timeoutMs: 1_000 },
   { name: 'grant', service: 'desk', kind: 'unsafe', timeoutMs: 3_000 },
@@ -102,6 +105,22 @@
   });
 });
 
+describe('a planned stop with work that outlasts the grace', () => {
+  it('takes no request late that it would have to give up', async () => {
+    const [first, second, entry] = await threeMachines();
+    first.application.serviceMs = 10_000;
+    second.application.serviceMs = 10_000;
+    const pending = call(entry.node.addresses.clients, '/grant/1', { method: 'POST', body: 'b' });
+    await waitFor(() => mesh.runs().length === 1);
+    const stopping = entry.node.stop();
+    await new Promise((resolve) => setTimeout(resolve, LATE_IN_GRACE_MS));
+    const late = await call(entry.node.addresses.clients, '/other/late');
+    expect(late.status).toBe(0);
+    expect(mesh.runs()).toHaveLength(1);
+    await Promise.all([pending, stopping]);
+  });
+});
+
 describe('the store in trouble', () => {
   it('refuses truthfully at a start without the store and serves once it is there', async () => {
     const machine = await mesh.add('desk');
