A safe request is tried again when a back end fails by itself

Change: one more attempt before the target latency, inside attempts and budget; the back end's own failure is passed on if nothing better comes.

--- /dev/null
+++ b/src/ingress/dispatch.test.ts
@@ -0,0 +1,110 @@
+import { describe, expect, it } from 'vitest';
+import { OwnerDirectory } from '../directory/owner-directory.js';
+import { OwnerEntry } from '../directory/owner-entry.js';
+import { EMPTY_BODY } from '../owner/message-body.js';
+import { type Owner, type OwnerOutcome, type OwnerTask, turnedAway } from '../owner/owner.js';
+import { Cancellation } from '../proxy/cancellation.js';
+import { Dispatch } from './dispatch.js';
+import { SharedRetryBudget } from './shared-retry-budget.js';
+
+const answer = (status: number): OwnerOutcome => ({
+  kind: 'answer',
+  status,
+  headers: [],
+  body: EMPTY_BODY,
+});
+const lost: OwnerOutcome = { kind: 'unknown', reason: 'peer-lost' };
+const rejected: OwnerOutcome = { kind: 'not-run', reason: 'rejected-by-back-end', arrived: true };
+
+/** Dispatches one task to owners with prepared outcomes, asked in the order given. */
+async function dispatch(
+  outcomes: OwnerOutcome[],
+  options: { repeatable?: boolean; maxAttempts?: number; slack?: number } = {},
+) {
+  let asked = 0;
+  const script = [...outcomes];
+  const owner: Owner = {
+    run: () => {
+      asked += 1;
+      return Promise.resolve(script.shift() ?? lost);
+    },
+  };
+  const directory = new OwnerDirectory('near', (record) => new OwnerEntry(record, owner, false));
+  outcomes.forEach((_, index) => {
+    const node = `node-${index}`;
+    directory.put({ node, address: `10.0.0.1:${index}`, zone: 'near', service: 'desk' });
+  });
+  const cancellation = new Cancellation();
+  const task: OwnerTask = {
+    requestId: 'r',
+    method: 'GET',
+    target: '/',
+    headers: [],
+    service: 'desk',
+    route: 'read',
+    callerService: 'desk',
+    priority: 1,
+    repeatable: options.repeatable ?? true,
+    deadlineAt: 1_000,
+    targetAt: 500,
+    hasBody: false,
+    cancellation,
+    loadBody: () => Promise.resolve(EMPTY_BODY),
+    onProgress: () => {},
+  };
+  const budget = new SharedRetryBudget(
+    () => ({ ratio: 0.2, windowMs: 10_000, slack: options.slack ?? 64 }),
+    () => 1,
+  );
+  const context = { clock: { now: () => 0 }, directory, budget };
+  if (options.slack === 0) {
+    budget.withdraw('desk', 0);
+  }
+  const { result } = await new Dispatch(context, task, options.maxAttempts ?? 2).run();
+  return {
+    asked,
+    status: result.status,
+    retryAfterMs: 'code' in result ? result.retryAfterMs : undefined,
+  };
+}
+
+describe('Dispatch', () => {
+  it('asks the next owner when one turns the task away, without spending an attempt', async () => {
+    const away = turnedAway('busy', 50);
+    const found = await dispatch([away, away, away, answer(200)], { maxAttempts: 1, slack: 0 });
+    expect(found).toMatchObject({ asked: 4, status: 200 });
+  });
+
+  it('refuses with the expected wait when every owner is busy', async () => {
+    const found = await dispatch([turnedAway('busy', 80), turnedAway('busy', 120)]);
+    expect(found).toEqual({ asked: 2, status: 503, retryAfterMs: 120 });
+  });
+
+  it('repeats what may be repeated, once, and says 502 when that is lost too', async () => {
+    expect(await dispatch([lost, answer(200)])).toMatchObject({ asked: 2, status: 200 });
+    expect(await dispatch([lost, lost, answer(200)])).toMatchObject({ asked: 2, status: 502 });
+  });
+
+  it('never sends again what may have run and may not be repeated', async () => {
+    const found = await dispatch([lost, answer(200)], { repeatable: false });
+    expect(found).toMatchObject({ asked: 1, status: 502 });
+  });
+
+  it('counts a rejection by a back end as an attempt, and promises "not run" after it', async () => {
+    const found = await dispatch([rejected, rejected, answer(200)], { repeatable: false });
+    expect(found).toMatchObject({ asked: 2, status: 503 });
+  });
+
+  it('does not repeat without a budget', async () => {
+    const found = await dispatch([lost, answer(200)], { slack: 0 });
+    expect(found).toMatchObject({ asked: 1, status: 502 });
+  });
+
+  it('tries again after a failure of the back end, and passes it on if nothing better comes', async () => {
+    expect(await dispatch([answer(500), answer(200)])).toMatchObject({ asked: 2, status: 200 });
+    expect(await dispatch([answer(500), lost])).toMatchObject({ asked: 2, status: 500 });
+    expect(await dispatch([answer(500), turnedAway('busy')])).toMatchObject({ status: 500 });
+    const unsafe = await dispatch([answer(500), answer(200)], { repeatable: false });
+    expect(unsafe).toMatchObject({ asked: 1, status: 500 });
+  });
+});
