No task is committed to an owner before that owner has admitted it

Excluded: the budget's size (shared by all nodes), the owners' choice (each node marks a silent owner absent at its first silence). Change: every task awaits admission; a silent owner has certainly not run it. The test fails without it.

--- a/src/peer/peer-protocol.ts
+++ b/src/peer/peer-protocol.ts
@@ -1,8 +1,9 @@
 /**
  * How nodes hand tasks to one another: HTTP/1.1, one exchange a connection at a
- * time. The owner answers 102 when it has queued or begun a task and 100 when it
- * has admitted one that may not be repeated; until it has seen that 100, the
- * ingress has not sent the end of the body, so the owner cannot have run the task.
+ * time. The owner answers 102 when a task waits and 100 when it has admitted it
+ * (RFC 9110, section 10.1.1); only then does the ingress send the end of the
+ * body, so until then the owner cannot have run the task, and a silent owner
+ * costs nothing of any budget.
  */
 import type { OwnerReport } from '../owner/local-owner.js';
 import type { NotRunReason, OwnerNotRun, OwnerTask, OwnerUnknown } from '../owner/owner.js';
--- a/src/peer/peer-server.ts
+++ b/src/peer/peer-server.ts
@@ -1,7 +1,7 @@
 /** Listens for other nodes: runs their tasks on the local owner, tells status and configuration. */
 import http from 'node:http';
 import type { Clock } from '../model/clock.js';
-import { collectBody, EMPTY_BODY, sendBody } from '../owner/message-body.js';
+import { collectBody, sendBody } from '../owner/message-body.js';
 import type { Owner, OwnerOutcome, OwnerTask } from '../owner/owner.js';
 import { endToEndFields } from '../owner/raw-headers.js';
 import { Cancellation } from '../proxy/cancellation.js';
@@ -54,8 +54,8 @@
       maxHeaderSize: MAX_HEAD_BYTES,
       noDelay: true,
     });
-    this.server.on('request', (request, response) => this.serve(request, response, false));
-    this.server.on('checkContinue', (request, response) => this.serve(request, response, true));
+    this.server.on('request', (request, response) => this.serve(request, response));
+    this.server.on('checkContinue', (request, response) => this.serve(request, response));
     this.server.on('clientError', (_error, socket) => socket.destroy());
   }
 
@@ -68,16 +68,12 @@
     this.server.closeAllConnections();
   }
 
-  private serve(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-    awaitsAdmission: boolean,
-  ): void {
+  private serve(request: http.IncomingMessage, response: http.ServerResponse): void {
     request.on('error', () => {});
     this.notePeer(request);
     switch (request.headers[CALL_FIELD]) {
       case 'task':
-        void this.runTask(request, response, awaitsAdmission);
+        void this.runTask(request, response);
         return;
       case 'status':
         this.answer(response, 200, {}, Buffer.alloc(0));
@@ -104,7 +100,6 @@
   private async runTask(
     request: http.IncomingMessage,
     response: http.ServerResponse,
-    awaitsAdmission: boolean,
   ): Promise<void> {
     const text = request.headers[TASK_FIELD];
     const fields = typeof text === 'string' ? decodeTask(text) : undefined;
@@ -118,7 +113,7 @@
         cancellation.cancel();
       }
     });
-    const task = this.taskOf(request, response, fields, cancellation, awaitsAdmission);
+    const task = this.taskOf(request, response, fields, cancellation);
     const outcome = await this.options.owner.run(task);
     if (!cancellation.cancelled) {
       await this.sendOutcome(response, outcome).catch(() => response.destroy());
@@ -130,16 +125,8 @@
     response: http.ServerResponse,
     fields: TaskFields,
     cancellation: Cancellation,
-    awaitsAdmission: boolean,
   ): OwnerTask {
     const now = this.options.clock.now();
-    let isAcknowledged = false;
-    const acknowledge = () => {
-      if (!isAcknowledged && !response.headersSent) {
-        isAcknowledged = true;
-        response.writeProcessing();
-      }
-    };
     return {
       ...fields,
       method: request.method ?? 'GET',
@@ -149,16 +136,12 @@
       targetAt: now + fields.targetMs,
       cancellation,
       loadBody: () => {
-        if (awaitsAdmission) {
-          response.writeContinue();
-        }
-        return awaitsAdmission || fields.hasBody
-          ? collectBody(request, MAX_HELD_BODY_BYTES)
-          : Promise.resolve(EMPTY_BODY);
+        response.writeContinue();
+        return collectBody(request, MAX_HELD_BODY_BYTES);
       },
       onProgress: (stage) => {
-        if (stage === 'queued' || !awaitsAdmission) {
-          acknowledge();
+        if (stage === 'queued' && !response.headersSent) {
+          response.writeProcessing();
         }
       },
     };
--- a/src/peer/remote-owner.ts
+++ b/src/peer/remote-owner.ts
@@ -52,8 +52,6 @@
   /** True once the owner may have run the task. */
   private committed = false;
   private acknowledged = false;
-  /** True once the connection stands: before that, nothing can have reached the owner. */
-  private connected = false;
   private settled = false;
   private resolve: (outcome: OwnerOutcome) => void = () => {};
   private release: () => void = () => {};
@@ -67,8 +65,7 @@
   run(): Promise<OwnerOutcome> {
     return new Promise((resolve) => {
       this.resolve = resolve;
-      const awaitsAdmission = !this.task.repeatable || this.task.hasBody;
-      const request = this.open(awaitsAdmission);
+      const request = this.open();
       const silence = setTimeout(() => this.onSilence(request), this.options.silenceLimitMs());
       const forget = this.task.cancellation.onCancel(() => this.onCancel(request));
       this.release = () => {
@@ -79,14 +76,6 @@
         this.acknowledged = true;
         clearTimeout(silence);
       };
-      request.on('socket', (socket) => {
-        this.connected = !socket.connecting;
-        if (socket.connecting) {
-          socket.once('connect', () => {
-            this.connected = true;
-          });
-        }
-      });
       request.on('information', acknowledge);
       request.on('continue', () => {
         acknowledge();
@@ -97,16 +86,11 @@
         void this.onResponse(request, response);
       });
       request.on('error', () => this.onError());
-      if (awaitsAdmission) {
-        request.flushHeaders();
-      } else {
-        this.committed = true;
-        request.end();
-      }
+      request.flushHeaders();
     });
   }
 
-  private open(awaitsAdmission: boolean): http.ClientRequest {
+  private open(): http.ClientRequest {
     const separator = this.address.lastIndexOf(':');
     const { task, options } = this;
     const headers = [
@@ -119,7 +103,10 @@
       encodeSender(options.sender()),
       'Connection',
       'keep-alive',
-      ...(awaitsAdmission ? ['Expect', '100-continue', 'Transfer-Encoding', 'chunked'] : []),
+      'Expect',
+      '100-continue',
+      'Transfer-Encoding',
+      'chunked',
     ];
     return http.request({
       host: this.address.slice(0, separator),
@@ -207,13 +194,13 @@
       return;
     }
     this.options.onFailure('silent');
-    this.settle(this.mayHaveRun ? this.lost() : turnedAway('peer-silent'));
+    this.settle(this.committed ? this.lost() : turnedAway('peer-silent'));
     request.destroy();
   }
 
   private onCancel(request: http.ClientRequest): void {
     this.settle(
-      this.mayHaveRun ? { kind: 'unknown', reason: 'cancelled' } : turnedAway('cancelled'),
+      this.committed ? { kind: 'unknown', reason: 'cancelled' } : turnedAway('cancelled'),
     );
     request.destroy();
   }
@@ -223,11 +210,7 @@
       return;
     }
     this.options.onFailure('unreachable');
-    this.settle(this.mayHaveRun ? this.lost() : turnedAway('peer-unreachable'));
-  }
-
-  private get mayHaveRun(): boolean {
-    return this.committed && this.connected;
+    this.settle(this.committed ? this.lost() : turnedAway('peer-unreachable'));
   }
 
   private lost(): OwnerUnknown {
