--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -16,8 +16,7 @@
 /** A task that waits. */
 export interface Waiter {
   readonly request: AdmissionRequest;
-  /** Steady time in milliseconds after which a slot would come too late. */
-  readonly startBy: number;
+  readonly since: number;
   /** Called once when the task may run. */
   admit(): void;
   /** Called once when the task is turned away after all. */
@@ -27,18 +26,9 @@
 /** The answer to a task's arrival. */
 export type AdmissionDecision =
   | { readonly kind: 'run' }
-  | { readonly kind: 'wait'; readonly startBy: number }
+  | { readonly kind: 'wait' }
   | { readonly kind: 'busy'; readonly retryAfterMs: number };
 
-/** Share of the time to its target that a task may spend waiting. */
-const MAX_WAIT_SHARE = 0.5;
-
-/** Time over which the number of running tasks is averaged, in milliseconds. */
-const RUNNING_AVERAGE_MS = 500;
-
-/** A task of low priority counts on this share of the slots at least. */
-const MIN_SLOT_SHARE = 0.15;
-
 /** Weight of the newest service time in the moving averages. */
 const AVERAGE_WEIGHT = 0.1;
 
@@ -55,7 +45,6 @@
 export class AdmissionControl {
   private readonly waiting: Waiter[] = [];
   private readonly routeMs = new Map<string, number>();
-  private readonly runningOf = new Map<number, RunningAverage>();
   private overallMs = INITIAL_SERVICE_MS;
   private running = 0;
   private slots = 0;
@@ -92,28 +81,22 @@
     if (this.running < this.slots && ahead === 0) {
       return { kind: 'run' };
     }
-    const waitMs = this.expectedWaitMs(ahead, request.priority, now);
-    const startBy = this.startBy(request, now);
-    if (now + waitMs > startBy || this.waiting.length >= this.slots * MAX_WAITING_PER_SLOT) {
-      return { kind: 'busy', retryAfterMs: this.retryAfterMs(request.priority, now) };
+    const waitMs = this.expectedWaitMs(ahead);
+    const inTime = now + waitMs + this.expectedServiceMs(request.route) <= horizonOf(request);
+    if (!inTime || this.waiting.length >= this.slots * MAX_WAITING_PER_SLOT) {
+      return { kind: 'busy', retryAfterMs: this.retryAfterMs() };
     }
-    return { kind: 'wait', startBy };
+    return { kind: 'wait' };
   }
 
   /** A task begins to run. */
-  started(priority: number, now: number): void {
+  started(): void {
     this.running += 1;
-    this.countRunning(priority, 1, now);
   }
 
   /** A task has ended; `serviceMs` is undefined when its time says nothing of the back end. */
-  finished(
-    { route, priority }: AdmissionRequest,
-    serviceMs: number | undefined,
-    now: number,
-  ): void {
+  finished(route: string, serviceMs: number | undefined, now: number): void {
     this.running -= 1;
-    this.countRunning(priority, -1, now);
     if (serviceMs !== undefined) {
       if (this.routeMs.size === 0) {
         this.overallMs = serviceMs;
@@ -149,10 +132,9 @@
     }
   }
 
-  /** Milliseconds after which there is likely to be room for a task of this priority. */
-  retryAfterMs(priority: number, now: number): number {
-    const ahead = this.aheadOf(priority);
-    return Math.max(MIN_RETRY_AFTER_MS, this.expectedWaitMs(ahead, priority, now));
+  /** Milliseconds after which there is likely to be room. */
+  retryAfterMs(): number {
+    return Math.max(MIN_RETRY_AFTER_MS, this.expectedWaitMs(this.waiting.length));
   }
 
   private fill(now: number): void {
@@ -161,40 +143,16 @@
       if (!next) {
         return;
       }
-      if (now > next.startBy) {
-        next.turnAway(this.retryAfterMs(next.request.priority, now));
+      if (now + this.expectedServiceMs(next.request.route) > horizonOf(next.request)) {
+        next.turnAway(this.retryAfterMs());
       } else {
         next.admit();
       }
     }
   }
 
-  /** A slot that comes later cannot earn the target any more, or would have been held too long. */
-  private startBy(request: AdmissionRequest, now: number): number {
-    const horizon = Math.min(request.targetAt, request.deadlineAt);
-    const longestWait = (horizon - now) * MAX_WAIT_SHARE;
-    return Math.min(horizon - this.expectedServiceMs(request.route), now + longestWait);
-  }
-
-  /** What is more urgent takes its share of the slots first. */
-  private expectedWaitMs(ahead: number, priority: number, now: number): number {
-    let urgent = 0;
-    for (const [other, average] of this.runningOf) {
-      if (other < priority) {
-        urgent += averageOf(average, now);
-      }
-    }
-    const usable = Math.max(this.slots * MIN_SLOT_SHARE, this.slots - urgent);
-    return this.slots === 0 ? this.overallMs : ((ahead + 1) * this.overallMs) / usable;
-  }
-
-  private countRunning(priority: number, change: number, now: number): void {
-    const known = this.runningOf.get(priority) ?? { running: 0, average: 0, at: now };
-    this.runningOf.set(priority, {
-      running: known.running + change,
-      average: averageOf(known, now),
-      at: now,
-    });
+  private expectedWaitMs(ahead: number): number {
+    return this.slots === 0 ? this.overallMs : ((ahead + 1) * this.overallMs) / this.slots;
   }
 
   private expectedServiceMs(route: string): number {
@@ -214,14 +172,7 @@
   }
 }
 
-/** Tasks of one priority that run, and their moving average over time. */
-interface RunningAverage {
-  readonly running: number;
-  readonly average: number;
-  readonly at: number;
-}
-
-function averageOf({ running, average, at }: RunningAverage, now: number): number {
-  const kept = Math.exp(-(now - at) / RUNNING_AVERAGE_MS);
-  return average * kept + running * (1 - kept);
+/** A task that can no longer meet its target is not worth a slot that others can use in time. */
+function horizonOf(request: AdmissionRequest): number {
+  return Math.min(request.targetAt, request.deadlineAt);
 }
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -175,46 +175,36 @@
       return turnedAway('busy', decision.retryAfterMs);
     }
     if (decision.kind === 'wait') {
-      const refused = await this.wait(task, decision.startBy);
+      const refused = await this.wait(task);
       if (refused) {
         return refused;
       }
     } else {
-      this.admission.started(task.priority, clock.now());
+      this.admission.started();
     }
     return this.runAdmitted(task, times);
   }
 
   /** Resolves with undefined when the task holds a slot. */
-  private wait(task: OwnerTask, startBy: number): Promise<OwnerOutcome | undefined> {
-    const { clock } = this.options;
+  private wait(task: OwnerTask): Promise<OwnerOutcome | undefined> {
     return new Promise((resolve) => {
       const waiter: Waiter = {
         request: task,
-        startBy,
+        since: this.options.clock.now(),
         admit: () => {
-          this.admission.started(task.priority, clock.now());
-          release();
+          this.admission.started();
+          forget();
           resolve(undefined);
         },
         turnAway: (retryAfterMs) => {
-          release();
+          forget();
           resolve(turnedAway(this.obstacle() ?? 'busy', retryAfterMs));
         },
       };
-      const timer = setTimeout(() => {
-        this.admission.remove(waiter);
-        waiter.turnAway(this.admission.retryAfterMs(task.priority, clock.now()));
-      }, startBy - clock.now());
       const forget = task.cancellation.onCancel(() => {
         this.admission.remove(waiter);
-        release();
         resolve(turnedAway('cancelled'));
       });
-      const release = () => {
-        clearTimeout(timer);
-        forget();
-      };
       this.admission.enqueue(waiter);
       task.onProgress('queued');
     });
@@ -242,7 +232,7 @@
       const { sentAt } = times;
       const tells = sentAt !== undefined && outcome.kind === 'answer';
       const serviceMs = tells ? clock.now() - sentAt : undefined;
-      this.admission.finished(task, serviceMs, clock.now());
+      this.admission.finished(task.route, serviceMs, clock.now());
     }
   }
 
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -34,7 +34,7 @@
 const DIRECTORY_SETTLE_MS = 500;
 
 /** An owner that has neither answered nor acknowledged a task by then is silent, in milliseconds. */
-const SILENCE_LIMIT_MS = 150;
+const SILENCE_LIMIT_MS = 250;
 
 /** A configuration is asked of another node for at the most this long, in milliseconds. */
 const PEER_CONFIGURATION_TIMEOUT_MS = 1_000;
