--- a/lab/application-stand-in.ts
+++ b/lab/application-stand-in.ts
@@ -49,7 +49,7 @@
 
   constructor(
     readonly service: string,
-    readonly slots: number,
+    public slots: number,
   ) {
     instances += 1;
     this.instance = `i-${instances}`;
--- a/src/diagnostics/sidecar-metrics.ts
+++ b/src/diagnostics/sidecar-metrics.ts
@@ -1,7 +1,7 @@
 /** Metrics of a sidecar in the Prometheus text format. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
-import type { RequestRecord } from '../ingress/ingress-server.js';
-import type { TaskRecord } from '../owner/local-owner.js';
+import type { RequestRecord } from '../ingress/ingress-request.js';
+import type { TaskRecord } from '../owner/owner-report.js';
 
 const DURATION_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
 
--- a/src/ingress/client-answer.ts
+++ b/src/ingress/client-answer.ts
@@ -8,6 +8,7 @@
   | 'no-configuration'
   | 'no-route'
   | 'too-large'
+  | 'head-too-large'
   | 'busy'
   | 'no-owner'
   | 'retry-budget-spent'
@@ -19,7 +20,7 @@
 /** A refusal; 503 promises that the request has not run and never will. */
 export interface ClientRefusal {
   readonly code: RefusalCode;
-  readonly status: 404 | 413 | 502 | 503 | 504;
+  readonly status: 404 | 413 | 431 | 502 | 503 | 504;
   /** Milliseconds after which to come back, for 503. */
   readonly retryAfterMs?: number;
 }
--- a/src/ingress/ingress-server.ts
+++ b/src/ingress/ingress-server.ts
@@ -1,20 +1,9 @@
-/** Listens for clients on this machine: reads a request, dispatches it, sends the final answer. */
+/** Listens for clients on this machine: each request is an `IngressRequest`. */
 import http from 'node:http';
 import type { Socket } from 'node:net';
-import type { Clock } from '../model/clock.js';
-import type { HeaderNames } from '../owner/header-names.js';
-import { collectBody, EMPTY_BODY, type MessageBody } from '../owner/message-body.js';
-import type { OwnerTask } from '../owner/owner.js';
-import { endToEndFields } from '../owner/raw-headers.js';
 import { listenOn } from '../peer/peer-server.js';
-import { Cancellation } from '../proxy/cancellation.js';
-import type { MeshLimits, MeshRoute } from '../routing/mesh-configuration.js';
-import type { RouteMatcher } from '../routing/route-matcher.js';
-import { type ClientRefusal, sendAnswer, sendRefusal } from './client-answer.js';
-import { Dispatch, type DispatchContext, type OfferRecord } from './dispatch.js';
-
-/** A body up to this size, in bytes, is held, so that it can be offered again. */
-const MAX_HELD_BODY_BYTES = 1024 * 1024;
+import type { MeshLimits } from '../routing/mesh-configuration.js';
+import { type IngressOptions, IngressRequest } from './ingress-request.js';
 
 /** Largest head that is read; the configured limit is checked on what was read. */
 const MAX_HEAD_BYTES = 256 * 1024;
@@ -23,41 +12,9 @@
 const DEFAULT_IDLE_MS = 60_000;
 const DEFAULT_HEADER_TIMEOUT_MS = 10_000;
 
-/** A request without a deadline or a time-out is given up after this time, in milliseconds. */
-const LONGEST_REQUEST_MS = 300_000;
-
-/** Told while no configuration is known, in milliseconds. */
-const NO_CONFIGURATION_RETRY_AFTER_MS = 250;
-
-/** One finished request, for logs and metrics. */
-export interface RequestRecord {
-  readonly requestId: string;
-  readonly route: string;
-  readonly service: string;
-  readonly version: number;
-  /** Status that the client got; 0 when the client left first. */
-  readonly status: number;
-  readonly code: string;
-  readonly offers: readonly OfferRecord[];
-  readonly durationMs: number;
-  /** Milliseconds that the client was ready to wait at arrival. */
-  readonly allowedMs: number;
-}
-
-/** What the ingress needs of its node. */
-export interface IngressOptions extends DispatchContext {
-  readonly clock: Clock;
-  readonly names: HeaderNames;
-  readonly routes: () => RouteMatcher | undefined;
-  /** Service that runs on this machine. */
-  readonly callerService: () => string;
-  readonly onFinished: (record: RequestRecord) => void;
-}
-
 /** One per node. */
 export class IngressServer {
   private readonly server: http.Server;
-  private readonly context: DispatchContext;
   /** Names of header fields that clients may not set. */
   private readonly reserved: ReadonlySet<string>;
   private active = 0;
@@ -65,7 +22,6 @@
 
   constructor(private readonly options: IngressOptions) {
     const { names } = options;
-    this.context = options;
     this.reserved = new Set(
       [names.deadline, names.expectInstance, names.callerService].map((name) => name.toLowerCase()),
     );
@@ -116,9 +72,8 @@
   private async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     this.active += 1;
     try {
-      await new IngressRequest(this.options, this.context, this.reserved, request, response).run(
-        () => this.stopping,
-      );
+      const ingressRequest = new IngressRequest(this.options, this.reserved, request, response);
+      await ingressRequest.run(() => this.stopping);
     } catch {
       // Nothing true can be said of a request whose handling failed.
       response.destroy();
@@ -140,171 +95,3 @@
       : '400 Bad Request';
   socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 }
-
-class IngressRequest {
-  private readonly cancellation = new Cancellation();
-  private readonly startedAt: number;
-  private readonly requestId: string;
-  private route: MeshRoute | undefined;
-  private service = '';
-  private version = 0;
-  private allowedMs = 0;
-  private dispatch: Dispatch | undefined;
-  private timer: NodeJS.Timeout | undefined;
-  private isFinished = false;
-
-  constructor(
-    private readonly options: IngressOptions,
-    private readonly context: DispatchContext,
-    private readonly reserved: ReadonlySet<string>,
-    private readonly request: http.IncomingMessage,
-    private readonly response: http.ServerResponse,
-  ) {
-    this.startedAt = options.clock.now();
-    const id = request.headers[options.names.requestId.toLowerCase()];
-    this.requestId = typeof id === 'string' ? id : '';
-  }
-
-  async run(isStopping: () => boolean): Promise<void> {
-    this.request.on('error', () => {});
-    this.response.on('error', () => {});
-    this.response.on('close', () => this.onClose());
-    const routes = this.options.routes();
-    if (!routes) {
-      this.refuse(
-        { code: 'no-configuration', status: 503, retryAfterMs: NO_CONFIGURATION_RETRY_AFTER_MS },
-        isStopping(),
-      );
-      return;
-    }
-    this.version = routes.version;
-    const matched = routes.match(this.request.headers.host ?? '', this.request.url ?? '/');
-    if (!matched) {
-      this.refuse({ code: 'no-route', status: 404 }, isStopping());
-      return;
-    }
-    this.route = matched.route;
-    this.service = matched.split.next();
-    this.startTimer(matched.route, isStopping);
-    const body = await this.takeBody(routes.configuration.limits);
-    if (body === 'too-large') {
-      this.refuse({ code: 'too-large', status: 413 }, true);
-    } else if (body && !this.isFinished) {
-      await this.bringToOwner(matched.route, body, isStopping);
-    }
-  }
-
-  private async bringToOwner(
-    route: MeshRoute,
-    body: MessageBody,
-    isStopping: () => boolean,
-  ): Promise<void> {
-    const isStream = body.kind === 'stream';
-    const dispatch = new Dispatch(
-      this.context,
-      this.taskOf(route, body),
-      isStream ? 1 : route.maxAttempts,
-    );
-    this.dispatch = dispatch;
-    const { result } = await dispatch.run();
-    if (this.isFinished) {
-      return;
-    }
-    if ('kind' in result) {
-      this.finish(result.status, 'answered');
-      await sendAnswer(this.response, result, this.request.method ?? 'GET', isStopping());
-    } else {
-      this.refuse(result, isStopping());
-    }
-  }
-
-  private taskOf(route: MeshRoute, body: MessageBody): OwnerTask {
-    const { request, options } = this;
-    const targetMs = Math.min(this.allowedMs, route.targetLatencyMs ?? this.allowedMs);
-    return {
-      requestId: this.requestId,
-      method: request.method ?? 'GET',
-      target: request.url ?? '/',
-      headers: endToEndFields(request.rawHeaders, request.headers.connection, this.reserved),
-      service: this.service,
-      route: route.name,
-      callerService: options.callerService(),
-      priority: route.priority,
-      repeatable: route.kind === 'safe' && body.kind === 'bytes',
-      deadlineAt: this.startedAt + this.allowedMs,
-      targetAt: this.startedAt + targetMs,
-      hasBody: hasBody(request),
-      cancellation: this.cancellation,
-      loadBody: () => Promise.resolve(body),
-      onProgress: () => {},
-    };
-  }
-
-  /** One timer gives the final answer at the client's deadline or the route's time-out. */
-  private startTimer(route: MeshRoute, isStopping: () => boolean): void {
-    const asked = Number(this.request.headers[this.options.names.deadline.toLowerCase()]);
-    const deadlineMs = Number.isFinite(asked) && asked > 0 ? asked : LONGEST_REQUEST_MS;
-    const timeoutMs = route.timeoutMs ?? LONGEST_REQUEST_MS;
-    this.allowedMs = Math.min(deadlineMs, timeoutMs);
-    this.timer = setTimeout(() => {
-      // The dispatch knows whether the request may have run, and ends at once.
-      this.cancellation.cancel();
-      if (!this.dispatch) {
-        const code = timeoutMs <= deadlineMs ? 'timeout' : 'deadline';
-        this.refuse({ code, status: 503, retryAfterMs: 0 }, isStopping());
-      }
-    }, this.allowedMs);
-  }
-
-  private async takeBody(limits: MeshLimits): Promise<MessageBody | 'too-large' | undefined> {
-    if (!hasBody(this.request)) {
-      return EMPTY_BODY;
-    }
-    if (Number(this.request.headers['content-length'] ?? 0) > limits.maxBodyBytes) {
-      return 'too-large';
-    }
-    return collectBody(this.request, MAX_HELD_BODY_BYTES).catch(() => undefined);
-  }
-
-  private refuse(refusal: ClientRefusal, closes: boolean): void {
-    if (this.isFinished) {
-      return;
-    }
-    this.finish(refusal.status, refusal.code);
-    const idField = this.requestId === '' ? [] : [this.options.names.requestId, this.requestId];
-    sendRefusal(this.response, refusal, idField, closes);
-  }
-
-  /** The client has left, or has its answer. */
-  private onClose(): void {
-    clearTimeout(this.timer);
-    if (!this.response.writableFinished) {
-      this.finish(0, 'client-left');
-      this.cancellation.cancel();
-    }
-  }
-
-  private finish(status: number, code: string): void {
-    if (this.isFinished) {
-      return;
-    }
-    this.isFinished = true;
-    clearTimeout(this.timer);
-    this.options.onFinished({
-      requestId: this.requestId,
-      route: this.route?.name ?? '',
-      service: this.service,
-      version: this.version,
-      status,
-      code,
-      offers: this.dispatch?.history ?? [],
-      durationMs: this.options.clock.now() - this.startedAt,
-      allowedMs: this.allowedMs,
-    });
-  }
-}
-
-function hasBody(request: http.IncomingMessage): boolean {
-  const length = request.headers['content-length'];
-  return request.headers['transfer-encoding'] !== undefined || Number(length ?? 0) > 0;
-}
--- /dev/null
+++ b/src/owner/back-end-presence.ts
@@ -0,0 +1,179 @@
+/**
+ * Whether the back end on this machine may get work: follows its registrations,
+ * fences its drain, and asks its health when its state is not known.
+ */
+import type { Clock } from '../model/clock.js';
+import {
+  type BackEnd,
+  BackEndRegistry,
+  type HealthReport,
+  type Heartbeat,
+} from '../registry/back-end-registry.js';
+import type { HeaderNames } from './header-names.js';
+import { askHealth } from './health-question.js';
+import type { NotRunReason } from './owner.js';
+
+/** Time between two health questions while the back end's state is not known, in milliseconds. */
+const HEALTH_INTERVAL_MS = 700;
+
+/** Share of a drain's bound within which tasks that wait may still begin. */
+const DRAIN_QUEUE_SHARE = 0.4;
+
+/** Share of a drain's bound within which tasks that were admitted may still be sent. */
+const DRAIN_SEND_SHARE = 0.75;
+
+/** What the presence needs of its node. */
+export interface BackEndPresenceOptions {
+  readonly clock: Clock;
+  readonly names: HeaderNames;
+  /** Service that the settings name for this machine. */
+  readonly service: () => string;
+  readonly backEndAddress: () => string;
+  /** Path of the health question, or undefined while no configuration is known. */
+  readonly healthPath: (service: string) => string | undefined;
+  /** Milliseconds after an acknowledged drain in which work may still begin. */
+  readonly drainMs: () => number;
+}
+
+/** Hears of the back end's comings and goings. */
+export interface BackEndPresenceListener {
+  /** Another incarnation, or other slots: work may be sent. */
+  onReady(backEnd: BackEnd): void;
+  /** Tasks that wait must not be sent any more. */
+  onClosed(): void;
+  /** Anything that others may want to know. */
+  onChange(backEnd: BackEnd | undefined, cause: string): void;
+}
+
+/** One per node. */
+export class BackEndPresence {
+  private readonly registry = new BackEndRegistry((backEnd) => this.onBackEnd(backEnd));
+  private unreachable = false;
+  /** Steady time in milliseconds after which nothing may be sent to a back end that leaves. */
+  private sendUntil = Number.POSITIVE_INFINITY;
+  private asking = false;
+  private timer: NodeJS.Timeout | undefined;
+  private fence: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly options: BackEndPresenceOptions,
+    private readonly listener: BackEndPresenceListener,
+  ) {}
+
+  /** Begins to look for the back end. */
+  start(): void {
+    this.timer = setInterval(() => this.askIfNeeded(), HEALTH_INTERVAL_MS);
+    this.askIfNeeded();
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+    clearTimeout(this.fence);
+  }
+
+  get backEnd(): BackEnd | undefined {
+    return this.registry.current;
+  }
+
+  /** True when the back end has said that it leaves. */
+  get isLeaving(): boolean {
+    return this.registry.current?.state === 'draining';
+  }
+
+  /** Why no new task may be taken, if so. */
+  obstacle(): NotRunReason | undefined {
+    if (!this.backEnd || this.unreachable) {
+      return 'no-back-end';
+    }
+    return this.isLeaving ? 'draining' : undefined;
+  }
+
+  /** Why a task that was admitted may not be sent any more, if so. */
+  sendObstacle(): NotRunReason | undefined {
+    return this.options.clock.now() >= this.sendUntil ? 'draining' : undefined;
+  }
+
+  /** Takes a heartbeat; the drain it tells is fenced before this returns. */
+  heartbeat(beat: Heartbeat): void {
+    const result = this.registry.heartbeat(beat, this.options.clock.now());
+    if (result === 'unverified') {
+      this.askIfNeeded();
+    } else if (result === 'applied' && beat.instance === this.backEnd?.instance) {
+      this.setReachable(true);
+    }
+  }
+
+  /** Takes a deregistration; it is fenced before this returns. */
+  deregister(instance: string): void {
+    this.registry.deregister(instance);
+  }
+
+  /** Nothing listens at the address of this incarnation. */
+  noteUnreachable(backEnd: BackEnd): void {
+    if (backEnd.instance === this.backEnd?.instance) {
+      this.setReachable(false);
+    }
+  }
+
+  private setReachable(reachable: boolean): void {
+    if (this.unreachable !== reachable) {
+      return;
+    }
+    this.unreachable = !reachable;
+    if (!reachable) {
+      this.listener.onClosed();
+    }
+    this.listener.onChange(this.backEnd, reachable ? 'reachable' : 'unreachable');
+  }
+
+  private onBackEnd(backEnd: BackEnd | undefined): void {
+    const { clock, drainMs } = this.options;
+    clearTimeout(this.fence);
+    if (backEnd?.state === 'ready') {
+      this.sendUntil = Number.POSITIVE_INFINITY;
+      this.unreachable = false;
+      this.listener.onReady(backEnd);
+    } else {
+      this.fence = setTimeout(() => this.listener.onClosed(), drainMs() * DRAIN_QUEUE_SHARE);
+      this.sendUntil = clock.now() + drainMs() * DRAIN_SEND_SHARE;
+    }
+    this.listener.onChange(backEnd, backEnd?.state ?? 'none');
+  }
+
+  /** Asks the back end who it is while that is not known. */
+  private askIfNeeded(): void {
+    const { unverified } = this.registry;
+    const isKnown = this.backEnd !== undefined && !this.unreachable && unverified === undefined;
+    const service = unverified?.service ?? this.options.service();
+    const path = this.options.healthPath(service);
+    if (isKnown || this.asking || path === undefined) {
+      return;
+    }
+    this.asking = true;
+    const address = unverified?.address ?? this.options.backEndAddress();
+    void askHealth(address, path, this.options.names)
+      .then((report) => {
+        if (report) {
+          this.onHealth(report, service, address);
+        }
+      })
+      .finally(() => {
+        this.asking = false;
+      });
+  }
+
+  private onHealth(report: HealthReport, service: string, address: string): void {
+    if (report.instance === this.backEnd?.instance) {
+      this.setReachable(true);
+      return;
+    }
+    const wasAnnounced = report.instance === this.registry.unverified?.instance;
+    if (this.backEnd && !wasAnnounced) {
+      // The address may have gone to another service: only a heartbeat can tell.
+      return;
+    }
+    const now = this.options.clock.now();
+    const fallback = { service, address, state: 'ready', coldUntil: now, sequence: -1 } as const;
+    this.registry.verified(report, fallback);
+  }
+}
--- /dev/null
+++ b/src/owner/owner-report.ts
@@ -0,0 +1,25 @@
+/** What an owner tells of itself and of its tasks. */
+
+/** One task that has left this owner, for logs and metrics. */
+export interface TaskRecord {
+  readonly requestId: string;
+  readonly route: string;
+  readonly service: string;
+  /** Kind of the outcome, with its status or reason. */
+  readonly result: string;
+  readonly instance: string | undefined;
+  readonly queuedMs: number;
+  /** Undefined when nothing was sent to the back end. */
+  readonly backEndMs: number | undefined;
+}
+
+/** What others may know of this owner. */
+export interface OwnerReport {
+  readonly service: string | undefined;
+  readonly ready: boolean;
+  readonly inFlight: number;
+  readonly queued: number;
+  readonly slots: number;
+  /** Milliseconds; undefined until the back end has finished a task. */
+  readonly meanServiceMs: number | undefined;
+}
--- a/src/owner/raw-headers.ts
+++ b/src/owner/raw-headers.ts
@@ -1,19 +1,8 @@
 /** Work on header fields as a flat list of names and values, in the order and case of arrival. */
+import { HOP_BY_HOP, listOf } from '../proxy/headers.js';
 
-/** Fields that concern one connection only (RFC 9110, section 7.6.1). */
-const CONNECTION_FIELDS = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'expect',
-  'content-length',
-]);
+/** Each hop frames the body itself. */
+const LENGTH_FIELD = 'content-length';
 
 /** Fields of the mesh itself never leave it and are not believed from outside. */
 const PEER_PREFIX = 'spindlepaddle-peer-';
@@ -27,13 +16,14 @@
   connection: string | undefined,
   without: ReadonlySet<string> = new Set(),
 ): string[] {
-  const named = connection === undefined ? [] : listOf(connection);
+  const named = listOf(connection);
   const kept: string[] = [];
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
     const name = rawHeaders[index] as string;
     const key = name.toLowerCase();
     const dropped =
-      CONNECTION_FIELDS.has(key) ||
+      HOP_BY_HOP.has(key) ||
+      key === LENGTH_FIELD ||
       without.has(key) ||
       key.startsWith(PEER_PREFIX) ||
       named.includes(key);
@@ -43,7 +33,3 @@
   }
   return kept;
 }
-
-function listOf(value: string): string[] {
-  return value.split(',').map((item) => item.trim().toLowerCase());
-}
--- a/src/peer/peer-protocol.ts
+++ b/src/peer/peer-protocol.ts
@@ -5,8 +5,9 @@
  * body, so until then the owner cannot have run the task, and a silent owner
  * costs nothing of any budget.
  */
-import type { OwnerReport } from '../owner/local-owner.js';
+
 import type { NotRunReason, OwnerNotRun, OwnerTask, OwnerUnknown } from '../owner/owner.js';
+import type { OwnerReport } from '../owner/owner-report.js';
 
 /** What is asked of a node: `task`, `status` or `configuration`. */
 export const CALL_FIELD = 'spindlepaddle-peer-call';
--- a/src/proxy/headers.ts
+++ b/src/proxy/headers.ts
@@ -30,7 +30,8 @@
 /** What became of a request: answered whole, certainly not run, or not known. */
 export type Outcome = 'answered' | 'not-run' | 'unknown';
 
-const HOP_BY_HOP = new Set([
+/** Fields that concern one connection only (RFC 9110, section 7.6.1). */
+export const HOP_BY_HOP: ReadonlySet<string> = new Set([
   'connection',
   'keep-alive',
   'proxy-connection',
@@ -57,6 +58,7 @@
   return copy;
 }
 
-function listOf(value: string | undefined): string[] {
+/** The names that a `connection` field lists, in lower case. */
+export function listOf(value: string | undefined): string[] {
   return (value ?? '').split(',').map((item) => item.trim().toLowerCase());
 }
--- /dev/null
+++ b/src/sidecar/planned-stop.ts
@@ -0,0 +1,50 @@
+/**
+ * The order of a planned stop: out of rotation first, then no new tasks for the
+ * back end, then no new requests of clients, then everything in flight.
+ */
+import type { IngressServer } from '../ingress/ingress-server.js';
+import type { Clock } from '../model/clock.js';
+import type { LocalOwner } from '../owner/local-owner.js';
+
+/** Share of the grace after which the back end gets no new tasks. */
+const TASKS_SHARE = 0.3;
+
+/** Share of the grace in which clients learn to go elsewhere. */
+const NOTICE_SHARE = 0.42;
+
+/** Share of the grace after which nothing more is taken from clients. */
+const ACCEPTING_SHARE = 0.48;
+
+/** Pause between two looks at what is in flight, in milliseconds. */
+const TICK_MS = 50;
+
+/** Left of the grace for the very end, in milliseconds. */
+const MARGIN_MS = 300;
+
+/** What is stopped. */
+export interface StoppedParts {
+  readonly clock: Clock;
+  readonly ingress: IngressServer;
+  readonly owner: LocalOwner;
+  /** Milliseconds until the process is killed. */
+  readonly graceMs: number;
+}
+
+/** Resolves when nothing is in flight, or just before the end of the grace. */
+export async function finishWork({ clock, ingress, owner, graceMs }: StoppedParts): Promise<void> {
+  const startedAt = clock.now();
+  const waitUntil = async (condition: () => boolean, atMs: number) => {
+    while (!condition() && clock.now() < startedAt + atMs) {
+      await new Promise((resolve) => setTimeout(resolve, TICK_MS));
+    }
+  };
+  ingress.startStopping();
+  await waitUntil(() => false, graceMs * TASKS_SHARE);
+  owner.stopAdmitting();
+  await waitUntil(() => false, graceMs * NOTICE_SHARE);
+  // What the back end still runs may call other services through this node.
+  await waitUntil(() => owner.report.inFlight === 0, graceMs * ACCEPTING_SHARE);
+  ingress.stopAccepting();
+  const isIdle = () => ingress.inFlight === 0 && owner.report.inFlight === 0;
+  await waitUntil(isIdle, graceMs - MARGIN_MS);
+}
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -5,33 +5,27 @@
 import { DirectorySync } from '../directory/directory-sync.js';
 import { OwnerDirectory } from '../directory/owner-directory.js';
 import { OwnerEntry, type OwnerRecord } from '../directory/owner-entry.js';
-import { IngressServer, type RequestRecord } from '../ingress/ingress-server.js';
+import type { RequestRecord } from '../ingress/ingress-request.js';
+import { IngressServer } from '../ingress/ingress-server.js';
 import { SharedRetryBudget } from '../ingress/shared-retry-budget.js';
 import type { Clock } from '../model/clock.js';
-import type { HeaderNames } from '../owner/header-names.js';
-import { LocalOwner, type OwnerReport, type TaskRecord } from '../owner/local-owner.js';
+import { LocalOwner } from '../owner/local-owner.js';
+import type { OwnerReport, TaskRecord } from '../owner/owner-report.js';
 import { PeerCaller } from '../peer/peer-caller.js';
 import type { PeerReport, PeerSender } from '../peer/peer-protocol.js';
 import { PeerServer } from '../peer/peer-server.js';
 import { RemoteOwner } from '../peer/remote-owner.js';
-import type { BackEnd, Heartbeat } from '../registry/back-end-registry.js';
-import { CollectionWatcher } from '../source/collection-watcher.js';
-import {
-  type ConfigurationCandidate,
-  ConfigurationHolder,
-} from '../source/configuration-holder.js';
-import type { ObjectStore, StoredObject } from '../source/object-store.js';
+import type { BackEnd } from '../registry/back-end-registry.js';
+import type { RouteMatcher } from '../routing/route-matcher.js';
+import { ConfigurationFollower } from '../source/configuration-follower.js';
 import { ObservedStore } from '../source/observed-store.js';
-import { SmallServer } from './registration-server.js';
+import type { Outside } from './outside.js';
+import { finishWork } from './planned-stop.js';
 import type { SidecarSettings } from './sidecar-settings.js';
+import { SmallServer } from './small-server.js';
 
-/** Longest waits of watches, in milliseconds. */
-const CONFIGURATION_WAIT_MS = 6_000;
-const DIRECTORY_WAIT_MS = 15_000;
-
-/** Changes that come within these times, in milliseconds, are taken together. */
-const CONFIGURATION_SETTLE_MS = 500;
-const DIRECTORY_SETTLE_MS = 500;
+/** The directory's watch: its longest wait, and what comes within so long is taken together. */
+const DIRECTORY_TIMING = { waitMs: 15_000, settleMs: 500 };
 
 /** An owner that has neither answered nor acknowledged a task by then is silent, in milliseconds. */
 const SILENCE_LIMIT_MS = 250;
@@ -39,23 +33,8 @@
 /** A configuration is asked of another node for at the most this long, in milliseconds. */
 const PEER_CONFIGURATION_TIMEOUT_MS = 1_000;
 
-/** While stopping: share of the grace after which the back end gets no new tasks. */
-const STOP_TASKS_SHARE = 0.3;
-
-/** While stopping: share of the grace in which clients learn to go elsewhere. */
-const STOP_NOTICE_SHARE = 0.42;
-
-/** While stopping: share of the grace after which nothing more is taken from clients. */
-const STOP_ACCEPTING_SHARE = 0.48;
-
 /** While stopping: longest time for removing the own record, in milliseconds. */
-const STOP_REMOVE_MS = 100;
-
-/** While stopping: pause between two looks at what is in flight, in milliseconds. */
-const STOP_TICK_MS = 50;
-
-/** While stopping: left of the grace for the very end, in milliseconds. */
-const STOP_MARGIN_MS = 300;
+const REMOVE_TIMEOUT_MS = 100;
 
 /** Path and media type of the metrics (Prometheus text format, version 0.0.4). */
 const METRICS_PATH = '/metrics';
@@ -63,29 +42,6 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
-/** What the deployment brings: how the outside speaks. */
-export interface Outside {
-  readonly store: ObjectStore;
-  readonly names: HeaderNames;
-  /** Kind and name of the configuration object. */
-  readonly configurationKind: string;
-  readonly configurationName: string;
-  /** Translates a stored configuration; undefined when it has no version. */
-  readonly decodeConfiguration: (spec: unknown) => ConfigurationCandidate | undefined;
-  /** Translates a configuration that another node gave. */
-  readonly decodeConfigurationBytes: (bytes: Buffer) => ConfigurationCandidate | undefined;
-  /** Translates a call of the back end. */
-  readonly decodeRegistration: (method: string, path: string, body: Buffer) => Registration;
-  /** True for the readiness question. */
-  readonly isReadinessCall: (method: string, path: string) => boolean;
-}
-
-/** What a back end says to its node. */
-export type Registration =
-  | { readonly kind: 'heartbeat'; readonly beat: Heartbeat }
-  | { readonly kind: 'deregister'; readonly instance: string }
-  | { readonly kind: 'unreadable'; readonly reason: string };
-
 /** What a node believes at one moment. */
 export interface SidecarStatus {
   readonly version: number;
@@ -100,11 +56,10 @@
 
 /** One per process. */
 export class SidecarNode {
-  private readonly holder = new ConfigurationHolder();
   private readonly owner: LocalOwner;
   private readonly directory: OwnerDirectory;
   private readonly sync: DirectorySync;
-  private readonly configuration: CollectionWatcher<unknown>;
+  private readonly configuration: ConfigurationFollower;
   private readonly ingress: IngressServer;
   private readonly peers: PeerServer;
   private readonly readiness: SmallServer;
@@ -115,7 +70,6 @@
   private stopping = false;
   /** Steady time in milliseconds since which the configuration is in force. */
   private inForceSince = 0;
-  private fetchingVersion = 0;
 
   constructor(
     private settings: SidecarSettings,
@@ -135,7 +89,7 @@
       names,
       service: () => this.settings.service,
       backEndAddress: () => this.settings.backEndAddress,
-      healthPath: (service) => this.holder.routes?.service(service)?.healthPath,
+      healthPath: (service) => this.configuration.routes?.service(service)?.healthPath,
       drainMs: () => this.settings.drainMs,
       onBackEnd: (backEnd, cause) => this.onBackEnd(backEnd, cause),
       onTask: (record) => this.onTask(record),
@@ -152,29 +106,24 @@
       directory: this.directory,
       caller: this.caller,
       own: () => this.record(),
-      timing: { waitMs: DIRECTORY_WAIT_MS, settleMs: DIRECTORY_SETTLE_MS },
+      timing: DIRECTORY_TIMING,
       onConnected: (connected, detail) => this.onStore('directory', connected, detail),
       onOwner: (node, change, detail) => this.log.event('owner', { owner: node, change, detail }),
-      onReport: (address, report) => this.noteVersion(address, report.version),
+      onReport: (address, report) => this.configuration.noteVersion(address, report.version),
     });
-    this.configuration = new CollectionWatcher<unknown>(
+    this.configuration = new ConfigurationFollower({
       store,
-      outside.configurationKind,
-      {
-        onList: (objects) => {
-          for (const object of objects) {
-            this.onConfiguration(object);
-          }
-        },
-        onChange: (object, gone) => {
-          if (!gone) {
-            this.onConfiguration(object);
-          }
-        },
-        onConnected: (connected, detail) => this.onStore('configuration', connected, detail),
-      },
-      { waitMs: CONFIGURATION_WAIT_MS, settleMs: CONFIGURATION_SETTLE_MS },
-    );
+      kind: outside.configurationKind,
+      name: outside.configurationName,
+      decode: outside.decodeConfiguration,
+      decodeBytes: outside.decodeConfigurationBytes,
+      askPeer: (address) => this.caller.configuration(address, PEER_CONFIGURATION_TIMEOUT_MS),
+      onConnected: (connected, detail) => this.onStore('configuration', connected, detail),
+      onInForce: (routes, origin) => this.onConfiguration(routes, origin),
+      onHeldOff: (version, origin, findings) =>
+        this.log.event('configuration-held-off', { version, origin, findings }),
+      onUnreadable: (revision) => this.log.event('configuration-unreadable', { revision }),
+    });
     this.ingress = new IngressServer({
       clock,
       names,
@@ -183,7 +132,7 @@
         () => this.settings.retryBudget,
         () => this.directory.all().length,
       ),
-      routes: () => this.holder.routes,
+      routes: () => this.configuration.routes,
       callerService: () => this.settings.service,
       onFinished: (record) => this.onFinished(record),
     });
@@ -191,7 +140,7 @@
       clock,
       owner: this.owner,
       report: () => this.report(),
-      configuration: () => this.holder.bytes(),
+      configuration: () => this.configuration.bytes(),
       onPeer: (sender, report) => this.onPeer(sender, report),
     });
     this.metricsServer = new SmallServer((call) => this.onMetricsCall(call.path));
@@ -205,7 +154,7 @@
   get status(): SidecarStatus {
     const owners = this.directory.all();
     return {
-      version: this.holder.version,
+      version: this.configuration.version,
       backEndReady: this.owner.report.ready,
       owner: this.owner.report,
       inFlight: this.ingress.inFlight,
@@ -236,7 +185,7 @@
     };
     this.directory.put(this.record());
     this.sync.start();
-    void this.configuration.run();
+    this.configuration.start();
     this.owner.start();
     this.log.event('started', {
       zone: this.settings.zone,
@@ -252,30 +201,17 @@
     void this.sync.publish();
   }
 
-  /**
-   * Planned stop: out of rotation first, then no new tasks for the back end, then
-   * no new requests of clients, then everything in flight, then the end.
-   */
+  /** Planned stop; see `finishWork`. */
   async stop(): Promise<void> {
-    const startedAt = this.clock.now();
-    const after = (share: number) => startedAt + this.settings.graceMs * share;
-    const deadline = startedAt + this.settings.graceMs - STOP_MARGIN_MS;
     this.stopping = true;
-    this.log.event('stopping', { inFlight: this.ingress.inFlight, version: this.holder.version });
-    this.ingress.startStopping();
-    await this.waitUntil(() => false, after(STOP_TASKS_SHARE));
-    this.owner.stopAdmitting();
-    await this.waitUntil(() => false, after(STOP_NOTICE_SHARE));
-    // What the back end still runs may call other services through this node.
-    await this.waitUntil(() => this.owner.report.inFlight === 0, after(STOP_ACCEPTING_SHARE));
-    this.ingress.stopAccepting();
-    const isIdle = () => this.ingress.inFlight === 0 && this.owner.report.inFlight === 0;
-    await this.waitUntil(isIdle, deadline);
+    const { clock, ingress, owner } = this;
+    this.log.event('stopping', { inFlight: ingress.inFlight, version: this.configuration.version });
+    await finishWork({ clock, ingress, owner, graceMs: this.settings.graceMs });
     await Promise.race([
-      this.sync.stop(this.owner.isLeaving),
-      new Promise((resolve) => setTimeout(resolve, STOP_REMOVE_MS)),
+      this.sync.stop(owner.isLeaving),
+      new Promise((resolve) => setTimeout(resolve, REMOVE_TIMEOUT_MS)),
     ]);
-    this.log.event('stopped', { inFlight: this.ingress.inFlight });
+    this.log.event('stopped', { inFlight: ingress.inFlight });
     this.close();
   }
 
@@ -293,12 +229,6 @@
     this.outside.store.close();
   }
 
-  private async waitUntil(condition: () => boolean, until: number): Promise<void> {
-    while (!condition() && this.clock.now() < until) {
-      await new Promise((resolve) => setTimeout(resolve, STOP_TICK_MS));
-    }
-  }
-
   private record(): OwnerRecord {
     const { node, zone, service, listen } = this.settings;
     return { node, address: listen.peers, zone, service };
@@ -315,7 +245,7 @@
       silenceLimitMs: () => SILENCE_LIMIT_MS,
       onReport: (report) => {
         entry.noteReport(report, this.clock.now());
-        this.noteVersion(record.address, report.version);
+        this.configuration.noteVersion(record.address, report.version);
       },
       onFailure: (cause) => {
         if (!entry.absence) {
@@ -329,66 +259,23 @@
   }
 
   private sender(): PeerSender {
-    return { address: this.settings.listen.peers, version: this.holder.version };
+    return { address: this.settings.listen.peers, version: this.configuration.version };
   }
 
   private report(): PeerReport {
-    return { ...this.owner.report, version: this.holder.version };
+    return { ...this.owner.report, version: this.configuration.version };
   }
 
   private onPeer(sender: PeerSender, report: PeerReport | undefined): void {
     this.sync.notePeer(sender, report);
-    this.noteVersion(sender.address, sender.version);
+    this.configuration.noteVersion(sender.address, sender.version);
   }
 
-  /** Another node knows a newer configuration: the store is asked first, then that node. */
-  private noteVersion(address: string, version: number): void {
-    if (version > this.holder.version && version > this.fetchingVersion) {
-      this.fetchingVersion = version;
-      void this.fetchVersion(address, version).finally(() => {
-        this.fetchingVersion = 0;
-      });
-    }
-  }
-
-  private async fetchVersion(address: string, version: number): Promise<void> {
-    if (this.configuration.isConnected && (await this.configuration.refresh())) {
-      if (this.holder.version >= version) {
-        return;
-      }
-    }
-    const bytes = await this.caller.configuration(address, PEER_CONFIGURATION_TIMEOUT_MS);
-    const candidate = bytes && this.outside.decodeConfigurationBytes(bytes);
-    if (candidate) {
-      this.offer(candidate, address);
-    }
-  }
-
-  private onConfiguration(object: StoredObject<unknown>): void {
-    if (object.name !== this.outside.configurationName) {
-      return;
-    }
-    const candidate = this.outside.decodeConfiguration(object.spec);
-    if (candidate) {
-      this.offer(candidate, 'store');
-    } else {
-      this.log.event('configuration-unreadable', { revision: object.revision });
-    }
-  }
-
-  private offer(candidate: ConfigurationCandidate, origin: string): void {
-    const result = this.holder.offer(candidate);
-    if (result.kind === 'in-force') {
-      const { routes, limits } = this.holder.routes?.configuration ?? {};
-      this.log.event('configuration', { version: result.version, origin, routes: routes?.length });
-      this.inForceSince = this.clock.now();
-      if (limits) {
-        this.ingress.setLimits(limits);
-      }
-    } else if (result.kind === 'held-off') {
-      const findings = result.findings.slice(0, 5);
-      this.log.event('configuration-held-off', { version: result.version, origin, findings });
-    }
+  private onConfiguration(routes: RouteMatcher, origin: string): void {
+    const { version, configuration } = routes;
+    this.inForceSince = this.clock.now();
+    this.ingress.setLimits(configuration.limits);
+    this.log.event('configuration', { version, origin, routes: configuration.routes.length });
   }
 
   private onBackEnd(backEnd: BackEnd | undefined, cause: string): void {
@@ -410,7 +297,7 @@
   }
 
   private onStore(use: string, connected: boolean, detail: string): void {
-    this.log.event('store', { use, connected, detail, version: this.holder.version });
+    this.log.event('store', { use, connected, detail, version: this.configuration.version });
   }
 
   private onFinished(record: RequestRecord): void {
@@ -463,7 +350,7 @@
   }
 
   private onReadinessCall(method: string, path: string) {
-    const isReady = !this.stopping && this.holder.routes !== undefined && this.sync.isListed;
+    const isReady = !this.stopping && this.configuration.routes !== undefined && this.sync.isListed;
     const isKnown = this.outside.isReadinessCall(method, path);
     const status = isKnown ? (isReady ? 200 : 503) : 404;
     return { status, contentType: 'application/json', body: `{"ready":${isReady}}` };
--- a/src/sidecar/sidecar-process.ts
+++ b/src/sidecar/sidecar-process.ts
@@ -3,7 +3,8 @@
 import type { DecisionLog } from '../diagnostics/decision-log.js';
 import type { SidecarMetrics } from '../diagnostics/sidecar-metrics.js';
 import type { Clock } from '../model/clock.js';
-import { type Outside, SidecarNode } from './sidecar-node.js';
+import type { Outside } from './outside.js';
+import { SidecarNode } from './sidecar-node.js';
 import { checkSidecarSettings, type SidecarSettings } from './sidecar-settings.js';
 
 /** The settings file is looked at this often, in milliseconds: it may change without a signal. */
--- a/src/sidecar/registration-server.ts
+++ b/src/sidecar/small-server.ts
@@ -1,4 +1,4 @@
-/** Listens for the back end on this machine and for the readiness question. */
+/** A listener for calls with small bodies: registrations, readiness, metrics. */
 import http from 'node:http';
 import { collectBody } from '../owner/message-body.js';
 import { listenOn } from '../peer/peer-server.js';
--- /dev/null
+++ b/src/source/configuration-follower.ts
@@ -0,0 +1,131 @@
+/**
+ * Keeps the configuration in force up to date: from the store, and from another
+ * node when the store does not answer this one.
+ */
+import type { Finding } from '../model/finding.js';
+import type { RouteMatcher } from '../routing/route-matcher.js';
+import { CollectionWatcher } from './collection-watcher.js';
+import { type ConfigurationCandidate, ConfigurationHolder } from './configuration-holder.js';
+import type { ObjectStore, StoredObject } from './object-store.js';
+
+/** Longest wait of a watch, in milliseconds. */
+const WAIT_MS = 6_000;
+
+/** Changes that come within this time, in milliseconds, are taken together. */
+const SETTLE_MS = 500;
+
+/** Findings that one log line names. */
+const MAX_FINDINGS = 5;
+
+/** What the follower needs of its node. */
+export interface ConfigurationFollowerOptions {
+  readonly store: ObjectStore;
+  /** Kind and name of the configuration object. */
+  readonly kind: string;
+  readonly name: string;
+  /** Translates a stored configuration; undefined when it cannot be read. */
+  readonly decode: (spec: unknown) => ConfigurationCandidate | undefined;
+  readonly decodeBytes: (bytes: Buffer) => ConfigurationCandidate | undefined;
+  /** Asks another node for its configuration. */
+  readonly askPeer: (address: string) => Promise<Buffer | undefined>;
+  readonly onConnected: (connected: boolean, detail: string) => void;
+  readonly onInForce: (routes: RouteMatcher, origin: string) => void;
+  readonly onHeldOff: (version: number, origin: string, findings: readonly Finding[]) => void;
+  readonly onUnreadable: (revision: number) => void;
+}
+
+/** One per node. */
+export class ConfigurationFollower {
+  private readonly holder = new ConfigurationHolder();
+  private readonly watcher: CollectionWatcher<unknown>;
+  private fetchingVersion = 0;
+
+  constructor(private readonly options: ConfigurationFollowerOptions) {
+    this.watcher = new CollectionWatcher<unknown>(
+      options.store,
+      options.kind,
+      {
+        onList: (objects) => {
+          for (const object of objects) {
+            this.take(object);
+          }
+        },
+        onChange: (object, gone) => {
+          if (!gone) {
+            this.take(object);
+          }
+        },
+        onConnected: options.onConnected,
+      },
+      { waitMs: WAIT_MS, settleMs: SETTLE_MS },
+    );
+  }
+
+  /** The routes in force, or undefined before the first configuration. */
+  get routes(): RouteMatcher | undefined {
+    return this.holder.routes;
+  }
+
+  get version(): number {
+    return this.holder.version;
+  }
+
+  get isConnected(): boolean {
+    return this.watcher.isConnected;
+  }
+
+  /** The configuration in force as bytes for another node. */
+  bytes(): Buffer | undefined {
+    return this.holder.bytes();
+  }
+
+  start(): void {
+    void this.watcher.run();
+  }
+
+  stop(): void {
+    this.watcher.stop();
+  }
+
+  /** Another node holds this version: if it is newer, the store is asked first, then that node. */
+  noteVersion(address: string, version: number): void {
+    if (version > this.version && version > this.fetchingVersion) {
+      this.fetchingVersion = version;
+      void this.fetch(address, version).finally(() => {
+        this.fetchingVersion = 0;
+      });
+    }
+  }
+
+  private async fetch(address: string, version: number): Promise<void> {
+    if (this.isConnected && (await this.watcher.refresh()) && this.version >= version) {
+      return;
+    }
+    const bytes = await this.options.askPeer(address);
+    const candidate = bytes && this.options.decodeBytes(bytes);
+    if (candidate) {
+      this.offer(candidate, address);
+    }
+  }
+
+  private take(object: StoredObject<unknown>): void {
+    if (object.name !== this.options.name) {
+      return;
+    }
+    const candidate = this.options.decode(object.spec);
+    if (candidate) {
+      this.offer(candidate, 'store');
+    } else {
+      this.options.onUnreadable(object.revision);
+    }
+  }
+
+  private offer(candidate: ConfigurationCandidate, origin: string): void {
+    const result = this.holder.offer(candidate);
+    if (result.kind === 'in-force' && this.holder.routes) {
+      this.options.onInForce(this.holder.routes, origin);
+    } else if (result.kind === 'held-off') {
+      this.options.onHeldOff(result.version, origin, result.findings.slice(0, MAX_FINDINGS));
+    }
+  }
+}
--- a/test/sidecar-membership.test.ts
+++ b/test/sidecar-membership.test.ts
@@ -62,6 +62,22 @@
   });
 });
 
+describe('a back end that changes its slots', () => {
+  it('keeps the connections of what it runs', async () => {
+    const [first, second, entry] = await threeMachines();
+    first.application.serviceMs = 800;
+    second.application.serviceMs = 800;
+    const pending = call(entry.node.addresses.clients, '/grant/1', { method: 'POST', body: 'b' });
+    await waitFor(() => mesh.runs().length === 1);
+    for (const machine of [first, second]) {
+      machine.application.slots += 2;
+      await machine.application.heartbeat(machine.node.addresses.registrations);
+    }
+    expect(first.node.status.owner.slots).toBe(6);
+    expect((await pending).status).toBe(200);
+  });
+});
+
 describe('a node that ends', () => {
   it('is left alone by the others until it is back', async () => {
     const [first, second, entry] = await threeMachines();
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -3,7 +3,7 @@
 /** Integration tests start many processes, so test files run two at a time. */
 export default defineConfig({
   test: {
-    include: ['src/**/*.test.ts', 'lab/**/*.test.ts', 'test/**/*.test.ts'],
+    include: ['src/**/*.test.ts', 'platform/**/*.test.ts', 'lab/**/*.test.ts', 'test/**/*.test.ts'],
     testTimeout: 60_000,
     hookTimeout: 60_000,
     maxWorkers: 2,
