--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -13,9 +13,6 @@
 /** Offers that one request may make in all, turned away or not. */
 const MAX_OFFERS = 8;
 
-/** A back end's own failure (RFC 9110, section 15.6.1). */
-const SERVER_ERROR = 500;
-
 /** Shortest and longest time, in milliseconds, after which a client is told to come back. */
 const MIN_RETRY_AFTER_MS = 20;
 const MAX_RETRY_AFTER_MS = 1_000;
@@ -53,8 +50,6 @@
   /** True once a back end may have run the request. */
   private mayHaveRun = false;
   private lastNotRun: OwnerNotRun | undefined;
-  /** A back end's own failure, passed on if nothing better comes. */
-  private failure: OwnerAnswer | undefined;
 
   constructor(
     private readonly context: DispatchContext,
@@ -77,18 +72,15 @@
     for (;;) {
       const refusal = this.obstacle();
       if (refusal) {
-        return this.end(this.failure ?? refusal);
+        return this.end(refusal);
       }
       const entry = this.chooseOwner();
       if (!entry) {
-        return this.end(this.failure ?? this.noOwner());
+        return this.end(this.noOwner());
       }
       const outcome = await this.offer(entry);
       if (outcome.kind === 'answer') {
-        if (!this.mayImproveOn(outcome)) {
-          return this.end(outcome);
-        }
-        this.failure = outcome;
+        return this.end(outcome);
       }
     }
   }
@@ -97,16 +89,6 @@
     return { result, offers: this.offers };
   }
 
-  /** A back end that failed has run the request; one that may be repeated is worth another try. */
-  private mayImproveOn(answer: OwnerAnswer): boolean {
-    return (
-      answer.status === SERVER_ERROR &&
-      this.task.repeatable &&
-      this.failure === undefined &&
-      this.context.clock.now() < this.task.targetAt
-    );
-  }
-
   /** Why no further offer may be made, if so. */
   private obstacle(): ClientRefusal | undefined {
     const now = this.context.clock.now();
