--- a/lab/application-stand-in.ts
+++ b/lab/application-stand-in.ts
@@ -57,11 +57,16 @@
 
   /** Starts listening and resolves with its address. */
   start(port = 0): Promise<string> {
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
       this.server.listen(port, '127.0.0.1', () => resolve(this.address));
     });
   }
 
+  get isListening(): boolean {
+    return this.server.listening;
+  }
+
   get address(): string {
     return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
   }
--- a/test/sidecar-data-path.test.ts
+++ b/test/sidecar-data-path.test.ts
@@ -1,5 +1,6 @@
 /** Two hops between clients and back ends, with the faults that back ends show. */
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { ApplicationStandIn } from '../lab/application-stand-in.js';
 import { call, SidecarMesh, waitFor } from '../lab/sidecar-mesh.js';
 
 let mesh: SidecarMesh;
@@ -103,6 +104,43 @@
     expect(mesh.runs()).toHaveLength(results.filter((result) => result.status === 200).length);
   });
 
+  it('takes an answer that comes before a long body is in, and mixes nothing afterwards', async () => {
+    const { vault, first } = await threeMachines();
+    vault.application.behaviours.push('answer-early');
+    const body = 'z'.repeat(3_000_000);
+    const early = await call(first.node.addresses.clients, '/upload/1', { method: 'POST', body });
+    expect([200, 502]).toContain(early.status);
+    const next = await call(first.node.addresses.clients, '/upload/2', {
+      method: 'POST',
+      body: 'short',
+      requestId: 'after-early',
+    });
+    expect(next).toMatchObject({ status: 200, body: 'answer to after-early' });
+    const run = vault.application.runs.find(({ requestId }) => requestId === 'after-early');
+    expect(run?.body).toBe('short');
+  });
+
+  it('runs nothing at another service that has got the address of a back end', async () => {
+    const { vault, first, second } = await threeMachines();
+    second.node.close();
+    const port = Number(first.application.address.split(':')[1]);
+    first.application.close();
+    const other = new ApplicationStandIn('reused', 4);
+    await waitFor(async () => {
+      await other.start(port).catch(() => {});
+      return other.isListening;
+    });
+    for (let index = 0; index < 5; index += 1) {
+      const result = await call(vault.node.addresses.clients, `/grant/${index}`, {
+        method: 'POST',
+        body: 'b',
+      });
+      expect(result.status).toBe(503);
+    }
+    expect(other.runs).toEqual([]);
+    other.close();
+  });
+
   it('gives the final answer at the time-out of the route and ends the work', async () => {
     const { vault, first, second } = await threeMachines();
     first.application.serviceMs = 5_000;
