--- a/test/sidecar-data-path.test.ts
+++ b/test/sidecar-data-path.test.ts
@@ -61,16 +61,13 @@
   it.each(['reset', 'answer-another', 'cut-short'] as const)(
     'runs a safe request again after a back end that does %s',
     async (behaviour) => {
-      const { vault, first, second } = await threeMachines();
+      const { vault, first } = await threeMachines();
       first.application.behaviours.push(behaviour);
-      second.application.behaviours.push(behaviour);
-      const results = await Promise.all(
-        [1, 2, 3].map((index) => call(vault.node.addresses.clients, `/read/${index}`)),
-      );
-      expect(results.map((result) => result.status)).toContain(200);
-      for (const result of results) {
-        expect([200, 502]).toContain(result.status);
+      const statuses: number[] = [];
+      while (first.application.behaviours.length > 0) {
+        statuses.push((await call(vault.node.addresses.clients, '/read/1')).status);
       }
+      expect(new Set(statuses)).toEqual(new Set([200]));
     },
   );
 
@@ -91,17 +88,15 @@
   );
 
   it('offers an unsafe request to another owner when a back end turns it away', async () => {
-    const { vault, first, second } = await threeMachines();
+    const { vault, first } = await threeMachines();
     first.application.behaviours.push('turn-away');
-    second.application.behaviours.push('turn-away');
-    const results = [];
-    for (let index = 0; index < 3; index += 1) {
-      results.push(
-        await call(vault.node.addresses.clients, `/grant/${index}`, { method: 'POST', body: 'b' }),
-      );
+    const statuses: number[] = [];
+    while (first.application.behaviours.length > 0) {
+      const options = { method: 'POST', body: 'b' };
+      statuses.push((await call(vault.node.addresses.clients, '/grant/1', options)).status);
     }
-    expect(results.map((result) => result.status)).toContain(200);
-    expect(mesh.runs()).toHaveLength(results.filter((result) => result.status === 200).length);
+    expect(new Set(statuses)).toEqual(new Set([200]));
+    expect(mesh.runs()).toHaveLength(statuses.length);
   });
 
   it('takes an answer that comes before a long body is in, and mixes nothing afterwards', async () => {
