--- a/src/directory/owner-directory.ts
+++ b/src/directory/owner-directory.ts
@@ -82,10 +82,20 @@
     const open = this.ownersOf(service).filter(
       (entry) => !tried.has(entry) && entry.available(priority, now),
     );
-    const near = open.filter((entry) => entry.record.zone === this.zone);
+    const near = open.filter((entry) => this.isNear(entry));
     return this.best(near.length > 0 ? near : open, now);
   }
 
+  /** True for an owner in this node's zone. */
+  isNear(entry: OwnerEntry): boolean {
+    return entry.record.zone === this.zone;
+  }
+
+  /** True while some owner of a service in this node's zone is up, busy or not. */
+  hasNearOwner(service: string): boolean {
+    return this.ownersOf(service).some((entry) => this.isNear(entry) && !entry.absence);
+  }
+
   /** Milliseconds until some owner of a service may take a task again. */
   restMs(service: string, now: number): number {
     const rests = this.ownersOf(service)
--- a/src/ingress/dispatch.test.ts
+++ b/src/ingress/dispatch.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { OwnerDirectory } from '../directory/owner-directory.js';
 import { OwnerEntry } from '../directory/owner-entry.js';
+import { createSpillAllowance, LARGE_BODY_BYTES } from '../directory/spillAllowance.js';
 import { EMPTY_BODY } from '../owner/message-body.js';
 import { type Owner, type OwnerOutcome, type OwnerTask, turnedAway } from '../owner/owner.js';
 import { Cancellation } from '../proxy/cancellation.js';
@@ -19,7 +20,14 @@
 /** Dispatches one task to owners with prepared outcomes, asked in the order given. */
 async function dispatch(
   outcomes: OwnerOutcome[],
-  options: { repeatable?: boolean; maxAttempts?: number; slack?: number } = {},
+  options: {
+    repeatable?: boolean;
+    maxAttempts?: number;
+    slack?: number;
+    /** Zones of the owners, in the order of their outcomes; `near` when left out. */
+    zones?: string[];
+    bodyBytes?: number;
+  } = {},
 ) {
   let asked = 0;
   const script = [...outcomes];
@@ -32,7 +40,8 @@
   const directory = new OwnerDirectory('near', (record) => new OwnerEntry(record, owner, false));
   outcomes.forEach((_, index) => {
     const node = `node-${index}`;
-    directory.put({ node, address: `10.0.0.1:${index}`, zone: 'near', service: 'desk' });
+    const zone = options.zones?.[index] ?? 'near';
+    directory.put({ node, address: `10.0.0.1:${index}`, zone, service: 'desk' });
   });
   const cancellation = new Cancellation();
   const task: OwnerTask = {
@@ -56,11 +65,20 @@
     () => ({ ratio: 0.2, windowMs: 10_000, slack: options.slack ?? 64 }),
     () => 1,
   );
-  const context = { clock: { now: () => 0 }, directory, budget };
+  const spill = createSpillAllowance();
+  while (spill.take()) {
+    // A zone that is short of room has used its allowance up.
+  }
+  const context = { clock: { now: () => 0 }, directory, budget, spill };
   if (options.slack === 0) {
     budget.withdraw('desk', 0);
   }
-  const { result } = await new Dispatch(context, task, options.maxAttempts ?? 2).run();
+  const { result } = await new Dispatch(
+    context,
+    task,
+    options.maxAttempts ?? 2,
+    options.bodyBytes ?? 0,
+  ).run();
   return {
     asked,
     status: result.status,
@@ -107,4 +125,26 @@
       expect(found).toMatchObject({ asked: 1, status: 500 });
     },
   );
+
+  describe('when the owners of its own zone are busy', () => {
+    const away = turnedAway('busy', 50);
+    const zones = ['near', 'far'];
+
+    it('sends a small request to another zone', async () => {
+      expect(await dispatch([away, answer(200)], { zones })).toMatchObject({ status: 200 });
+    });
+
+    it('refuses a large one with the time to come back: bytes between zones are dear', async () => {
+      const found = await dispatch([away, answer(200)], { zones, bodyBytes: LARGE_BODY_BYTES });
+      expect(found).toEqual({ asked: 1, status: 503, retryAfterMs: 50 });
+    });
+  });
+
+  it('sends a large request to another zone when no owner of its own is up', async () => {
+    const found = await dispatch([turnedAway('draining'), answer(200)], {
+      zones: ['near', 'far'],
+      bodyBytes: LARGE_BODY_BYTES,
+    });
+    expect(found).toMatchObject({ asked: 2, status: 200 });
+  });
 });
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -5,6 +5,7 @@
 
 import type { OwnerDirectory } from '../directory/owner-directory.js';
 import type { OwnerEntry } from '../directory/owner-entry.js';
+import { LARGE_BODY_BYTES, type SpillAllowance } from '../directory/spillAllowance.js';
 import type { Clock } from '../model/clock.js';
 import type { OwnerAnswer, OwnerNotRun, OwnerOutcome, OwnerTask } from '../owner/owner.js';
 import type { ClientRefusal } from './client-answer.js';
@@ -39,6 +40,7 @@
   readonly clock: Clock;
   readonly directory: OwnerDirectory;
   readonly budget: SharedRetryBudget;
+  readonly spill: SpillAllowance;
 }
 
 /** One per request. */
@@ -55,6 +57,8 @@
     private readonly context: DispatchContext,
     private readonly task: OwnerTask,
     private readonly maxAttempts: number,
+    /** Size of the request's body; infinite when it is not known. */
+    private readonly bodyBytes: number,
   ) {}
 
   /** True when no back end can have run the request so far. */
@@ -69,6 +73,9 @@
   /** Runs to the final answer; the caller's timer may end it sooner by cancelling the task. */
   async run(): Promise<DispatchResult> {
     this.context.budget.noteRequest(this.task.service, this.context.clock.now());
+    if (this.isLarge) {
+      this.context.spill.earn();
+    }
     for (;;) {
       const refusal = this.obstacle();
       if (refusal) {
@@ -109,7 +116,17 @@
 
   private chooseOwner(): OwnerEntry | undefined {
     const { directory, clock } = this.context;
-    return directory.choose(this.task.service, this.task.priority, this.tried, clock.now());
+    const { service, priority } = this.task;
+    const entry = directory.choose(service, priority, this.tried, clock.now());
+    const leavesZone = entry !== undefined && !directory.isNear(entry);
+    if (leavesZone && this.isLarge && directory.hasNearOwner(service)) {
+      return this.context.spill.take() ? entry : undefined;
+    }
+    return entry;
+  }
+
+  private get isLarge(): boolean {
+    return this.bodyBytes >= LARGE_BODY_BYTES;
   }
 
   private async offer(entry: OwnerEntry): Promise<OwnerOutcome> {
--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -116,6 +116,7 @@
       this.options,
       this.taskOf(route, body),
       isStream ? 1 : route.maxAttempts,
+      body.kind === 'bytes' ? body.bytes.length : Number.POSITIVE_INFINITY,
     );
     this.dispatch = dispatch;
     const { result } = await dispatch.run();
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -5,6 +5,7 @@
 import { DirectorySync } from '../directory/directory-sync.js';
 import { OwnerDirectory } from '../directory/owner-directory.js';
 import { OwnerEntry, type OwnerRecord } from '../directory/owner-entry.js';
+import { createSpillAllowance } from '../directory/spillAllowance.js';
 import type { RequestRecord } from '../ingress/ingress-request.js';
 import { IngressServer } from '../ingress/ingress-server.js';
 import { SharedRetryBudget } from '../ingress/shared-retry-budget.js';
@@ -132,6 +133,7 @@
         () => this.settings.retryBudget,
         () => this.directory.all().length,
       ),
+      spill: createSpillAllowance(),
       routes: () => this.configuration.routes,
       callerService: () => this.settings.service,
       onFinished: (record) => this.onFinished(record),
