What the retry budget's window allows may be spent at any moment of it

Each node's bucket held 2.7 repeats, whatever it had earned. Excluded: lookups refused as busy (60), lost owners (none). Change: counts over the sliding window instead of a bucket; the shares of ratio and slack stay.

--- a/src/ingress/shared-retry-budget.test.ts
+++ b/src/ingress/shared-retry-budget.test.ts
@@ -53,4 +53,67 @@
     expect(budget.withdraw('desk', 0)).toBe(false);
     expect(budget.withdraw('vault', 0)).toBe(true);
   });
+
+  it('lets a short fault spend what the whole window has earned', () => {
+    const budget = new SharedRetryBudget(
+      () => BOUND,
+      () => 32,
+    );
+    for (let now = 0; now < 10_000; now += 50) {
+      budget.noteRequest('desk', now);
+    }
+    let spent = 0;
+    while (budget.withdraw('desk', 9_999)) {
+      spent += 1;
+    }
+    // Half of 0.2 x 200 requests, and one of the slack; the first part of the window may be left out.
+    expect(spent).toBeGreaterThanOrEqual(19);
+    expect(spent).toBeLessThanOrEqual(21);
+    expect(budget.withdraw('desk', 14_000)).toBe(false);
+  });
+
+  it('keeps the bound when requests come in waves, counted as the users count them', () => {
+    const bound = { ratio: 0.2, windowMs: 1_000, slack: 8 };
+    const wave = fc.record({
+      gapMs: fc.integer({ min: 0, max: 900 }),
+      requests: fc.integer({ min: 0, max: 200 }),
+      attempts: fc.integer({ min: 0, max: 60 }),
+    });
+    fc.assert(
+      fc.property(fc.array(wave, { minLength: 3, maxLength: 25 }), (waves) => {
+        const budgets = [0, 1, 2, 3].map(
+          () =>
+            new SharedRetryBudget(
+              () => bound,
+              () => 4,
+            ),
+        );
+        const requests: number[] = [];
+        const repeats: number[] = [];
+        let now = 0;
+        for (const { gapMs, requests: arriving, attempts } of waves) {
+          now += gapMs;
+          for (let index = 0; index < arriving; index += 1) {
+            (budgets[index % 4] as SharedRetryBudget).noteRequest('desk', now);
+            requests.push(now);
+          }
+          for (let index = 0; index < attempts; index += 1) {
+            if ((budgets[index % 4] as SharedRetryBudget).withdraw('desk', now)) {
+              repeats.push(now);
+            }
+          }
+        }
+        const countIn = (times: number[], from: number) =>
+          times.filter((time) => time >= from && time < from + bound.windowMs).length;
+        for (const start of repeats) {
+          const counted = [0, 0.5, 1].map((part) =>
+            countIn(requests, start - part * bound.windowMs),
+          );
+          const allowed = bound.ratio * Math.max(...counted) + bound.slack;
+          expect(countIn(repeats, start)).toBeLessThanOrEqual(allowed);
+        }
+      }),
+      { seed: 5, numRuns: 300 },
+    );
+  });
 });
--- a/src/ingress/shared-retry-budget.ts
+++ b/src/ingress/shared-retry-budget.ts
@@ -2,9 +2,12 @@
  * This node's part of a budget that all nodes share: in every window, repeats
  * may add a share of the requests, and a slack. Each node spends only from the
  * requests that it has seen itself and from its part of the slack, so that the
- * sum over all nodes stays inside the bound without a coordinator.
+ * sum over all nodes stays inside the bound without a coordinator. What a window
+ * allows may be spent at any moment of it, so that a short fault can use it whole.
  */
 
+import { createSlidingCount, type SlidingCount } from './slidingCount.js';
+
 /** The bound that all nodes keep together. */
 export interface BudgetBound {
   /** Repeats for each request. */
@@ -17,14 +20,14 @@
 /** Part of the bound that is used: repeats that this node cannot see need room too. */
 const USED_SHARE = 0.5;
 
-interface ServiceBudget {
-  tokens: number;
-  refilledAt: number;
+interface ServiceCounts {
+  readonly requests: SlidingCount;
+  readonly repeats: SlidingCount;
 }
 
 /** One per node. */
 export class SharedRetryBudget {
-  private readonly budgets = new Map<string, ServiceBudget>();
+  private readonly counts = new Map<string, ServiceCounts>();
 
   constructor(
     private readonly bound: () => BudgetBound,
@@ -34,36 +37,37 @@
 
   /** Takes note of a request for a service: it earns its share of a repeat. */
   noteRequest(service: string, now: number): void {
-    const budget = this.refill(service, now);
-    budget.tokens = Math.min(budget.tokens + this.bound().ratio * USED_SHARE, this.ceiling());
+    this.countsOf(service).requests.add(now);
   }
 
   /** Takes one repeat; false when the budget is spent. */
   withdraw(service: string, now: number): boolean {
-    const budget = this.refill(service, now);
-    if (budget.tokens < 1) {
+    if (this.left(service, now) < 1) {
       return false;
     }
-    budget.tokens -= 1;
+    this.countsOf(service).repeats.add(now);
     return true;
   }
 
-  /** Repeats that are left for a service. */
-  left(service: string): number {
-    return this.budgets.get(service)?.tokens ?? this.ceiling();
-  }
-
-  private refill(service: string, now: number): ServiceBudget {
-    const known = this.budgets.get(service) ?? { tokens: this.ceiling(), refilledAt: now };
-    this.budgets.set(service, known);
-    // A bucket of this size empties and refills within one window at the most.
-    const earned = ((now - known.refilledAt) / this.bound().windowMs) * (this.ceiling() / 2);
-    known.tokens = Math.min(known.tokens + earned, this.ceiling());
-    known.refilledAt = now;
-    return known;
+  /** Repeats that are left for a service in the window that ends now. */
+  left(service: string, now: number): number {
+    const { ratio, slack } = this.bound();
+    const { requests, repeats } = this.countsOf(service);
+    const slackHere = Math.max(1, (slack * USED_SHARE) / Math.max(1, this.nodes()));
+    return slackHere + ratio * USED_SHARE * requests.atLeast(now) - repeats.atMost(now);
   }
 
-  private ceiling(): number {
-    return Math.max(1, (this.bound().slack * USED_SHARE) / Math.max(1, this.nodes()));
+  private countsOf(service: string): ServiceCounts {
+    const known = this.counts.get(service);
+    if (known) {
+      return known;
+    }
+    const { windowMs } = this.bound();
+    const created = {
+      requests: createSlidingCount(windowMs),
+      repeats: createSlidingCount(windowMs),
+    };
+    this.counts.set(service, created);
+    return created;
   }
 }
