Back ends that fail are asked after those that do not

Cause: a back end that loses or spoils part of its answers while its health answer is good got as much work as the others; each loss costs an unsafe request for good and a safe one a repeat of the shared budget. Excluded: health answers as a source: they may be false, either way. Change: an owner reports the share of its tasks that failed; from 0.2 on, others are asked first. The owner on the own machine is seen with its present load rather than that of the last report.

--- a/src/diagnostics/sidecar-metrics.ts
+++ b/src/diagnostics/sidecar-metrics.ts
@@ -14,6 +14,7 @@
   readonly owner_queued: number;
   readonly owner_slots: number;
   readonly owner_ready: number;
+  readonly owner_failure_share: number;
   readonly owners_present: number;
   readonly owners_absent: number;
   readonly configuration_version: number;
--- a/src/directory/owner-directory.test.ts
+++ b/src/directory/owner-directory.test.ts
@@ -19,6 +19,7 @@
     slots: 4,
     meanServiceMs: 10,
     version: 1,
+    failureShare: 0,
     ...overrides,
   };
 }
@@ -26,7 +27,7 @@
 function directoryOf(...records: OwnerRecord[]): OwnerDirectory {
   const directory = new OwnerDirectory(
     'near',
-    (each) => new OwnerEntry(each, NO_OWNER, false),
+    (each) => new OwnerEntry(each, NO_OWNER),
     () => 0,
   );
   for (const each of records) {
@@ -39,8 +40,12 @@
   return directory.all().find((each) => each.record.node === node) as OwnerEntry;
 }
 
+function wish(priority: number, prefersZone = false) {
+  return { service: 'desk', priority, prefersZone };
+}
+
 function chosen(directory: OwnerDirectory, now = 0, priority = 1): string | undefined {
-  return directory.choose('desk', priority, new Set(), now)?.record.node;
+  return directory.choose(wish(priority), new Set(), now)?.record.node;
 }
 
 describe('OwnerDirectory', () => {
@@ -49,7 +54,7 @@
     expect(chosen(directory)).toBe('1');
     entry(directory, '1').noteTurnedAway('draining', 1, undefined, 0);
     expect(chosen(directory)).toBe('2');
-    expect(directory.choose('desk', 1, new Set(directory.all()), 0)).toBeUndefined();
+    expect(directory.choose(wish(1), new Set(directory.all()), 0)).toBeUndefined();
   });
 
   it('chooses the owner that is expected to be done first', () => {
@@ -100,4 +105,34 @@
     directory.put(record('2', { address: '10.0.0.9:1' }));
     expect(directory.all().map((each) => each.record.node)).toEqual(['2']);
   });
+
+  it('goes past a back end that fails, unless the request had better stay in its zone', () => {
+    const directory = directoryOf(record('1'), record('2', { zone: 'far' }));
+    entry(directory, '1').noteReport(report({ failureShare: 0.4 }), 0);
+    entry(directory, '2').noteReport(report({ inFlight: 3 }), 0);
+    expect(chosen(directory)).toBe('2');
+    expect(directory.choose(wish(1, true), new Set(), 0)?.record.node).toBe('1');
+    // It is tried again once its report is old.
+    expect(chosen(directory, 3_000)).toBe('1');
+  });
+
+  it('stays in its zone when all back ends fail alike', () => {
+    const directory = directoryOf(record('1'), record('2', { zone: 'far' }));
+    entry(directory, '1').noteReport(report({ failureShare: 0.4 }), 0);
+    entry(directory, '2').noteReport(report({ failureShare: 0.4 }), 0);
+    expect(chosen(directory)).toBe('1');
+  });
+
+  it('sees what other nodes have brought to the owner on its own machine', () => {
+    const own = report({ inFlight: 4, queued: 3 });
+    const directory = new OwnerDirectory(
+      'near',
+      (each) => new OwnerEntry(each, NO_OWNER, each.node === '1' ? () => own : undefined),
+      () => 0,
+    );
+    directory.put(record('1'));
+    directory.put(record('2'));
+    entry(directory, '2').noteReport(report({ inFlight: 1 }), 0);
+    expect(chosen(directory)).toBe('2');
+  });
 });
--- a/src/directory/owner-directory.ts
+++ b/src/directory/owner-directory.ts
@@ -10,6 +10,14 @@
 /** Assumed service time, in milliseconds, when no owner has reported one. */
 const DEFAULT_SERVICE_MS = 20;
 
+/** What is asked of an owner. */
+export interface OwnerWish {
+  readonly service: string;
+  readonly priority: number;
+  /** True if an owner of the own zone is better than one elsewhere whose back end fails less. */
+  readonly prefersZone: boolean;
+}
+
 /** Creates the entry of an owner. */
 export type EntryFactory = (record: OwnerRecord) => OwnerEntry;
 
@@ -73,17 +81,16 @@
   }
 
   /** The best owner for a task, or undefined when none is left. */
-  choose(
-    service: string,
-    priority: number,
-    tried: ReadonlySet<OwnerEntry>,
-    now: number,
-  ): OwnerEntry | undefined {
-    const open = this.ownersOf(service).filter(
-      (entry) => !tried.has(entry) && entry.available(priority, now),
+  choose(wish: OwnerWish, tried: ReadonlySet<OwnerEntry>, now: number): OwnerEntry | undefined {
+    const open = this.ownersOf(wish.service).filter(
+      (entry) => !tried.has(entry) && entry.available(wish.priority, now),
     );
     const near = open.filter((entry) => this.isNear(entry));
-    return this.best(near.length > 0 ? near : open, now);
+    const isSound = (entry: OwnerEntry) => !entry.isFailing(now);
+    const groups = wish.prefersZone
+      ? [near.filter(isSound), near, open.filter(isSound), open]
+      : [near.filter(isSound), open.filter(isSound), near, open];
+    return this.best(groups.find((group) => group.length > 0) ?? [], now);
   }
 
   /** True for an owner in this node's zone. */
--- a/src/directory/owner-entry.ts
+++ b/src/directory/owner-entry.ts
@@ -18,12 +18,18 @@
 /** A report tells nothing of the present load after this time, in milliseconds. */
 const REPORT_LIFETIME_MS = 1_000;
 
-/** A service time that was reported once is believed less and less for so long, in milliseconds. */
+/** A reported service time or failure share is believed less and less for so long, in milliseconds. */
 const SERVICE_TIME_LIFETIME_MS = 4_000;
 
 /** An owner that turned a task away as busy is left alone at the most this long, in milliseconds. */
 const MAX_REST_MS = 60;
 
+/** A back end that fails this share of its tasks is asked after those that do not. */
+const FAILING_SHARE = 0.2;
+
+/** A share above this makes no further difference. */
+const MAX_FAILURE_SHARE = 0.9;
+
 /** Assumed until an owner has reported. */
 const DEFAULT_SLOTS = 4;
 
@@ -45,15 +51,23 @@
   constructor(
     readonly record: OwnerRecord,
     readonly owner: Owner,
-    /** True for the owner on this very node. */
-    readonly isLocal: boolean,
+    /** Present report of the owner on this very node; left out for the others. */
+    private readonly live?: () => PeerReport,
   ) {}
 
+  /** True for the owner on this very node. */
+  get isLocal(): boolean {
+    return this.live !== undefined;
+  }
+
   /** True when a task of this priority may be offered. */
   available(priority: number, now: number): boolean {
     if (this.absence) {
       return false;
     }
+    if (this.live) {
+      this.noteLoad(this.live(), now);
+    }
     return now >= this.restUntil || priority < this.restPriority;
   }
 
@@ -73,10 +87,27 @@
 
   /** Expected time in milliseconds until one more task would be done. Lower is better. */
   expectedMs(now: number, defaultServiceMs: number): number {
-    const belief = Math.max(0, 1 - (now - this.reportedAt) / SERVICE_TIME_LIFETIME_MS);
+    const belief = this.belief(now);
     const reportedMs = this.report?.meanServiceMs ?? defaultServiceMs;
     const serviceMs = reportedMs * belief + defaultServiceMs * (1 - belief);
-    return ((this.load(now) + 1) * serviceMs) / this.slots;
+    const onceMs = ((this.load(now) + 1) * serviceMs) / this.slots;
+    // What fails has to be done again, if it can be: the time until it succeeds.
+    return onceMs / (1 - Math.min(this.failureShare(now), MAX_FAILURE_SHARE));
+  }
+
+  /** Share of its tasks that the owner's back end fails, as far as that is still believed. */
+  failureShare(now: number): number {
+    return (this.report?.failureShare ?? 0) * this.belief(now);
+  }
+
+  /** True while the back end fails so much that others are asked first. */
+  isFailing(now: number): boolean {
+    return this.failureShare(now) >= FAILING_SHARE;
+  }
+
+  /** How far the last report is believed: from 1 to 0 as it grows old. */
+  private belief(now: number): number {
+    return Math.max(0, 1 - (now - this.reportedAt) / SERVICE_TIME_LIFETIME_MS);
   }
 
   get meanServiceMs(): number | undefined {
@@ -85,15 +116,19 @@
 
   /** Takes the owner's own report. */
   noteReport(report: PeerReport, now: number): void {
-    this.report = report;
-    this.reportedAt = now;
-    this.outstandingAtReport = this.outstanding;
+    this.noteLoad(report, now);
     if (report.ready && report.service === this.record.service) {
       this.absence = undefined;
       this.failedProbes = 0;
     }
   }
 
+  private noteLoad(report: PeerReport, now: number): void {
+    this.report = report;
+    this.reportedAt = now;
+    this.outstandingAtReport = this.outstanding;
+  }
+
   /** Takes note of a task that was turned away. */
   noteTurnedAway(
     reason: NotRunReason,
--- a/src/ingress/dispatch.test.ts
+++ b/src/ingress/dispatch.test.ts
@@ -37,7 +37,7 @@
       return Promise.resolve(script.shift() ?? lost);
     },
   };
-  const directory = new OwnerDirectory('near', (record) => new OwnerEntry(record, owner, false));
+  const directory = new OwnerDirectory('near', (record) => new OwnerEntry(record, owner));
   outcomes.forEach((_, index) => {
     const node = `node-${index}`;
     const zone = options.zones?.[index] ?? 'near';
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -117,7 +117,8 @@
   private chooseOwner(): OwnerEntry | undefined {
     const { directory, clock } = this.context;
     const { service, priority } = this.task;
-    const entry = directory.choose(service, priority, this.tried, clock.now());
+    const wish = { service, priority, prefersZone: this.isLarge };
+    const entry = directory.choose(wish, this.tried, clock.now());
     const leavesZone = entry !== undefined && !directory.isNear(entry);
     if (leavesZone && this.isLarge && directory.hasNearOwner(service)) {
       return this.context.spill.take() ? entry : undefined;
--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -155,7 +155,8 @@
     return this.slots === 0 ? this.overallMs : ((ahead + 1) * this.overallMs) / this.slots;
   }
 
-  private expectedServiceMs(route: string): number {
+  /** Milliseconds that the back end is expected to take for a task of a route. */
+  expectedServiceMs(route: string): number {
     return this.routeMs.get(route) ?? this.overallMs;
   }
 
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -5,6 +5,7 @@
 import { AdmissionControl, type Waiter } from './admission-control.js';
 import { callBackEnd } from './back-end-call.js';
 import { BackEndPresence, type BackEndPresenceOptions } from './back-end-presence.js';
+import { createFailureShare } from './failureShare.js';
 import type { MessageBody } from './message-body.js';
 import {
   type NotRunReason,
@@ -36,17 +37,27 @@
   private readonly admission = new AdmissionControl();
   private readonly presence: BackEndPresence;
   private readonly connections = new BackEndConnections();
+  private readonly failures = createFailureShare();
+  private instance: string | undefined;
   private stopping = false;
   private distrustUntil = 0;
 
   constructor(private readonly options: LocalOwnerOptions) {
     this.presence = new BackEndPresence(options, {
-      onReady: (backEnd) => this.admission.setSlots(backEnd.slots, options.clock.now()),
+      onReady: (backEnd) => this.onReady(backEnd),
       onClosed: () => this.admission.turnAllAway(),
       onChange: (backEnd, cause) => options.onBackEnd(backEnd, cause),
     });
   }
 
+  private onReady(backEnd: BackEnd): void {
+    if (backEnd.instance !== this.instance) {
+      this.instance = backEnd.instance;
+      this.failures.reset();
+    }
+    this.admission.setSlots(backEnd.slots, this.options.clock.now());
+  }
+
   /** Begins to look for the back end. */
   start(): void {
     this.presence.start();
@@ -77,6 +88,7 @@
       queued: this.admission.queued,
       slots: this.admission.capacity,
       meanServiceMs: this.admission.meanServiceMs,
+      failureShare: this.failures.value,
     };
   }
 
@@ -178,6 +190,10 @@
       const { sentAt } = times;
       const tells = sentAt !== undefined && outcome.kind === 'answer';
       const serviceMs = tells ? clock.now() - sentAt : undefined;
+      if (sentAt !== undefined) {
+        const usualMs = this.admission.expectedServiceMs(task.route);
+        this.failures.note(outcome, clock.now() - sentAt, usualMs);
+      }
       this.admission.finished(task.route, serviceMs, clock.now());
     }
   }
--- a/src/owner/owner-report.ts
+++ b/src/owner/owner-report.ts
@@ -22,4 +22,6 @@
   readonly slots: number;
   /** Milliseconds; undefined until the back end has finished a task. */
   readonly meanServiceMs: number | undefined;
+  /** Share of what was sent to the back end that failed, from 0 to 1; a moving average. */
+  readonly failureShare: number;
 }
--- a/src/peer/peer-protocol.ts
+++ b/src/peer/peer-protocol.ts
@@ -24,6 +24,9 @@
 /** Report of the answering owner. */
 export const REPORT_FIELD = 'spindlepaddle-peer-report';
 
+/** A report tells shares in whole parts of a hundred. */
+const PERCENT = 100;
+
 /** Kinds of call between nodes. */
 export type PeerCall = 'task' | 'status' | 'configuration';
 
@@ -106,11 +109,12 @@
     report.slots,
     report.meanServiceMs === undefined ? '' : Math.round(report.meanServiceMs),
     report.version,
+    Math.round(report.failureShare * PERCENT),
   ]);
 }
 
 export function decodeReport(text: string): PeerReport | undefined {
-  const [service, ready, inFlight, queued, slots, meanServiceMs, version] = split(text);
+  const [service, ready, inFlight, queued, slots, meanServiceMs, version, failed] = split(text);
   if (version === undefined) {
     return undefined;
   }
@@ -122,6 +126,7 @@
     slots: Number(slots),
     meanServiceMs: meanServiceMs ? Number(meanServiceMs) : undefined,
     version: Number(version),
+    failureShare: (Number(failed) || 0) / PERCENT,
   };
 }
 
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -239,7 +239,7 @@
 
   private entryOf(record: OwnerRecord): OwnerEntry {
     if (record.node === this.settings.node) {
-      return new OwnerEntry(record, this.owner, true);
+      return new OwnerEntry(record, this.owner, () => this.report());
     }
     const remote = new RemoteOwner(record.address, {
       clock: this.clock,
@@ -257,7 +257,7 @@
         entry.makeAbsent('silent', this.clock.now());
       },
     });
-    const entry = new OwnerEntry(record, remote, false);
+    const entry = new OwnerEntry(record, remote);
     return entry;
   }
 
@@ -342,6 +342,7 @@
       owner_queued: owner.queued,
       owner_slots: owner.slots,
       owner_ready: Number(owner.ready),
+      owner_failure_share: owner.failureShare,
       owners_present: ownersPresent,
       owners_absent: ownersAbsent,
       configuration_version: version,
