A node that the store drops alone joins through the first node that speaks to it

Cause: a node that started while the store refused it took the configuration from another node but knew no owners, and was not ready until the store served it. Change: it asks the first node it hears from for the owners it knows; the store's list replaces them later. Test: sidecar-membership, fails without the change.

--- a/src/directory/directory-sync.ts
+++ b/src/directory/directory-sync.ts
@@ -26,6 +26,9 @@
 /** A status call that takes longer, in milliseconds, has failed. */
 const STATUS_TIMEOUT_MS = 500;
 
+/** The owners that another node knows are asked for at the most this long, in milliseconds. */
+const DIRECTORY_TIMEOUT_MS = 1_000;
+
 /** Pause before the own record is written again after a failure, in milliseconds. */
 const PUBLISH_RETRY_MS = 400;
 
@@ -51,6 +54,9 @@
   private publishing = false;
   private stopped = false;
   private listed = false;
+  /** True once another node has told its owners, while the store has not. */
+  private isTold = false;
+  private isAsking = false;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: DirectorySyncOptions) {
@@ -66,9 +72,18 @@
     );
   }
 
-  /** True once the other nodes have been read from the store. */
+  /** True once the other nodes are known: from the store, or else from one of them. */
   get isListed(): boolean {
-    return this.listed;
+    return this.listed || this.isTold;
+  }
+
+  /** The known owners, for a node that the store does not serve; undefined before they are known. */
+  bytes(): Buffer | undefined {
+    if (!this.isListed) {
+      return undefined;
+    }
+    const records = this.options.directory.all().map((entry) => entry.record);
+    return Buffer.from(JSON.stringify(records));
   }
 
   start(): void {
@@ -106,6 +121,27 @@
     if (entry && report) {
       this.noteReport(entry, report);
     }
+    if (!this.isListed && !this.isAsking && !this.stopped) {
+      this.isAsking = true;
+      void this.askOwners(sender.address).finally(() => {
+        this.isAsking = false;
+      });
+    }
+  }
+
+  /** Takes the owners that another node knows; the store's list, once it comes, replaces them. */
+  private async askOwners(address: string): Promise<void> {
+    const bytes = await this.options.caller.directory(address, DIRECTORY_TIMEOUT_MS);
+    const records = bytes && recordsOf(bytes);
+    if (!records || this.isListed) {
+      return;
+    }
+    const own = this.options.own().node;
+    for (const record of records.filter(({ node }) => node !== own)) {
+      this.options.directory.put(record);
+    }
+    this.isTold = true;
+    this.options.onOwner(address, 'told', `${records.length} owners`);
   }
 
   /** Publishes the own record if the store holds another one. */
@@ -232,6 +268,17 @@
   return Math.min(FIRST_PROBE_WAIT_MS * 2 ** failures, LONGEST_PROBE_WAIT_MS);
 }
 
+function recordsOf(bytes: Buffer): OwnerRecord[] | undefined {
+  try {
+    const records: unknown = JSON.parse(bytes.toString('utf8'));
+    return Array.isArray(records)
+      ? records.filter((record): record is OwnerRecord => isRecord(record) && 'node' in record)
+      : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 function isRecord(value: unknown): value is OwnerRecord {
   const record = value as Partial<OwnerRecord> | null;
   return (
--- a/src/peer/peer-caller.ts
+++ b/src/peer/peer-caller.ts
@@ -1,4 +1,4 @@
-/** Short calls to other nodes: their status and their configuration. */
+/** Short calls to other nodes: their status, their configuration and the owners they know. */
 import http from 'node:http';
 import { collectBody } from '../owner/message-body.js';
 import {
@@ -13,8 +13,8 @@
   SENDER_FIELD,
 } from './peer-protocol.js';
 
-/** Largest configuration that is taken from another node, in bytes. */
-const MAX_CONFIGURATION_BYTES = 64 * 1024 * 1024;
+/** Largest configuration or directory that is taken from another node, in bytes. */
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 
 /** Calls other nodes on connections of their own. */
 export class PeerCaller {
@@ -32,13 +32,26 @@
   }
 
   /** Asks for the configuration that another node holds. */
-  async configuration(address: string, timeoutMs: number): Promise<Buffer | undefined> {
-    const response = await this.call(address, 'configuration', timeoutMs);
+  configuration(address: string, timeoutMs: number): Promise<Buffer | undefined> {
+    return this.bytes(address, 'configuration', timeoutMs);
+  }
+
+  /** Asks for the owners that another node knows. */
+  directory(address: string, timeoutMs: number): Promise<Buffer | undefined> {
+    return this.bytes(address, 'directory', timeoutMs);
+  }
+
+  private async bytes(
+    address: string,
+    call: PeerCall,
+    timeoutMs: number,
+  ): Promise<Buffer | undefined> {
+    const response = await this.call(address, call, timeoutMs);
     if (response?.statusCode !== 200) {
       response?.resume();
       return undefined;
     }
-    const body = await collectBody(response, MAX_CONFIGURATION_BYTES).catch(() => undefined);
+    const body = await collectBody(response, MAX_ANSWER_BYTES).catch(() => undefined);
     return body?.kind === 'bytes' ? body.bytes : undefined;
   }
 
--- a/src/peer/peer-protocol.ts
+++ b/src/peer/peer-protocol.ts
@@ -9,7 +9,7 @@
 import type { NotRunReason, OwnerNotRun, OwnerTask, OwnerUnknown } from '../owner/owner.js';
 import type { OwnerReport } from '../owner/owner-report.js';
 
-/** What is asked of a node: `task`, `status` or `configuration`. */
+/** What is asked of a node: a {@link PeerCall}. */
 export const CALL_FIELD = 'spindlepaddle-peer-call';
 
 /** Fields of a task. */
@@ -28,7 +28,7 @@
 const PERCENT = 100;
 
 /** Kinds of call between nodes. */
-export type PeerCall = 'task' | 'status' | 'configuration';
+export type PeerCall = 'task' | 'status' | 'configuration' | 'directory';
 
 /** What travels of a task beside its own method, target, fields and body. */
 export interface TaskFields {
--- a/src/peer/peer-server.ts
+++ b/src/peer/peer-server.ts
@@ -38,6 +38,8 @@
   readonly report: () => PeerReport;
   /** The configuration as bytes, or undefined while none is held. */
   readonly configuration: () => Buffer | undefined;
+  /** The known owners as bytes, or undefined while they are not known. */
+  readonly directory: () => Buffer | undefined;
   /** Called with whatever another node says of itself. */
   readonly onPeer: (sender: PeerSender, report: PeerReport | undefined) => void;
 }
@@ -78,11 +80,12 @@
       case 'status':
         this.answer(response, 200, {}, Buffer.alloc(0));
         return;
-      case 'configuration': {
-        const bytes = this.options.configuration();
-        this.answer(response, bytes ? 200 : 503, {}, bytes ?? Buffer.alloc(0));
+      case 'configuration':
+        this.answerBytes(response, this.options.configuration());
+        return;
+      case 'directory':
+        this.answerBytes(response, this.options.directory());
         return;
-      }
       default:
         this.answer(response, 400, {}, Buffer.from('this address is for nodes of the mesh\n'));
     }
@@ -168,6 +171,10 @@
     await sendBody(outcome.body, response);
   }
 
+  private answerBytes(response: http.ServerResponse, bytes: Buffer | undefined): void {
+    this.answer(response, bytes ? 200 : 503, {}, bytes ?? Buffer.alloc(0));
+  }
+
   private answer(
     response: http.ServerResponse,
     status: number,
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -144,6 +144,7 @@
       owner: this.owner,
       report: () => this.report(),
       configuration: () => this.configuration.bytes(),
+      directory: () => this.sync.bytes(),
       onPeer: (sender, report) => this.onPeer(sender, report),
     });
     this.metricsServer = new SmallServer((call) => this.onMetricsCall(call.path));
--- a/test/sidecar-membership.test.ts
+++ b/test/sidecar-membership.test.ts
@@ -165,6 +165,24 @@
     expect((await call(entry.node.addresses.clients, '/added/1')).status).toBe(200);
   });
 
+  it('joins through the others when it starts again and the store drops it alone', async () => {
+    const [first, , entry] = await threeMachines();
+    const restarted = entry.restart();
+    entry.view.failure = 'unavailable';
+    await restarted;
+    await waitFor(async () => {
+      await call(first.node.addresses.clients, '/other/1');
+      return (await call(entry.node.addresses.readiness, '/ready')).status === 200;
+    });
+    expect(entry.node.status.storeConnected).toBe(false);
+    expect(new Set(await statuses(entry, 10))).toEqual(new Set([200]));
+    // Once the store is back, its list decides again.
+    mesh.store.delete('spindlepaddle-nodes', first.name);
+    entry.view.failure = undefined;
+    await waitFor(() => entry.node.status.storeConnected);
+    await waitFor(() => mesh.store.kind('spindlepaddle-nodes').has(first.name));
+  });
+
   it('follows changes after the history is gone', async () => {
     const [first] = await threeMachines();
     mesh.store.compact();
