Other zones give free slots only, and a list that lags is not taken

Change 1: while an owner of the own zone is up, a task takes only a free slot in another one. Cause 2: a test of a store that lags found that after 410 an older list was taken for the present, and that list and watch then chased each other without a pause. Change 2: a list older than an answer seen before is not taken.

--- a/lab/memory-store.ts
+++ b/lab/memory-store.ts
@@ -9,6 +9,8 @@
   StoreResult,
 } from '../src/source/object-store.js';
 
+const MILLISECONDS_PER_SECOND = 1_000;
+
 interface LoggedChange extends StoreEvent<unknown> {
   readonly kind: string;
   readonly revision: number;
@@ -51,6 +53,25 @@
     return objects;
   }
 
+  /** The objects of a kind as they are, or as they were at an earlier revision. */
+  objectsAt(kind: string, revision: number | undefined): StoredObject<unknown>[] {
+    if (revision === undefined) {
+      return [...this.kind(kind).values()];
+    }
+    const objects = new Map<string, StoredObject<unknown>>();
+    for (const change of this.log.filter((each) => each.kind === kind)) {
+      if (change.revision > revision) {
+        break;
+      }
+      if (change.gone) {
+        objects.delete(change.object.name);
+      } else {
+        objects.set(change.object.name, change.object);
+      }
+    }
+    return [...objects.values()];
+  }
+
   /** Resolves at the next change, or after `waitMs`. */
   nextChange(waitMs: number): Promise<void> {
     return new Promise((resolve) => {
@@ -84,7 +105,16 @@
   failure: StoreFailure | undefined;
   /** Loses the answers of this many writes that are carried out. */
   answersToLose = 0;
+  /** Answers this many writes with `unknown` and carries them out {@link lateMs} later. */
+  writesToDelay = 0;
+  /** Milliseconds by which a delayed write is late; its condition is checked then. */
+  lateMs = 200;
+  /** Lists are answered as they were at this revision while it is set. */
+  listsAsOf: number | undefined;
+  /** Calls in one second, above which the store answers `throttled`. */
+  callsPerSecond = Number.POSITIVE_INFINITY;
   calls = 0;
+  private readonly callTimes: number[] = [];
 
   constructor(private readonly store: MemoryStore) {}
 
@@ -92,8 +122,8 @@
     return this.answer(() => ({
       ok: true,
       value: {
-        items: [...this.store.kind(kind).values()] as StoredObject<Spec>[],
-        revision: this.store.revision,
+        items: this.store.objectsAt(kind, this.listsAsOf) as StoredObject<Spec>[],
+        revision: this.listsAsOf ?? this.store.revision,
       },
     }));
   }
@@ -170,6 +200,11 @@
 
   private write<Value>(carryOut: () => StoreResult<Value>): Promise<StoreResult<Value>> {
     return this.answer(() => {
+      if (this.writesToDelay > 0) {
+        this.writesToDelay -= 1;
+        setTimeout(carryOut, this.lateMs);
+        return failed('unknown');
+      }
       const result = carryOut();
       if (this.answersToLose > 0) {
         this.answersToLose -= 1;
@@ -181,7 +216,18 @@
 
   private answer<Value>(carryOut: () => StoreResult<Value>): Promise<StoreResult<Value>> {
     this.calls += 1;
-    return Promise.resolve(this.failure ? failed(this.failure) : carryOut());
+    if (this.failure) {
+      return Promise.resolve(failed(this.failure));
+    }
+    return Promise.resolve(this.isThrottled() ? failed('throttled') : carryOut());
+  }
+
+  private isThrottled(): boolean {
+    const now = performance.now();
+    this.callTimes.push(now);
+    const recent = this.callTimes.filter((time) => now - time < MILLISECONDS_PER_SECOND);
+    this.callTimes.splice(0, this.callTimes.length, ...recent);
+    return recent.length > this.callsPerSecond;
   }
 }
 
--- a/src/ingress/dispatch.test.ts
+++ b/src/ingress/dispatch.test.ts
@@ -30,10 +30,12 @@
   } = {},
 ) {
   let asked = 0;
+  const mayWait: boolean[] = [];
   const script = [...outcomes];
   const owner: Owner = {
-    run: () => {
+    run: (offered) => {
       asked += 1;
+      mayWait.push(offered.mayWait);
       return Promise.resolve(script.shift() ?? lost);
     },
   };
@@ -57,6 +59,7 @@
     deadlineAt: 1_000,
     targetAt: 500,
     hasBody: false,
+    mayWait: true,
     cancellation,
     loadBody: () => Promise.resolve(EMPTY_BODY),
     onProgress: () => {},
@@ -81,6 +84,7 @@
   ).run();
   return {
     asked,
+    mayWait,
     status: result.status,
     retryAfterMs: 'code' in result ? result.retryAfterMs : undefined,
   };
@@ -95,7 +99,7 @@
 
   it('refuses with the expected wait when every owner is busy', async () => {
     const found = await dispatch([turnedAway('busy', 80), turnedAway('busy', 120)]);
-    expect(found).toEqual({ asked: 2, status: 503, retryAfterMs: 120 });
+    expect(found).toEqual({ asked: 2, mayWait: [true, true], status: 503, retryAfterMs: 120 });
   });
 
   it('repeats what may be repeated, once, and says 502 when that is lost too', async () => {
@@ -136,10 +140,18 @@
 
     it('refuses a large one with the time to come back: bytes between zones are dear', async () => {
       const found = await dispatch([away, answer(200)], { zones, bodyBytes: LARGE_BODY_BYTES });
-      expect(found).toEqual({ asked: 1, status: 503, retryAfterMs: 50 });
+      expect(found).toEqual({ asked: 1, mayWait: [true], status: 503, retryAfterMs: 50 });
     });
   });
 
+  it('queues in its own zone, and takes only free slots of another while its own is up', async () => {
+    const zones = ['near', 'far'];
+    const busy = await dispatch([turnedAway('busy', 50), answer(200)], { zones });
+    expect(busy.mayWait).toEqual([true, false]);
+    const alone = await dispatch([turnedAway('draining'), answer(200)], { zones });
+    expect(alone.mayWait).toEqual([true, true]);
+  });
+
   it('sends a large request to another zone when no owner of its own is up', async () => {
     const found = await dispatch([turnedAway('draining'), answer(200)], {
       zones: ['near', 'far'],
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -126,6 +126,12 @@
     return entry;
   }
 
+  /** While its own zone is up, a request takes only slots that are free in another one. */
+  private mayWaitAt(entry: OwnerEntry): boolean {
+    const { directory } = this.context;
+    return directory.isNear(entry) || !directory.hasNearOwner(this.task.service);
+  }
+
   private get isLarge(): boolean {
     return this.bodyBytes >= LARGE_BODY_BYTES;
   }
@@ -135,7 +141,7 @@
     const startedAt = clock.now();
     this.tried.add(entry);
     entry.outstanding += 1;
-    const outcome = await entry.owner.run(this.task);
+    const outcome = await entry.owner.run({ ...this.task, mayWait: this.mayWaitAt(entry) });
     entry.outstanding -= 1;
     const now = clock.now();
     if (outcome.kind === 'not-run') {
--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -147,6 +147,7 @@
       deadlineAt: this.startedAt + this.allowedMs,
       targetAt: this.startedAt + targetMs,
       hasBody: hasBody(request),
+      mayWait: true,
       cancellation: this.cancellation,
       loadBody: () => Promise.resolve(body),
       onProgress: () => {},
--- a/src/owner/admission-control.test.ts
+++ b/src/owner/admission-control.test.ts
@@ -3,7 +3,14 @@
 import { AdmissionControl, type AdmissionRequest, type Waiter } from './admission-control.js';
 
 function request(overrides: Partial<AdmissionRequest> = {}): AdmissionRequest {
-  return { route: 'read', priority: 1, targetAt: 1_000, deadlineAt: 2_000, ...overrides };
+  return {
+    route: 'read',
+    priority: 1,
+    targetAt: 1_000,
+    deadlineAt: 2_000,
+    mayWait: true,
+    ...overrides,
+  };
 }
 
 /** An admission control with all of its slots taken and a known service time. */
@@ -46,6 +53,14 @@
     expect(decision.kind === 'busy' && decision.retryAfterMs).toBeGreaterThan(0);
   });
 
+  it('turns a task that may not wait away unless a slot is free', () => {
+    const admission = full(2, 100);
+    expect(admission.decide(request({ mayWait: false }), 0).kind).toBe('busy');
+    expect(admission.decide(request(), 0).kind).toBe('wait');
+    admission.finished('read', 100, 0);
+    expect(admission.decide(request({ mayWait: false }), 0).kind).toBe('run');
+  });
+
   it('lets the more urgent go first, and equals in the order of arrival', () => {
     const admission = full(1, 10);
     const fate: string[] = [];
--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -11,6 +11,8 @@
   /** Steady time in milliseconds until which an answer is worth most. */
   readonly targetAt: number;
   readonly deadlineAt: number;
+  /** False if the task is turned away unless a slot is free. */
+  readonly mayWait: boolean;
 }
 
 /** A task that waits. */
@@ -83,7 +85,7 @@
     }
     const waitMs = this.expectedWaitMs(ahead);
     const inTime = now + waitMs + this.expectedServiceMs(request.route) <= horizonOf(request);
-    if (!inTime || this.waiting.length >= this.slots * MAX_WAITING_PER_SLOT) {
+    if (!request.mayWait || !inTime || this.waiting.length >= this.slots * MAX_WAITING_PER_SLOT) {
       return { kind: 'busy', retryAfterMs: this.retryAfterMs() };
     }
     return { kind: 'wait' };
--- a/src/owner/back-end-call.test.ts
+++ b/src/owner/back-end-call.test.ts
@@ -41,6 +41,7 @@
     deadlineAt: 1_000,
     targetAt: 500,
     hasBody: false,
+    mayWait: true,
     cancellation: new Cancellation(),
     loadBody: () => Promise.resolve(EMPTY_BODY),
     onProgress: () => {},
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -27,6 +27,11 @@
   /** Steady time in milliseconds until which an answer is worth most. */
   readonly targetAt: number;
   readonly hasBody: boolean;
+  /**
+   * False if the task is to be turned away unless a slot is free: it comes from a
+   * zone whose own owners are up, so waiting here would only change places.
+   */
+  readonly mayWait: boolean;
   readonly cancellation: Cancellation;
   /** Gives the body. Called once at the most, after the task has been admitted. */
   loadBody(): Promise<MessageBody>;
--- a/src/peer/peer-protocol.ts
+++ b/src/peer/peer-protocol.ts
@@ -43,6 +43,7 @@
   /** Milliseconds until the target latency. */
   readonly targetMs: number;
   readonly requestId: string;
+  readonly mayWait: boolean;
 }
 
 /** Who sends a message. */
@@ -68,13 +69,24 @@
     Math.floor(task.deadlineAt - now),
     Math.floor(task.targetAt - now),
     task.requestId,
+    flag(task.mayWait),
   ]);
 }
 
 /** Reads the fields of a task; undefined when they cannot be read. */
 export function decodeTask(text: string): TaskFields | undefined {
-  const [service, route, caller, priority, repeatable, hasBody, remaining, target, requestId] =
-    split(text);
+  const [
+    service,
+    route,
+    caller,
+    priority,
+    repeatable,
+    hasBody,
+    remaining,
+    target,
+    requestId,
+    wait,
+  ] = split(text);
   if (service === undefined || requestId === undefined) {
     return undefined;
   }
@@ -88,6 +100,7 @@
     remainingMs: Number(remaining),
     targetMs: Number(target),
     requestId,
+    mayWait: wait !== '0',
   };
 }
 
--- a/src/peer/remote-owner.test.ts
+++ b/src/peer/remote-owner.test.ts
@@ -47,6 +47,7 @@
     deadlineAt: now + 2_000,
     targetAt: now + 1_000,
     hasBody: false,
+    mayWait: true,
     cancellation: new Cancellation(),
     loadBody: () => Promise.resolve(EMPTY_BODY),
     onProgress: () => {},
--- a/src/source/collection-watcher.ts
+++ b/src/source/collection-watcher.ts
@@ -29,6 +29,8 @@
 /** Follows one kind until stopped. */
 export class CollectionWatcher<Spec> {
   private revision: number | undefined;
+  /** Newest revision of any answer: an answer from before it lags behind. */
+  private newest = 0;
   private stopped = false;
   private connected = false;
   private backoffMs = FIRST_BACKOFF_MS;
@@ -54,7 +56,8 @@
       const failure = this.revision === undefined ? await this.list() : await this.watch();
       if (failure === 'history-gone') {
         this.revision = undefined;
-      } else if (failure) {
+      }
+      if (failure && failure !== 'history-gone') {
         this.note(false, failure);
         await this.pause(this.nextBackoff());
       }
@@ -85,11 +88,13 @@
     if (!result.ok) {
       return result.failure;
     }
-    this.note(true, 'list');
-    if (result.value.revision >= (this.revision ?? 0)) {
-      this.revision = result.value.revision;
-      this.handler.onList(result.value.items);
+    if (result.value.revision < this.newest) {
+      return 'unavailable';
     }
+    this.note(true, 'list');
+    this.revision = result.value.revision;
+    this.newest = result.value.revision;
+    this.handler.onList(result.value.items);
     return undefined;
   }
 
@@ -103,7 +108,8 @@
       return result.failure;
     }
     this.note(true, 'watch');
-    this.revision = Math.max(this.revision ?? 0, result.value.revision);
+    this.newest = Math.max(this.newest, result.value.revision);
+    this.revision = this.newest;
     for (const event of result.value.events) {
       this.handler.onChange(event.object, event.gone);
     }
