The expected wait counts on more urgent tasks to arrive

Change: the expected wait is divided by the share of the back end's time that more urgent tasks leave.

--- a/src/owner/admission-control.test.ts
+++ b/src/owner/admission-control.test.ts
@@ -19,7 +19,7 @@
   admission.setSlots(slots, 0);
   for (let index = 0; index < 200; index += 1) {
     admission.started();
-    admission.finished('read', serviceMs, 0);
+    admission.finished(request(), serviceMs, 0);
   }
   for (let index = 0; index < slots; index += 1) {
     admission.started();
@@ -57,10 +57,22 @@
     const admission = full(2, 100);
     expect(admission.decide(request({ mayWait: false }), 0).kind).toBe('busy');
     expect(admission.decide(request(), 0).kind).toBe('wait');
-    admission.finished('read', 100, 0);
+    admission.finished(request(), 100, 0);
     expect(admission.decide(request({ mayWait: false }), 0).kind).toBe('run');
   });
 
+  it('counts on more urgent tasks to arrive while a less urgent one waits', () => {
+    const admission = full(2, 100);
+    for (let index = 0; index < 400; index += 1) {
+      admission.started();
+      admission.finished(request({ priority: index % 2 }), 100, 0);
+    }
+    // One ahead of it on average costs 50 ms, and half of the time goes to what is more urgent.
+    expect(admission.decide(request({ targetAt: 160 }), 0).kind).toBe('busy');
+    expect(admission.decide(request({ targetAt: 210 }), 0).kind).toBe('wait');
+    expect(admission.decide(request({ targetAt: 160, priority: 0 }), 0).kind).toBe('wait');
+  });
+
   it('lets the more urgent go first, and equals in the order of arrival', () => {
     const admission = full(1, 10);
     const fate: string[] = [];
@@ -68,7 +80,7 @@
     admission.enqueue(waiterOf(request({ priority: 1 }), fate, 'first'));
     admission.enqueue(waiterOf(request({ priority: 1 }), fate, 'second'));
     for (let index = 0; index < 3; index += 1) {
-      admission.finished('read', 10, 20);
+      admission.finished(request(), 10, 20);
       admission.started();
     }
     expect(fate).toEqual(['first runs', 'second runs', 'background runs']);
@@ -79,7 +91,7 @@
     const fate: string[] = [];
     admission.enqueue(waiterOf(request({ targetAt: 150 }), fate, 'stale'));
     admission.enqueue(waiterOf(request({ targetAt: 900 }), fate, 'fresh'));
-    admission.finished('read', 100, 120);
+    admission.finished(request(), 100, 120);
     expect(fate).toEqual(['stale is turned away', 'fresh runs']);
   });
 
@@ -89,7 +101,7 @@
     const waiter = waiterOf(request(), fate, 'gone');
     admission.enqueue(waiter);
     admission.remove(waiter);
-    admission.finished('read', 10, 10);
+    admission.finished(request(), 10, 10);
     expect(fate).toEqual([]);
   });
 
@@ -112,7 +124,7 @@
         steps.forEach(({ kind, priority }, now) => {
           if (kind === 'finish' && running > 0) {
             running -= 1;
-            admission.finished('read', 10, now);
+            admission.finished(request(), 10, now);
           } else if (kind === 'arrive') {
             const asked = request({ priority, targetAt: now + 500 });
             const decision = admission.decide(asked, now);
--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -4,6 +4,8 @@
  * answered within its target latency; the most urgent go first.
  */
 
+import { createUrgencyMix } from './urgencyMix.js';
+
 /** What a task asks for. */
 export interface AdmissionRequest {
   readonly route: string;
@@ -15,6 +17,9 @@
   readonly mayWait: boolean;
 }
 
+/** What is told of a task that has ended. */
+export type AdmittedTask = Pick<AdmissionRequest, 'route' | 'priority'>;
+
 /** A task that waits. */
 export interface Waiter {
   readonly request: AdmissionRequest;
@@ -47,6 +52,7 @@
 export class AdmissionControl {
   private readonly waiting: Waiter[] = [];
   private readonly routeMs = new Map<string, number>();
+  private readonly mix = createUrgencyMix();
   private overallMs = INITIAL_SERVICE_MS;
   private running = 0;
   private slots = 0;
@@ -83,7 +89,9 @@
     if (this.running < this.slots && ahead === 0) {
       return { kind: 'run' };
     }
-    const waitMs = this.expectedWaitMs(ahead);
+    // Tasks that are more urgent go on arriving meanwhile and are served first.
+    const left = 1 - this.mix.moreUrgentThan(request.priority);
+    const waitMs = this.expectedWaitMs(ahead) / left;
     const inTime = now + waitMs + this.expectedServiceMs(request.route) <= horizonOf(request);
     if (!request.mayWait || !inTime || this.waiting.length >= this.slots * MAX_WAITING_PER_SLOT) {
       return { kind: 'busy', retryAfterMs: this.retryAfterMs() };
@@ -97,9 +105,10 @@
   }
 
   /** A task has ended; `serviceMs` is undefined when its time says nothing of the back end. */
-  finished(route: string, serviceMs: number | undefined, now: number): void {
+  finished({ route, priority }: AdmittedTask, serviceMs: number | undefined, now: number): void {
     this.running -= 1;
     if (serviceMs !== undefined) {
+      this.mix.note(priority, serviceMs);
       if (this.routeMs.size === 0) {
         this.overallMs = serviceMs;
       }
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -194,7 +194,7 @@
         const usualMs = this.admission.expectedServiceMs(task.route);
         this.failures.note(outcome, clock.now() - sentAt, usualMs);
       }
-      this.admission.finished(task.route, serviceMs, clock.now());
+      this.admission.finished(task, serviceMs, clock.now());
     }
   }
 
