--- a/src/routing/mesh-configuration.ts
+++ b/src/routing/mesh-configuration.ts
@@ -3,7 +3,7 @@
  * splits, services and limits. Checked whole; one finding holds off all of it.
  */
 import { type Either, Left, Right } from 'purify-ts';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Finding } from '../model/finding.js';
 
 const MAX_ATTEMPTS = 16;
--- a/src/sidecar/sidecar-settings.ts
+++ b/src/sidecar/sidecar-settings.ts
@@ -1,6 +1,6 @@
 /** Settings of a sidecar: a node beside one back end. */
 import { type Either, Left, Right } from 'purify-ts';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Finding } from '../model/finding.js';
 
 const ADDRESS = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/;
