--- a/lab/main.ts
+++ b/lab/main.ts
@@ -3,8 +3,10 @@
 import { hideBin } from 'yargs/helpers';
 import { printJson, printTable } from '../src/cli/output.js';
 import { convergenceExperiment, type DeploymentName } from './convergence-experiment.js';
+import { checkDecisionLog } from './decisionLogCheck.js';
 import type { ExperimentResult, Row } from './experiment.js';
 import { latencyExperiment } from './latency-experiment.js';
+import { readLogFile } from './logFile.js';
 import { overloadExperiment } from './overload-experiment.js';
 import { churnExperiment, scaleExperiment } from './scale-experiment.js';
 import { soak } from './soak.js';
@@ -43,6 +45,31 @@
   .strict()
   .demandCommand(1, 'Name an experiment.')
   .option('json', { type: 'boolean', default: false, describe: 'Print JSON' })
+  .command(
+    'check-log FILE',
+    'Check the kept decision logs of a mesh against the rules a node can break by itself',
+    (options) =>
+      options
+        .positional('FILE', { type: 'string', demandOption: true })
+        .option('unsafe-routes', { type: 'string', array: true, default: [] as string[] })
+        .option('attempts', { type: 'number', default: 2, describe: 'Most attempts of a route' }),
+    (options) => {
+      const lines = readLogFile(options.FILE);
+      const breaches = checkDecisionLog(lines, {
+        mayRepeat: (route) => !options.unsafeRoutes.includes(route),
+        maxAttempts: options.attempts,
+        // Nodes of a kept output have clocks of their own, so windows cannot be compared.
+        repeatsAllowed: () => Number.POSITIVE_INFINITY,
+        windowMs: 0,
+      });
+      say(`${lines.length} lines, ${breaches.length} breaches`);
+      printTable(
+        ['rule', 'node', 'at', 'detail'],
+        breaches.map(({ rule, node, at, detail }) => [rule, node, at, detail]),
+      );
+      process.exitCode = breaches.length > 0 ? 1 : 0;
+    },
+  )
   .command(
     'convergence',
     'Convergence time and control bytes of real nodes with injected latencies',
