--- a/test/sidecar-data-path.test.ts
+++ b/test/sidecar-data-path.test.ts
@@ -224,4 +224,31 @@
     }
     expect(Math.abs(vault.application.runs.length - 30)).toBeLessThanOrEqual(1);
   });
+
+  it('goes past a back end that loses answers, and comes back to it once it has recovered', async () => {
+    const losing = await mesh.add('desk');
+    const sound = await mesh.add('desk', { zone: 'zone-b' });
+    const entry = await mesh.add('vault');
+    mesh.configure([
+      { name: 'read', service: 'desk', timeoutMs: 800 },
+      { name: 'other', service: 'vault' },
+    ]);
+    await mesh.settled();
+    const read = (index: number) => call(entry.node.addresses.clients, `/read/${index}`);
+    losing.application.behaviours.push(...Array<'reset'>(1_000).fill('reset'));
+    for (let index = 0; index < 60; index += 1) {
+      await read(index);
+    }
+    const early = losing.application.runs.length;
+    expect(early).toBeLessThan(30);
+    expect(losing.node.status.owner.failureShare).toBeGreaterThan(0.1);
+    expect(sound.application.runs.length).toBeGreaterThan(40);
+    losing.application.behaviours.length = 0;
+    let served = 0;
+    await waitFor(async () => {
+      served += 1;
+      await read(1_000 + served);
+      return losing.application.runs.length > early + 10;
+    });
+  });
 });
