--- a/lab/main.ts
+++ b/lab/main.ts
@@ -7,7 +7,6 @@
 import type { ExperimentResult, Row } from './experiment.js';
 import { latencyExperiment } from './latency-experiment.js';
 import { readLogFile } from './logFile.js';
-import { overloadExperiment } from './overload-experiment.js';
 import { churnExperiment, scaleExperiment } from './scale-experiment.js';
 import { soak } from './soak.js';
 
@@ -129,15 +128,6 @@
         .option('seconds', { type: 'number', default: 10 }),
     async (options) => report(await latencyExperiment(options, say), options.json),
   )
-  .command(
-    'overload',
-    'Internal lookups beside background reads at multiples of the capacity',
-    (options) =>
-      options
-        .option('multiples', { type: 'number', array: true, default: [0, 0.5, 2] })
-        .option('seconds', { type: 'number', default: 8 }),
-    async (options) => report(await overloadExperiment(options, say), options.json),
-  )
   .command(
     'soak',
     'A seeded schedule of faults, with the history checked at the end',
