A few nodes of each zone read the store for the others

Cause: every node keeps two watches, so each change of a record or of the configuration costs the store one call a node, and the directory's watches make it grow with the square of the machines when many are replaced.

A reader speaks for the store only while the store has answered it itself lately; a follower turns to the store as soon as its reader is silent or does not speak for it. A node that is asked reads, whatever its rank, so views may differ.

Excluded: a stale read as the proof that the reader reaches the store (it says nothing of a watch that hangs); readers across zones (bytes between zones are dear).

--- a/src/control/boot.ts
+++ b/src/control/boot.ts
@@ -11,6 +11,8 @@
  *
  * Until one of the two has succeeded the node refuses requests as not run.
  */
+
+import { rankNames } from '../model/rendezvous.js';
 import { Backoff } from '../platform/backoff.js';
 import type { Member, PeerCalls } from '../wire/messages.js';
 import type { PeerClient } from '../wire/peer-client.js';
@@ -20,7 +22,6 @@
 import type { Distributor } from './distributor.js';
 import type { Membership } from './membership.js';
 import type { PlatformReader } from './platform-reader.js';
-import { rankNames } from './rendezvous.js';
 import type { Timing } from './timing.js';
 import type { ZoneView } from './zone-view.js';
 
--- a/src/control/endpoint-table.ts
+++ b/src/control/endpoint-table.ts
@@ -4,10 +4,11 @@
  * may arrive twice, late or crossed. The table has its own version stream,
  * since endpoints churn constantly and configuration does not.
  */
+
+import { hash32 } from '../model/rendezvous.js';
 import { addressOf, type EndpointSource, type EndpointView } from '../platform/endpoint-source.js';
 import type { MachineSpec } from '../platform/object-types.js';
 import type { DrainHint, EndpointDelta, EndpointEntry } from '../wire/messages.js';
-import { hash32 } from './rendezvous.js';
 
 /** How long the removal of an entry is remembered, in milliseconds. */
 const TOMBSTONE_LIFETIME_MS = 600_000;
--- a/src/control/fan-out.ts
+++ b/src/control/fan-out.ts
@@ -5,7 +5,7 @@
  * the groups in place when members come and go; views that differ for a moment
  * cost a repair by anti-entropy, never correctness.
  */
-import { hash32, rankNames } from './rendezvous.js';
+import { hash32, rankNames } from '../model/rendezvous.js';
 
 /** Who does what in a zone, computed from one view of its members. */
 export interface FanOutPlan {
--- a/src/control/member-list.ts
+++ b/src/control/member-list.ts
@@ -2,8 +2,9 @@
  * What one node believes of the members of its zone. Statements may come late,
  * twice or crossed: a higher incarnation wins, then the worse state.
  */
+
+import { hash32 } from '../model/rendezvous.js';
 import type { Member } from '../wire/messages.js';
-import { hash32 } from './rendezvous.js';
 
 /** A dead member that the platform goes on listing is forgotten after this time, in ms. */
 const FORGET_AFTER_MS = 3_600_000;
--- a/src/control/zone-view.ts
+++ b/src/control/zone-view.ts
@@ -1,8 +1,9 @@
 /** The zone as this node sees it: who is live, and the roles that follow from it. */
+
+import { rankNames } from '../model/rendezvous.js';
 import type { Member } from '../wire/messages.js';
 import { type FanOutPlan, groupOf, planFanOut } from './fan-out.js';
 import type { Membership } from './membership.js';
-import { rankNames } from './rendezvous.js';
 
 /** Members that exchange state with other zones and stand in for the coordinator. */
 const BRIDGE_MEMBERS = 2;
--- a/src/peer/peerCodec.ts
+++ b/src/peer/peerCodec.ts
@@ -10,6 +10,7 @@
   PeerQuestion,
   type PeerReport,
   type PeerSender,
+  type ReadMessage,
   type TaskFields,
   type TurnedAwayMessage,
 } from './peerMessages.js';
@@ -37,6 +38,12 @@
       return [message.bytes, message.isLast];
     case MessageKind.Ask:
       return [message.question, listOfSender(message.sender), listOfReport(message.report)];
+    case MessageKind.Read: {
+      const { kind, revision, waitMs } = message.question;
+      return [listOfSender(message.sender), kind, revision, Math.ceil(waitMs)];
+    }
+    case MessageKind.ReadResult:
+      return [message.bytes];
     case MessageKind.TurnedAway: {
       const { reason, arrived, retryAfterMs } = message.outcome;
       const waitMs = retryAfterMs === undefined ? undefined : Math.ceil(retryAfterMs);
@@ -68,6 +75,12 @@
     }
     case MessageKind.Ask:
       return readAsk(content);
+    case MessageKind.Read:
+      return readRead(content);
+    case MessageKind.ReadResult: {
+      const [bytes] = content;
+      return Buffer.isBuffer(bytes) ? { kind, bytes } : undefined;
+    }
     case MessageKind.TurnedAway:
       return readTurnedAway(content);
     case MessageKind.Lost: {
@@ -122,6 +135,15 @@
     : undefined;
 }
 
+function readRead([sender, kind, revision, waitMs]: unknown[]): ReadMessage | undefined {
+  const from = readSender(sender);
+  if (!from || typeof kind !== 'string' || typeof waitMs !== 'number') {
+    return undefined;
+  }
+  const since = typeof revision === 'number' ? revision : undefined;
+  return { kind: MessageKind.Read, sender: from, question: { kind, revision: since, waitMs } };
+}
+
 function readTurnedAway([reason, arrived, retryAfterMs, told]: unknown[]):
   | TurnedAwayMessage
   | undefined {
--- a/src/peer/peerMessages.ts
+++ b/src/peer/peerMessages.ts
@@ -8,6 +8,7 @@
  */
 import type { OwnerNotRun, OwnerTask, OwnerUnknown } from '../owner/owner.js';
 import type { OwnerReport } from '../owner/owner-report.js';
+import type { StoreQuestion } from '../relay/storeCache.js';
 
 /** What a message is. Numbers, since they travel with every message. */
 export enum MessageKind {
@@ -19,6 +20,8 @@
   Ping = 3,
   /** Asks for a node's status, its configuration or the owners it knows. */
   Ask = 4,
+  /** Asks a node that reads the store for its zone. */
+  Read = 5,
   /** Owner to ingress: the task waits. */
   Queued = 10,
   /** Owner to ingress: send the body. */
@@ -33,6 +36,8 @@
   Pong = 15,
   /** Answer to an ask. */
   Told = 16,
+  /** Answer to a read. */
+  ReadResult = 17,
 }
 
 /** What may be asked of a node. */
@@ -97,6 +102,18 @@
   readonly report: PeerReport;
 }
 
+export interface ReadMessage {
+  readonly kind: MessageKind.Read;
+  readonly sender: PeerSender;
+  readonly question: StoreQuestion;
+}
+
+export interface ReadResultMessage {
+  readonly kind: MessageKind.ReadResult;
+  /** See `storeResultCodec`. */
+  readonly bytes: Buffer;
+}
+
 export interface TurnedAwayMessage {
   readonly kind: MessageKind.TurnedAway;
   readonly outcome: OwnerNotRun;
@@ -137,6 +154,8 @@
   | LostMessage
   | AnswerMessage
   | ToldMessage
+  | ReadMessage
+  | ReadResultMessage
   | PlainMessage;
 
 /** The fields of a task as they travel; `now` is the present steady time in milliseconds. */
--- a/src/peer/peerServer.test.ts
+++ b/src/peer/peerServer.test.ts
@@ -22,6 +22,7 @@
     report: () => peerReport(),
     configuration: () => undefined,
     directory: () => undefined,
+    read: () => Promise.reject(new Error('not used')),
     onPeer: () => {},
   });
   const port = await server.listen('127.0.0.1', 0);
--- a/src/peer/peerServer.ts
+++ b/src/peer/peerServer.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../model/clock.js';
 import type { Owner, OwnerAnswer, OwnerOutcome, OwnerTask } from '../owner/owner.js';
 import { Cancellation } from '../proxy/cancellation.js';
+import type { StoreQuestion } from '../relay/storeCache.js';
 import { listenOn } from './listenOn.js';
 import {
   type BodyReceiver,
@@ -33,6 +34,8 @@
   readonly configuration: () => Buffer | undefined;
   /** The known owners as bytes, or undefined while they are not known. */
   readonly directory: () => Buffer | undefined;
+  /** Answers a node that reads the store by way of this one. */
+  readonly read: (question: StoreQuestion) => Promise<Buffer>;
   /** Called with whatever another node says of itself. */
   readonly onPeer: (sender: PeerSender, report: PeerReport | undefined) => void;
 }
@@ -77,6 +80,12 @@
           context.onPeer(message.sender, message.report);
           connection.send(tell(message, context));
           return;
+        case MessageKind.Read:
+          context.onPeer(message.sender, undefined);
+          void context.read(message.question).then((bytes) => {
+            connection.send({ kind: MessageKind.ReadResult, bytes });
+          });
+          return;
         case MessageKind.Ping:
           connection.send({ kind: MessageKind.Pong });
           return;
--- /dev/null
+++ b/src/relay/storeCache.ts
@@ -0,0 +1,211 @@
+/**
+ * What this node knows of the store, kept so that the other nodes of its zone can read it here.
+ * For each object only its last change is kept: who asks from an earlier revision wants to come up
+ * to date, not to see every step.
+ */
+import type { Clock } from '../model/clock.js';
+import type {
+  StoreChanges,
+  StoredObject,
+  StoreEvent,
+  StoreListing,
+  StoreResult,
+} from '../source/object-store.js';
+
+/** Removed objects that are remembered for each kind; an older revision has to list anew. */
+const MAX_REMOVED = 1_024;
+
+/** A question for the changes of a kind after a revision, or for all its objects. */
+export interface StoreQuestion {
+  readonly kind: string;
+  /** Left out for a list. */
+  readonly revision: number | undefined;
+  /** Milliseconds that the answer may wait for a change. */
+  readonly waitMs: number;
+}
+
+/** What is needed of the node. */
+export interface StoreCacheContext {
+  readonly clock: Clock;
+  /** The kind whose answers show that the store is within reach: it is asked most often. */
+  readonly proofKind: string;
+  /** Milliseconds after the store's last answer for which the cache may speak for it. */
+  readonly freshMs: number;
+}
+
+/** Speaks for the store while the store answers this node itself. */
+export interface StoreCache {
+  /** Steady time in milliseconds at which another node last asked; minus infinity if none did. */
+  readonly askedAt: number;
+  /** True while the store itself has answered this node lately. */
+  readonly isFresh: boolean;
+  noteList(kind: string, listing: StoreListing<unknown>): void;
+  noteChanges(kind: string, from: number, changes: StoreChanges<unknown>): void;
+  /** The store itself, not another node, has answered about a kind. */
+  noteAnswered(kind: string): void;
+  /** Answers another node; `unavailable` as soon as the cache is not fresh. */
+  read(question: StoreQuestion): Promise<StoreResult<StoreChanges<unknown>>>;
+}
+
+interface LastChange {
+  readonly event: StoreEvent<unknown>;
+  /** The store's revision when this node learnt of the change; never below the change's own. */
+  readonly at: number;
+}
+
+interface CachedKind {
+  /** In the order in which they were learnt. */
+  readonly changes: Map<string, LastChange>;
+  /** Every change after this revision is known. */
+  since: number;
+  revision: number;
+  removed: number;
+  readonly waiting: Set<() => void>;
+}
+
+export function createStoreCache({ clock, proofKind, freshMs }: StoreCacheContext): StoreCache {
+  const kinds = new Map<string, CachedKind>();
+  let answeredAt = Number.NEGATIVE_INFINITY;
+  let askedAt = Number.NEGATIVE_INFINITY;
+
+  const freshLeftMs = () => answeredAt + freshMs - clock.now();
+  const wake = (cached: CachedKind) => {
+    for (const callback of [...cached.waiting]) {
+      callback();
+    }
+  };
+  const answerOf = (cached: CachedKind, question: StoreQuestion) => {
+    const { revision } = question;
+    if (revision !== undefined && revision < cached.since) {
+      return failed('history-gone');
+    }
+    const events = [...cached.changes.values()]
+      .filter(({ event, at }) => (revision === undefined ? !event.gone : at > revision))
+      .map(({ event }) => event);
+    return { ok: true, value: { events, revision: cached.revision } } as const;
+  };
+
+  return {
+    get askedAt() {
+      return askedAt;
+    },
+    get isFresh() {
+      return freshLeftMs() > 0;
+    },
+    noteList: (kind, { items, revision }) => {
+      const known = kinds.get(kind);
+      if (!known) {
+        kinds.set(kind, listed(items, revision));
+        return;
+      }
+      if (revision > known.revision) {
+        bringUpToDate(known, items, revision);
+        wake(known);
+      }
+    },
+    noteChanges: (kind, from, { events, revision }) => {
+      const known = kinds.get(kind);
+      if (!known || from > known.revision) {
+        return;
+      }
+      for (const event of events) {
+        noteChange(known, event, revision);
+      }
+      known.revision = Math.max(known.revision, revision);
+      forgetRemoved(known);
+      if (events.length > 0) {
+        wake(known);
+      }
+    },
+    noteAnswered: (kind) => {
+      if (kind === proofKind) {
+        answeredAt = clock.now();
+      }
+    },
+    read: async (question) => {
+      askedAt = clock.now();
+      const cached = kinds.get(question.kind);
+      const until = askedAt + question.waitMs;
+      while (cached && freshLeftMs() > 0) {
+        const answer = answerOf(cached, question);
+        const hasNews = !answer.ok || answer.value.events.length > 0;
+        const leftMs = until - clock.now();
+        if (hasNews || question.revision === undefined || leftMs <= 0) {
+          return answer;
+        }
+        await nextChange(cached, Math.min(leftMs, freshLeftMs()));
+      }
+      return failed('unavailable');
+    },
+  };
+}
+
+function listed(items: readonly StoredObject<unknown>[], revision: number): CachedKind {
+  const changes = new Map(
+    items.map((object) => [object.name, { event: { object, gone: false }, at: object.revision }]),
+  );
+  return { changes, since: revision, revision, removed: 0, waiting: new Set() };
+}
+
+/** A list instead of the changes since: what differs from it has changed meanwhile. */
+function bringUpToDate(
+  known: CachedKind,
+  items: readonly StoredObject<unknown>[],
+  revision: number,
+): void {
+  const present = new Set(items.map(({ name }) => name));
+  for (const { event } of [...known.changes.values()]) {
+    if (!event.gone && !present.has(event.object.name)) {
+      noteChange(known, { object: event.object, gone: true }, revision);
+    }
+  }
+  for (const object of items) {
+    const last = known.changes.get(object.name)?.event;
+    if (!last || last.gone || last.object.revision !== object.revision) {
+      noteChange(known, { object, gone: false }, revision);
+    }
+  }
+  known.revision = revision;
+  forgetRemoved(known);
+}
+
+function noteChange(cached: CachedKind, event: StoreEvent<unknown>, at: number): void {
+  const { name, revision } = event.object;
+  const last = cached.changes.get(name);
+  if (last && last.at >= at && last.event.object.revision > revision) {
+    return;
+  }
+  cached.removed += Number(event.gone) - Number(last?.event.gone ?? false);
+  // Put in anew, so that the order stays that of the changes.
+  cached.changes.delete(name);
+  cached.changes.set(name, { event, at });
+}
+
+function forgetRemoved(cached: CachedKind): void {
+  for (const [name, { event, at }] of cached.changes) {
+    if (cached.removed <= MAX_REMOVED) {
+      return;
+    }
+    if (event.gone) {
+      cached.changes.delete(name);
+      cached.removed -= 1;
+      cached.since = Math.max(cached.since, at);
+    }
+  }
+}
+
+function nextChange(cached: CachedKind, waitMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    const done = () => {
+      clearTimeout(timer);
+      cached.waiting.delete(done);
+      resolve();
+    };
+    const timer = setTimeout(done, waitMs);
+    cached.waiting.add(done);
+  });
+}
+
+function failed(failure: 'unavailable' | 'history-gone') {
+  return { ok: false, failure, detail: 'zone reader' } as const;
+}
--- /dev/null
+++ b/src/relay/zoneRelay.ts
@@ -0,0 +1,108 @@
+/** One node's part in reading the store for its zone, put together. */
+import type { Clock } from '../model/clock.js';
+import type { ObjectStore } from '../source/object-store.js';
+import { createRelayedStore, type RelayedStore } from './relayedStore.js';
+import { createStoreCache, type StoreQuestion } from './storeCache.js';
+import { packStoreResult, unpackStoreResult } from './storeResultCodec.js';
+import type { ZonePart } from './zoneReaders.js';
+
+/**
+ * Parts of the time within which a version must be in force. A follower finds out that its reader
+ * is cut off after the reader's settling, its pace and the margin at the latest (0.6), that it is
+ * frozen after the pace and the patience (0.5); the rest is for its own call to the store.
+ */
+const READER_SETTLE_SHARE = 0.15;
+const PACE_SHARE = 0.3;
+const MARGIN_SHARE = 0.15;
+const PATIENCE_SHARE = 0.2;
+
+/** Pause of a node that reads only for itself: longer, since each of its calls serves one node. */
+const ALONE_SETTLE_SHARE = 0.35;
+
+/** What is needed of the node. */
+export interface ZoneRelayContext {
+  readonly clock: Clock;
+  /** The store itself. */
+  readonly store: ObjectStore;
+  /** Kind of the configuration: its watch shows that the store is within reach. */
+  readonly configurationKind: string;
+  /** Milliseconds from a version's acknowledgement until it must be in force. */
+  readonly applyMs: number;
+  readonly zonePart: () => ZonePart;
+  /** Asks another node; undefined when it does not answer in time. */
+  readonly readPeer: (
+    address: string,
+    question: StoreQuestion,
+    timeoutMs: number,
+  ) => Promise<Buffer | undefined>;
+  readonly onReader: (reader: string | undefined, cause: string) => void;
+}
+
+/** The store as this node reads it, and its answers to those that read by way of this node. */
+export interface ZoneRelay {
+  readonly store: RelayedStore;
+  /** Milliseconds for which changes of the configuration are gathered before the next call. */
+  settleMs(): number;
+  /** Answers a node that reads by way of this one. */
+  answer(question: StoreQuestion): Promise<Buffer>;
+}
+
+export function createZoneRelay(context: ZoneRelayContext): ZoneRelay {
+  const { clock, applyMs, configurationKind } = context;
+  const cache = createStoreCache({
+    clock,
+    proofKind: configurationKind,
+    freshMs: applyMs * (READER_SETTLE_SHARE + PACE_SHARE + MARGIN_SHARE),
+  });
+  const store = createRelayedStore({
+    clock,
+    store: context.store,
+    cache,
+    proofKind: configurationKind,
+    paceMs: applyMs * PACE_SHARE,
+    patienceMs: applyMs * PATIENCE_SHARE,
+    zonePart: context.zonePart,
+    ask: async (address, question, timeoutMs) => {
+      const bytes = await context.readPeer(address, question, timeoutMs);
+      return bytes && unpackStoreResult(bytes);
+    },
+    onReader: context.onReader,
+  });
+  // Followers that wait for the same change get the same bytes: packing is the dear part.
+  const packed = createPackedAnswers();
+  return {
+    store,
+    settleMs: () => {
+      if (store.isFollowing) {
+        return 0;
+      }
+      return applyMs * (store.isReader ? READER_SETTLE_SHARE : ALONE_SETTLE_SHARE);
+    },
+    answer: async (question) => {
+      const result = await cache.read(question);
+      const hasNews = result.ok && result.value.events.length > 0;
+      return hasNews
+        ? packed(`${question.kind} ${question.revision} ${result.value.revision}`, () =>
+            packStoreResult(result),
+          )
+        : packStoreResult(result);
+    },
+  };
+}
+
+/** Packed answers that are kept: the latest of both kinds, from two revisions. */
+const KEPT_ANSWERS = 4;
+
+function createPackedAnswers(): (key: string, pack: () => Buffer) => Buffer {
+  const kept = new Map<string, Buffer>();
+  return (key, pack) => {
+    const bytes = kept.get(key) ?? pack();
+    kept.delete(key);
+    kept.set(key, bytes);
+    const [oldest] = kept.keys();
+    if (kept.size > KEPT_ANSWERS && oldest !== undefined) {
+      kept.delete(oldest);
+    }
+    return bytes;
+  };
+}
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -14,9 +14,12 @@
 import type { OwnerReport, TaskRecord } from '../owner/owner-report.js';
 import { PeerCaller } from '../peer/peerCaller.js';
 import type { PeerReport, PeerSender } from '../peer/peerMessages.js';
+import { createPeerReads, type PeerReads } from '../peer/peerReads.js';
 import { PeerServer } from '../peer/peerServer.js';
 import { RemoteOwner } from '../peer/remoteOwner.js';
 import type { BackEnd } from '../registry/back-end-registry.js';
+import { type ZonePart, zonePartOf } from '../relay/zoneReaders.js';
+import { createZoneRelay, type ZoneRelay } from '../relay/zoneRelay.js';
 import type { RouteMatcher } from '../routing/route-matcher.js';
 import { ConfigurationFollower } from '../source/configuration-follower.js';
 import { ObservedStore } from '../source/observed-store.js';
@@ -26,7 +29,8 @@
 import { SmallServer } from './small-server.js';
 
 /** The directory's watch: its longest wait, and what comes within so long is taken together. */
-const DIRECTORY_TIMING = { waitMs: 15_000, settleMs: 500 };
+const DIRECTORY_WAIT_MS = 15_000;
+const DIRECTORY_SETTLE_MS = 500;
 
 /** A configuration is asked of another node for at the most this long, in milliseconds. */
 const PEER_CONFIGURATION_TIMEOUT_MS = 1_000;
@@ -63,6 +67,8 @@
   private readonly readiness: SmallServer;
   private readonly registrations: SmallServer;
   private readonly caller: PeerCaller;
+  private readonly reads: PeerReads;
+  private readonly relay: ZoneRelay;
   private readonly metricsServer: SmallServer;
   private stopping = false;
   /** Steady time in milliseconds since which the configuration is in force. */
@@ -81,6 +87,16 @@
       () => clock.now(),
       (operation, result) => metrics.storeCalled(operation, result),
     );
+    this.reads = createPeerReads(() => this.sender());
+    this.relay = createZoneRelay({
+      clock,
+      store,
+      configurationKind: outside.configurationKind,
+      applyMs: settings.configurationApplyMs,
+      zonePart: () => this.zonePart(),
+      readPeer: (address, question, timeoutMs) => this.reads.read(address, question, timeoutMs),
+      onReader: (reader, cause) => this.log.event('zone-reader', { reader, cause }),
+    });
     this.owner = new LocalOwner({
       clock,
       names,
@@ -99,20 +115,24 @@
     this.directory.put(this.record());
     this.sync = new DirectorySync({
       clock,
-      store,
+      store: this.relay.store,
       directory: this.directory,
       caller: this.caller,
       own: () => this.record(),
-      timing: DIRECTORY_TIMING,
+      timing: {
+        waitMs: DIRECTORY_WAIT_MS,
+        settleMs: () => (this.relay.store.isFollowing ? 0 : DIRECTORY_SETTLE_MS),
+      },
       onConnected: (connected, detail) => this.onStore('directory', connected, detail),
       onOwner: (node, change, detail) => this.log.event('owner', { owner: node, change, detail }),
       onReport: (address, report) => this.configuration.noteVersion(address, report.version),
     });
     this.configuration = new ConfigurationFollower({
-      store,
+      store: this.relay.store,
       kind: outside.configurationKind,
       name: outside.configurationName,
       applyMs: settings.configurationApplyMs,
+      settleMs: () => this.relay.settleMs(),
       decode: outside.decodeConfiguration,
       decodeBytes: outside.decodeConfigurationBytes,
       askPeer: (address) => this.caller.configuration(address, PEER_CONFIGURATION_TIMEOUT_MS),
@@ -142,6 +162,7 @@
       report: () => this.report(),
       configuration: () => this.configuration.bytes(),
       directory: () => this.sync.bytes(),
+      read: (question) => this.relay.answer(question),
       onPeer: (sender, report) => this.onPeer(sender, report),
     });
     this.metricsServer = new SmallServer((call) => this.onMetricsCall(call.path));
@@ -227,11 +248,22 @@
     for (const entry of this.directory.all()) {
       entry.close();
     }
+    this.reads.close();
     this.configuration.stop();
     void this.sync.stop(false);
     this.outside.store.close();
   }
 
+  /** This node's part in reading the store for its zone. */
+  private zonePart(): ZonePart {
+    const isAway = ({ absence }: OwnerEntry) => absence === 'silent' || absence === 'stopping';
+    const nodes = this.directory
+      .all()
+      .filter((entry) => this.directory.isNear(entry) && (entry.isLocal || !isAway(entry)))
+      .map(({ record }) => record);
+    return zonePartOf(this.settings.node, nodes);
+  }
+
   private record(): OwnerRecord {
     const { node, zone, service, listen } = this.settings;
     return { node, address: listen.peers, zone, service };
--- a/src/source/collection-watcher.ts
+++ b/src/source/collection-watcher.ts
@@ -19,7 +19,7 @@
   /** Longest wait of one watch. */
   readonly waitMs: number;
   /** Pause after a watch that brought changes, so that quick changes come together. */
-  readonly settleMs: number;
+  readonly settleMs: () => number;
 }
 
 const FIRST_BACKOFF_MS = 150;
@@ -115,7 +115,7 @@
       this.handler.onChange(event.object, event.gone);
     }
     if (result.value.events.length > 0) {
-      await this.pause(this.timing.settleMs);
+      await this.pause(this.timing.settleMs());
     }
     return undefined;
   }
--- a/src/source/configuration-follower.ts
+++ b/src/source/configuration-follower.ts
@@ -12,9 +12,6 @@
 /** Longest wait of a watch, in milliseconds. */
 const WAIT_MS = 6_000;
 
-/** Part of the bound within which changes that come together are taken together. */
-const SETTLE_SHARE = 0.35;
-
 /**
  * Part of the bound for which a node that hears of a newer version waits for its
  * own watch: longer than the watch settles, so that a watch that works is not
@@ -33,6 +30,8 @@
   readonly name: string;
   /** Longest time, in milliseconds, from a version's acknowledgement until it is in force. */
   readonly applyMs: number;
+  /** Milliseconds within which changes that come together are taken together. */
+  readonly settleMs: () => number;
   /** Translates a stored configuration; undefined when it cannot be read. */
   readonly decode: (spec: unknown) => ConfigurationCandidate | undefined;
   readonly decodeBytes: (bytes: Buffer) => ConfigurationCandidate | undefined;
@@ -68,7 +67,7 @@
         },
         onConnected: options.onConnected,
       },
-      { waitMs: WAIT_MS, settleMs: options.applyMs * SETTLE_SHARE },
+      { waitMs: WAIT_MS, settleMs: options.settleMs },
     );
   }
 
--- a/src/source/source.test.ts
+++ b/src/source/source.test.ts
@@ -106,7 +106,7 @@
       onChange: (object) => seen.push(`change ${object.name}`),
       onConnected: (connected) => seen.push(connected ? 'connected' : 'lost'),
     },
-    { waitMs: 1_000, settleMs: 1 },
+    { waitMs: 1_000, settleMs: () => 1 },
     () => 0,
   );
   void watcher.run();
--- a/test/configuration-follower.test.ts
+++ b/test/configuration-follower.test.ts
@@ -25,6 +25,7 @@
     kind: 'config',
     name: 'main',
     applyMs: APPLY_MS,
+    settleMs: () => APPLY_MS * 0.35,
     decode: (spec) => candidateOf((spec as { version: number }).version),
     decodeBytes: (bytes) => candidateOf(Number(bytes.toString())),
     askPeer: (address) => {
