Retry budget: the sum of all nodes' parts of the slack stays inside the bound at any size

Cause: a node's part was never below one repeat, so more nodes than the slack's size went beyond it; and a node that had just started knew only itself and took half of the slack alone, after a mass restart as many times as there are nodes. Four tests that failed before: 195 and 1,000 nodes, a node that knows no other, nodes that are away. Now a part below one is made up by what is earned, a node has none before it knows the others, and the highest count ever known divides the slack.

--- a/src/ingress/shared-retry-budget.test.ts
+++ b/src/ingress/shared-retry-budget.test.ts
@@ -44,6 +44,43 @@
     );
   });
 
+  it.each([2, 64, 195, 1_000])('keeps the slack inside the bound on %i nodes', (nodes) => {
+    const budgets = Array.from(
+      { length: nodes },
+      () =>
+        new SharedRetryBudget(
+          () => BOUND,
+          () => nodes,
+        ),
+    );
+    const repeats = budgets.flatMap((budget) =>
+      Array.from({ length: BOUND.slack }, () => budget.withdraw('desk', 0)).filter(Boolean),
+    );
+    expect(repeats.length).toBeLessThanOrEqual(BOUND.slack);
+  });
+
+  it('has no slack on a node that has just started and knows no other', () => {
+    let known = Number.POSITIVE_INFINITY;
+    const budget = new SharedRetryBudget(
+      () => BOUND,
+      () => known,
+    );
+    expect(budget.withdraw('desk', 0)).toBe(false);
+    known = 2;
+    expect(budget.withdraw('desk', 0)).toBe(true);
+  });
+
+  it('takes no larger part of the slack when nodes are away', () => {
+    let known = 64;
+    const budget = new SharedRetryBudget(
+      () => BOUND,
+      () => known,
+    );
+    expect(budget.withdraw('desk', 0)).toBe(true);
+    known = 1;
+    expect(budget.withdraw('desk', 0)).toBe(false);
+  });
+
   it('refuses when it is spent, and keeps services apart', () => {
     const budget = new SharedRetryBudget(
       () => BOUND,
--- a/src/ingress/shared-retry-budget.ts
+++ b/src/ingress/shared-retry-budget.ts
@@ -28,10 +28,12 @@
 /** One per node. */
 export class SharedRetryBudget {
   private readonly counts = new Map<string, ServiceCounts>();
+  /** Most nodes that were ever known at once. */
+  private mostNodes = 1;
 
   constructor(
     private readonly bound: () => BudgetBound,
-    /** Nodes that share the slack. */
+    /** Nodes that share the slack; infinite while they are not known. */
     private readonly nodes: () => number,
   ) {}
 
@@ -53,8 +55,23 @@
   left(service: string, now: number): number {
     const { ratio, slack } = this.bound();
     const { requests, repeats } = this.countsOf(service);
-    const slackHere = Math.max(1, (slack * USED_SHARE) / Math.max(1, this.nodes()));
-    return slackHere + ratio * USED_SHARE * requests.atLeast(now) - repeats.atMost(now);
+    const earned = ratio * USED_SHARE * requests.atLeast(now);
+    return this.slackHere(slack) + earned - repeats.atMost(now);
+  }
+
+  /**
+   * This node's part of the slack. A part below one whole repeat is made up by what is earned: were
+   * it rounded up, many nodes together would go beyond the bound.
+   */
+  private slackHere(slack: number): number {
+    // Nodes may come back: the part does not grow when the others are away.
+    const nodes = this.nodes();
+    if (!Number.isFinite(nodes)) {
+      return 0;
+    }
+    this.mostNodes = Math.max(this.mostNodes, nodes);
+    const part = slack / Math.max(1, this.mostNodes);
+    return Math.max(part * USED_SHARE, Math.min(1, part));
   }
 
   private countsOf(service: string): ServiceCounts {
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -148,7 +148,7 @@
       directory: this.directory,
       budget: new SharedRetryBudget(
         () => this.settings.retryBudget,
-        () => this.directory.all().length,
+        () => (this.sync.isListed ? this.directory.size : Number.POSITIVE_INFINITY),
       ),
       spill: createSpillAllowance(),
       returns: createReturnTimes(),
