Planned stop: nothing is taken that may outlast the grace; more of the grace is left for the end

Cause: with a grace of 10 s a node took requests until 4.8 s into its stop and ended at 9.7 s; a request with 6 s to go that came between 3 and 4.8 s could be cut off. Now what comes after 3 s and may end too late is refused (503 stopping), and 0.06 of the grace is left. Test: a request that may last 6 s, 3.2 s into a stop of 8 s, was taken before (200, by luck of a quick back end) and is refused now; a short one is served.

--- a/lab/sidecar-mesh.ts
+++ b/lab/sidecar-mesh.ts
@@ -14,6 +14,9 @@
 const CONFIGURATION_KIND = 'configuration';
 const CONFIGURATION_NAME = 'current';
 
+/** Milliseconds from the beginning of a planned stop to its end, unless a test says otherwise. */
+const DEFAULT_GRACE_MS = 4_000;
+
 /** Pause between two looks at a condition, in milliseconds. */
 const POLL_MS = 10;
 
@@ -40,6 +43,7 @@
     readonly zone: string,
     readonly application: ApplicationStandIn,
     private readonly store: MemoryStore,
+    private readonly graceMs: number,
   ) {
     this.view = new StoreView(store);
     this.node = this.create(undefined);
@@ -69,7 +73,7 @@
       backEndAddress: listen ? this.application.address : this.addressOrNone(),
       listen: listen ?? { clients: any, peers: any, readiness: any, registrations: any },
       drainMs: 1_000,
-      graceMs: 4_000,
+      graceMs: this.graceMs,
       configurationApplyMs: 1_000,
     }).unsafeCoerce();
     const sink = (bytes: Buffer, done: () => void) => {
@@ -112,10 +116,19 @@
   private version = 0;
 
   /** Adds a machine and starts it. */
-  async add(service: string, options: { zone?: string; slots?: number } = {}): Promise<Machine> {
+  async add(
+    service: string,
+    options: { zone?: string; slots?: number; graceMs?: number } = {},
+  ): Promise<Machine> {
     const name = `node-${this.machines.length + 1}`;
     const application = new ApplicationStandIn(service, options.slots ?? 4);
-    const machine = new Machine(name, options.zone ?? 'zone-a', application, this.store);
+    const machine = new Machine(
+      name,
+      options.zone ?? 'zone-a',
+      application,
+      this.store,
+      options.graceMs ?? DEFAULT_GRACE_MS,
+    );
     this.machines.push(machine);
     await machine.start();
     return machine;
--- a/src/ingress/client-answer.ts
+++ b/src/ingress/client-answer.ts
@@ -10,6 +10,7 @@
   | 'too-large'
   | 'head-too-large'
   | 'busy'
+  | 'stopping'
   | 'no-owner'
   | 'retry-budget-spent'
   | 'attempts-spent'
--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -20,6 +20,9 @@
 /** Told while no configuration is known, in milliseconds. */
 const NO_CONFIGURATION_RETRY_AFTER_MS = 250;
 
+/** Told while the node stops, in milliseconds: others serve at once. */
+const STOPPING_RETRY_AFTER_MS = 20;
+
 /** A colon and a space, or a line end, go with each name and value of a header field. */
 const FIELD_FRAMING_BYTES = 2;
 
@@ -73,8 +76,11 @@
     this.requestId = typeof id === 'string' ? id : '';
   }
 
-  /** `mayClose` says, as the answer is rendered, whether it is to close the connection. */
-  async run(mayClose: () => boolean): Promise<void> {
+  /**
+   * `mayClose` says, as the answer is rendered, whether it is to close the connection; `latestEnd`
+   * is the steady time in milliseconds by which a planned stop would cut the request off.
+   */
+  async run(mayClose: () => boolean, latestEnd: number): Promise<void> {
     this.request.on('error', () => {});
     this.response.on('error', () => {});
     this.response.on('close', () => this.onClose());
@@ -99,6 +105,11 @@
     this.route = matched.route;
     this.service = matched.split.next();
     this.startTimer(matched.route, mayClose);
+    if (this.startedAt + this.allowedMs > latestEnd) {
+      const refusal = { status: 503, retryAfterMs: STOPPING_RETRY_AFTER_MS } as const;
+      this.refuse({ code: 'stopping', ...refusal }, mayClose());
+      return;
+    }
     const body = await this.takeBody(routes.configuration.limits);
     if (body === 'too-large') {
       this.refuse({ code: 'too-large', status: 413 }, true);
--- a/src/ingress/ingress-server.ts
+++ b/src/ingress/ingress-server.ts
@@ -13,6 +13,14 @@
 const DEFAULT_IDLE_MS = 60_000;
 const DEFAULT_HEADER_TIMEOUT_MS = 10_000;
 
+/** Steady times in milliseconds of a planned stop. */
+export interface IngressStop {
+  /** What arrives from now on must not be cut off. */
+  readonly promisedFrom: number;
+  /** Everything ends now, whether it is answered or not. */
+  readonly endsAt: number;
+}
+
 /** One per node. */
 export class IngressServer {
   private readonly server: http.Server;
@@ -21,7 +29,7 @@
   private readonly pipelines = createPipelines();
   private active = 0;
   private accepting = true;
-  private stopping = false;
+  private stop: IngressStop | undefined;
 
   constructor(private readonly options: IngressOptions) {
     const { names } = options;
@@ -56,9 +64,9 @@
     this.server.headersTimeout = limits.headerTimeoutMs;
   }
 
-  /** Answers from now on close their connection. */
-  startStopping(): void {
-    this.stopping = true;
+  /** Answers from now on close their connection; what may not end in time is refused. */
+  startStopping(stop: IngressStop): void {
+    this.stop = stop;
   }
 
   /** Takes no new requests; those in flight go on. */
@@ -87,7 +95,8 @@
     this.active += 1;
     try {
       const ingressRequest = new IngressRequest(this.options, this.reserved, request, response);
-      await ingressRequest.run(() => this.stopping && this.pipelines.closeIfLast(socket));
+      const mayClose = () => this.stop !== undefined && this.pipelines.closeIfLast(socket);
+      await ingressRequest.run(mayClose, this.latestEnd());
     } catch {
       // Nothing true can be said of a request whose handling failed.
       response.destroy();
@@ -96,6 +105,13 @@
     }
   }
 
+  /** Steady time in milliseconds by which a request that is taken now must have ended. */
+  private latestEnd(): number {
+    const { stop } = this;
+    const isPromised = stop && this.options.clock.now() >= stop.promisedFrom;
+    return isPromised ? stop.endsAt : Number.POSITIVE_INFINITY;
+  }
+
   /** Bytes that are no request: the answers due before them, the protocol's own answer, the end. */
   private onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
     if (!socket.writable || error.code === 'ECONNRESET') {
--- a/src/sidecar/planned-stop.ts
+++ b/src/sidecar/planned-stop.ts
@@ -18,8 +18,17 @@
 /** Pause between two looks at what is in flight, in milliseconds. */
 const TICK_MS = 50;
 
-/** Left of the grace for the very end, in milliseconds. */
-const MARGIN_MS = 300;
+/**
+ * Share of the grace that is left for the very end: a process with a quarter of a core, which has
+ * used up its part of a tenth of a second, needs some hundred milliseconds for a few steps.
+ */
+const MARGIN_SHARE = 0.06;
+
+/**
+ * What is taken from clients later than so many milliseconds after the stop began must end before
+ * the grace does (users' rules, LOST: "sent no later than 3 s after the SIGTERM").
+ */
+const PROMISED_AFTER_MS = 3_000;
 
 /** What is stopped. */
 export interface StoppedParts {
@@ -38,7 +47,8 @@
       await new Promise((resolve) => setTimeout(resolve, TICK_MS));
     }
   };
-  ingress.startStopping();
+  const endsAt = startedAt + graceMs * (1 - MARGIN_SHARE);
+  ingress.startStopping({ promisedFrom: startedAt + PROMISED_AFTER_MS, endsAt });
   await waitUntil(() => false, graceMs * TASKS_SHARE);
   owner.stopAdmitting();
   await waitUntil(() => false, graceMs * NOTICE_SHARE);
@@ -46,5 +56,5 @@
   await waitUntil(() => owner.report.inFlight === 0, graceMs * ACCEPTING_SHARE);
   ingress.stopAccepting();
   const isIdle = () => ingress.inFlight === 0 && owner.report.inFlight === 0;
-  await waitUntil(isIdle, graceMs - MARGIN_MS);
+  await waitUntil(isIdle, endsAt - startedAt);
 }
--- a/test/sidecar-membership.test.ts
+++ b/test/sidecar-membership.test.ts
@@ -137,6 +137,29 @@
   });
 });
 
+describe('a planned stop with a long grace', () => {
+  it('refuses, from three seconds on, what may outlast it, and serves the rest', async () => {
+    const entry = await mesh.add('desk', { graceMs: 8_000 });
+    mesh.configure([{ name: 'read', service: 'desk' }]);
+    await mesh.settled();
+    const other = await mesh.add('desk');
+    await mesh.settled();
+    other.application.serviceMs = 100;
+    const stopping = entry.node.stop();
+    await new Promise((resolve) => setTimeout(resolve, 3_200));
+    const { clients } = entry.node.addresses;
+    const [short, long] = await Promise.all([
+      call(clients, '/read/short', { deadlineMs: 2_000 }),
+      call(clients, '/read/long', { deadlineMs: 6_000 }),
+    ]);
+    expect(short.status).toBe(200);
+    expect(long.status).toBe(503);
+    expect(long.headers['retry-after']).toBeDefined();
+    expect(long.headers.connection).toBe('close');
+    await stopping;
+  });
+});
+
 describe('the store in trouble', () => {
   it('refuses truthfully at a start without the store and serves once it is there', async () => {
     const machine = await mesh.add('desk');
