Owner: the back end is asked as soon as the configuration tells how

Cause: a node that starts asks for the back end's health before it knows the path of the question, and then waits for the next tick: 700 ms after each restart in which its back end, well all the while, got nothing.

--- a/src/owner/back-end-presence.ts
+++ b/src/owner/back-end-presence.ts
@@ -141,7 +141,7 @@
   }
 
   /** Asks the back end who it is while that is not known. */
-  private askIfNeeded(): void {
+  askIfNeeded(): void {
     const { unverified } = this.registry;
     const isKnown = this.backEnd !== undefined && !this.unreachable && unverified === undefined;
     const service = unverified?.service ?? this.options.service();
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -63,6 +63,11 @@
     this.presence.start();
   }
 
+  /** The path of the health question may be known now. */
+  noteConfiguration(): void {
+    this.presence.askIfNeeded();
+  }
+
   /** Turns new tasks away from now on; tasks that run go on. */
   stopAdmitting(): void {
     this.stopping = true;
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -308,6 +308,7 @@
     const { version, configuration } = routes;
     this.inForceSince = this.clock.now();
     this.ingress.setLimits(configuration.limits);
+    this.owner.noteConfiguration();
     this.log.event('configuration', { version, origin, routes: configuration.routes.length });
   }
 
--- a/test/sidecar-membership.test.ts
+++ b/test/sidecar-membership.test.ts
@@ -15,6 +15,9 @@
 /** After this time of a grace of four seconds nothing new may be taken. */
 const LATE_IN_GRACE_MS = 2_600;
 
+/** Well below the pause between two health questions, in milliseconds. */
+const SOON_MS = 400;
+
 const ROUTES = [
   { name: 'read', service: 'desk', timeoutMs: 1_000 },
   { name: 'grant', service: 'desk', kind: 'unsafe', timeoutMs: 3_000 },
@@ -79,6 +82,15 @@
 });
 
 describe('a node that ends', () => {
+  it('asks the back end beside it as soon as it has a configuration again', async () => {
+    const [first] = await threeMachines();
+    await first.restart();
+    const from = performance.now();
+    await waitFor(() => first.node.status.version > 0);
+    await waitFor(() => first.node.status.backEndReady);
+    expect(performance.now() - from).toBeLessThan(SOON_MS);
+  });
+
   it('is left alone by the others until it is back', async () => {
     const [first, second, entry] = await threeMachines();
     first.node.close();
