Directory: absent owners of other zones are asked at a bounded rate, and an owner tells its whole zone

Now a node asks those of its own zone as before and of other zones ten a second at the most, the longest unasked first. So that the own zone does not wait for its turn, an owner that becomes ready tells all of its zone and eight nodes of others, chosen by rendezvous hashing, where it told 16 in the order of the directory before.

Tests: 194 absent owners ask for no more than ten a second and each gets its turn; all are found when they are back; who is told.

--- /dev/null
+++ b/src/directory/directory-sync.test.ts
@@ -0,0 +1,105 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { peerReport } from '../../test/fixtures.js';
+import type { PeerCaller } from '../peer/peerCaller.js';
+import type { PeerReport } from '../peer/peerMessages.js';
+import type { ObjectStore } from '../source/object-store.js';
+import { DirectorySync } from './directory-sync.js';
+import { OwnerDirectory } from './owner-directory.js';
+import { OwnerEntry, type OwnerRecord } from './owner-entry.js';
+
+const ZONES = 7;
+const NODES = 195;
+
+/** Time for which absent owners are watched, in milliseconds. */
+const WATCHED_MS = 12_000;
+
+function recordOf(index: number): OwnerRecord {
+  return {
+    node: `node-${index}`,
+    address: `10.0.${index % ZONES}.${index}:1`,
+    zone: `zone-${index % ZONES}`,
+    service: 'desk',
+  };
+}
+
+/** The directory of one node in a large fleet, and whom it asks. */
+function fleet(answer: (address: string) => PeerReport | undefined) {
+  const own = recordOf(0);
+  const asked: string[] = [];
+  const clock = { now: () => performance.now() };
+  const directory = new OwnerDirectory(own.zone, (record) => {
+    const live = record.node === own.node ? () => peerReport() : undefined;
+    return new OwnerEntry(record, { run: () => Promise.reject(new Error('not used')) }, live);
+  });
+  for (let index = 0; index < NODES; index += 1) {
+    directory.put(recordOf(index));
+  }
+  const caller = {
+    status: (address: string) => {
+      asked.push(address);
+      return Promise.resolve(answer(address));
+    },
+  } as unknown as PeerCaller;
+  const never = () => new Promise<never>(() => {});
+  const sync = new DirectorySync({
+    clock,
+    store: { list: never, watch: never } as unknown as ObjectStore,
+    directory,
+    caller,
+    own: () => own,
+    timing: { waitMs: 1_000, settleMs: () => 0 },
+    onConnected: () => {},
+    onOwner: () => {},
+    onReport: () => {},
+  });
+  return { own, asked, directory, sync };
+}
+
+describe('absent owners of a large fleet', () => {
+  beforeEach(() => {
+    vi.useFakeTimers({ toFake: ['setInterval', 'clearInterval', 'performance'] });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  it('are asked at a rate that does not grow with their number, near ones first', async () => {
+    const { own, asked, directory, sync } = fleet(() => undefined);
+    const isNear = (address: string) => directory.atAddress(address)?.record.zone === own.zone;
+    for (const entry of directory.all().filter((each) => !each.isLocal)) {
+      entry.makeAbsent('silent', performance.now());
+    }
+    sync.start();
+    await vi.advanceTimersByTimeAsync(WATCHED_MS);
+    await sync.stop(false);
+    const near = asked.filter(isNear);
+    const far = asked.filter((address) => !isNear(address));
+    expect(new Set(near).size).toBe(
+      directory.all().filter((entry) => directory.isNear(entry)).length - 1,
+    );
+    expect(far.length).toBeLessThanOrEqual(WATCHED_MS / 100);
+    // All take their turn: none is forgotten.
+    expect(new Set(far).size).toBe(Math.min(far.length, NODES - new Set(near).size - 1));
+  });
+
+  it('are found again when they are back', async () => {
+    const { directory, sync } = fleet(() => peerReport());
+    for (const entry of directory.all().filter((each) => !each.isLocal)) {
+      entry.makeAbsent('silent', performance.now());
+    }
+    sync.start();
+    await vi.advanceTimersByTimeAsync(30_000);
+    await sync.stop(false);
+    expect(directory.all().filter((entry) => entry.absence)).toEqual([]);
+  });
+});
+
+it('a back end that is ready is announced to its whole zone and to a few of the others', () => {
+  const { own, asked, directory, sync } = fleet(() => undefined);
+  sync.announce();
+  const zone = directory.all().filter((entry) => directory.isNear(entry) && !entry.isLocal);
+  expect(asked).toEqual(expect.arrayContaining(zone.map((entry) => entry.record.address)));
+  expect(asked).not.toContain(own.address);
+  expect(asked.length - zone.length).toBe(8);
+});
--- a/src/directory/directory-sync.ts
+++ b/src/directory/directory-sync.ts
@@ -3,6 +3,7 @@
  * follows those of the others, and asks absent owners whether they are back.
  */
 import type { Clock } from '../model/clock.js';
+import { rankNames } from '../model/rendezvous.js';
 import type { PeerCaller } from '../peer/peerCaller.js';
 import type { PeerReport, PeerSender } from '../peer/peerMessages.js';
 import { CollectionWatcher, type WatchTiming } from '../source/collection-watcher.js';
@@ -21,8 +22,17 @@
 const FIRST_PROBE_WAIT_MS = 400;
 const LONGEST_PROBE_WAIT_MS = 4_000;
 
-/** Nodes that are told at once when the back end becomes ready. */
-const MAX_ANNOUNCED = 16;
+/**
+ * Absent owners of other zones that are asked in one look, at the most: ten a second. Without a
+ * bound, a cut between two halves of n nodes makes each of them ask n / 2 others again and again.
+ */
+const FAR_PROBES_PER_TICK = 1;
+
+/**
+ * Nodes of other zones that are told at once when the back end becomes ready; of the own zone, all
+ * are: they send it most of its work.
+ */
+const FAR_ANNOUNCED = 8;
 
 /** A status call that takes longer, in milliseconds, has failed. */
 const STATUS_TIMEOUT_MS = 500;
@@ -112,16 +122,22 @@
   }
 
   /**
-   * Tells other nodes that the back end here is ready: those of the own zone
-   * first, and not more than a few. The others ask by themselves before long.
+   * Tells other nodes that the back end here is ready: those of the own zone and a few of
+   * the others. The rest ask by themselves before long.
    */
   announce(): void {
     const { caller, directory, own } = this.options;
     const others = directory.all().filter((entry) => !entry.isLocal);
-    const near = others.filter((entry) => entry.record.zone === own().zone);
-    const far = others.filter((entry) => entry.record.zone !== own().zone);
-    for (const entry of [...near, ...far].slice(0, MAX_ANNOUNCED)) {
-      void caller.status(entry.record.address, STATUS_TIMEOUT_MS);
+    const near = others.filter((entry) => directory.isNear(entry));
+    const far = others.filter((entry) => !directory.isNear(entry));
+    // Each node tells others, so that together they reach all.
+    const ranked = rankNames(
+      own().node,
+      far.map((entry) => entry.record.address),
+    );
+    const nearAddresses = near.map((entry) => entry.record.address);
+    for (const address of [...nearAddresses, ...ranked.slice(0, FAR_ANNOUNCED)]) {
+      void caller.status(address, STATUS_TIMEOUT_MS);
     }
   }
 
@@ -268,12 +284,17 @@
   private probeDue(): void {
     const { clock, directory } = this.options;
     const now = clock.now();
-    for (const entry of directory.all()) {
-      if (entry.absence && !entry.isLocal && now >= entry.probeAt) {
-        entry.probeAt = now + probeWaitMs(entry.failedProbes);
-        entry.failedProbes += 1;
-        void this.probe(entry);
-      }
+    const due = directory
+      .all()
+      .filter((entry) => entry.absence && !entry.isLocal && now >= entry.probeAt);
+    const near = due.filter((entry) => directory.isNear(entry));
+    const far = due
+      .filter((entry) => !directory.isNear(entry))
+      .sort((left, right) => left.probeAt - right.probeAt);
+    for (const entry of [...near, ...far.slice(0, FAR_PROBES_PER_TICK)]) {
+      entry.probeAt = now + probeWaitMs(entry.failedProbes);
+      entry.failedProbes += 1;
+      void this.probe(entry);
     }
   }
 
