Readers of a zone show cheaply that they reach the store; a first list may lag

A reader that proved its reach by its watches had to make them short, which paid only in zones of five or more.

Change: a reader asks for a small object of its own in the way that may be stale (a tenth of the price) between its long watches, so every zone of two or more has a reader; when it finds the store out of reach it ends its waiting watches, which might never be answered. The first list of a kind may lag too: the watch from its revision brings the rest. The directory is listed before the configuration, so that a node that starts again gets the configuration of its reader.

Tests: the calls as they go over the wire, watches that are ended, a follower that the store turns away notices nothing. The count of calls after a loss of history begins once the watches from the start are over.

--- a/lab/memory-store.ts
+++ b/lab/memory-store.ts
@@ -1,12 +1,13 @@
 /** An object store in memory with the faults that a real one shows, for tests. */
-import type {
-  ObjectStore,
-  StoreChanges,
-  StoredObject,
-  StoreEvent,
-  StoreFailure,
-  StoreListing,
-  StoreResult,
+import {
+  type ObjectStore,
+  Reading,
+  type StoreChanges,
+  type StoredObject,
+  type StoreEvent,
+  type StoreFailure,
+  type StoreListing,
+  type StoreResult,
 } from '../src/source/object-store.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -111,19 +112,24 @@
   lateMs = 200;
   /** Lists are answered as they were at this revision while it is set. */
   listsAsOf: number | undefined;
+  /** Lists that may lag are answered as they were at this revision while it is set. */
+  latelyAsOf: number | undefined;
   /** Calls in one second, above which the store answers `throttled`. */
   callsPerSecond = Number.POSITIVE_INFINITY;
   calls = 0;
+  /** Probes, which cost little. */
+  probes = 0;
   private readonly callTimes: number[] = [];
 
   constructor(private readonly store: MemoryStore) {}
 
-  list<Spec>(kind: string): Promise<StoreResult<StoreListing<Spec>>> {
+  list<Spec>(kind: string, reading = Reading.Now): Promise<StoreResult<StoreListing<Spec>>> {
+    const asOf = this.listsAsOf ?? (reading === Reading.Lately ? this.latelyAsOf : undefined);
     return this.answer(() => ({
       ok: true,
       value: {
-        items: this.store.objectsAt(kind, this.listsAsOf) as StoredObject<Spec>[],
-        revision: this.listsAsOf ?? this.store.revision,
+        items: this.store.objectsAt(kind, asOf) as StoredObject<Spec>[],
+        revision: asOf ?? this.store.revision,
       },
     }));
   }
@@ -193,6 +199,15 @@
     });
   }
 
+  async probe(): Promise<StoreResult<undefined>> {
+    this.probes += 1;
+    return this.failure ? failed(this.failure) : { ok: true, value: undefined };
+  }
+
+  abandonWatches(): void {
+    this.store.wake();
+  }
+
   close(): void {
     this.failure = 'unavailable';
     this.store.wake();
--- a/src/relay/relayedStore.ts
+++ b/src/relay/relayedStore.ts
@@ -4,12 +4,13 @@
  * does not answer it. Writes, and lists that must be of now, always go to the store.
  */
 import type { Clock } from '../model/clock.js';
-import type {
-  ObjectStore,
-  StoreChanges,
-  StoredObject,
-  StoreListing,
-  StoreResult,
+import {
+  type ObjectStore,
+  Reading,
+  type StoreChanges,
+  type StoredObject,
+  type StoreListing,
+  type StoreResult,
 } from '../source/object-store.js';
 import type { StoreCache, StoreQuestion } from './storeCache.js';
 import { type ZoneNode, type ZonePart, ZoneRole } from './zoneReaders.js';
@@ -29,8 +30,7 @@
   /** The store itself. */
   readonly store: ObjectStore;
   readonly cache: StoreCache;
-  readonly proofKind: string;
-  /** Milliseconds between two proofs that the store is within reach, and of a follower's watch. */
+  /** Milliseconds for which a follower's watch waits. */
   readonly paceMs: number;
   /** Milliseconds beyond the pace after which a reader counts as silent. */
   readonly patienceMs: number;
@@ -54,7 +54,7 @@
 }
 
 export function createRelayedStore(context: RelayedStoreContext): RelayedStore {
-  const { clock, store, cache, proofKind, paceMs, patienceMs, zonePart, ask } = context;
+  const { clock, store, cache, paceMs, patienceMs, zonePart, ask } = context;
   const restingUntil = new Map<string, number>();
   /** Kinds whose reader no longer knows the changes since this node's revision. */
   const toList = new Set<string>();
@@ -80,15 +80,15 @@
     const result = await store.watch<Spec>(kind, revision, waitMs);
     if (result.ok) {
       cache.noteChanges(kind, revision, result.value);
-      cache.noteAnswered(kind);
+      cache.noteAnswered();
     }
     return result;
   };
-  const listStore = async <Spec>(kind: string) => {
-    const result = await store.list<Spec>(kind);
+  const listStore = async <Spec>(kind: string, reading: Reading) => {
+    const result = await store.list<Spec>(kind, reading);
     if (result.ok) {
       cache.noteList(kind, result.value);
-      cache.noteAnswered(kind);
+      cache.noteAnswered();
     }
     return result;
   };
@@ -106,14 +106,6 @@
     return undefined;
   };
 
-  /** Reads by itself: often enough to speak for the store, if it does so for others. */
-  const watchAlone = <Spec>(kind: string, revision: number, waitMs: number) => {
-    const { role } = zonePart();
-    const isPaced = kind === proofKind && (role !== ZoneRole.Alone || isReader());
-    noteReader(undefined, role);
-    return watchStore<Spec>(kind, revision, isPaced ? Math.min(waitMs, paceMs) : waitMs);
-  };
-
   return {
     get isFollowing() {
       return reader !== undefined;
@@ -121,11 +113,15 @@
     get isReader() {
       return isReader();
     },
-    list: async <Spec>(kind: string): Promise<StoreResult<StoreListing<Spec>>> => {
-      const from = toList.delete(kind) ? readerToAsk() : undefined;
+    list: async <Spec>(
+      kind: string,
+      reading: Reading,
+    ): Promise<StoreResult<StoreListing<Spec>>> => {
+      const mayAsk = toList.delete(kind) || reading === Reading.Lately;
+      const from = mayAsk ? readerToAsk() : undefined;
       const answer = from && (await askReader(from, { kind, revision: undefined, waitMs: 0 }));
       if (!answer?.ok) {
-        return listStore<Spec>(kind);
+        return listStore<Spec>(kind, reading);
       }
       const { events, revision } = answer.value;
       const items = events.map(({ object }) => object as StoredObject<Spec>);
@@ -139,7 +135,8 @@
     ): Promise<StoreResult<StoreChanges<Spec>>> => {
       const from = readerToAsk();
       if (!from) {
-        return watchAlone<Spec>(kind, revision, waitMs);
+        noteReader(undefined, zonePart().role);
+        return watchStore<Spec>(kind, revision, waitMs);
       }
       const answer = await askReader(from, { kind, revision, waitMs: Math.min(waitMs, paceMs) });
       if (!answer) {
@@ -155,6 +152,8 @@
     create: (kind, name, spec) => store.create(kind, name, spec),
     replace: (kind, object) => store.replace(kind, object),
     remove: (kind, name, revision) => store.remove(kind, name, revision),
+    probe: (kind, name) => store.probe(kind, name),
+    abandonWatches: () => store.abandonWatches(),
     close: () => store.close(),
   };
 }
--- a/src/relay/storeCache.ts
+++ b/src/relay/storeCache.ts
@@ -27,8 +27,6 @@
 /** What is needed of the node. */
 export interface StoreCacheContext {
   readonly clock: Clock;
-  /** The kind whose answers show that the store is within reach: it is asked most often. */
-  readonly proofKind: string;
   /** Milliseconds after the store's last answer for which the cache may speak for it. */
   readonly freshMs: number;
 }
@@ -39,10 +37,12 @@
   readonly askedAt: number;
   /** True while the store itself has answered this node lately. */
   readonly isFresh: boolean;
+  /** Steady time in milliseconds at which the store itself last answered. */
+  readonly answeredAt: number;
   noteList(kind: string, listing: StoreListing<unknown>): void;
   noteChanges(kind: string, from: number, changes: StoreChanges<unknown>): void;
-  /** The store itself, not another node, has answered about a kind. */
-  noteAnswered(kind: string): void;
+  /** The store itself, not another node, has answered. */
+  noteAnswered(): void;
   /** Answers another node; `unavailable` as soon as the cache is not fresh. */
   read(question: StoreQuestion): Promise<StoreResult<StoreChanges<unknown>>>;
 }
@@ -63,7 +63,7 @@
   readonly waiting: Set<() => void>;
 }
 
-export function createStoreCache({ clock, proofKind, freshMs }: StoreCacheContext): StoreCache {
+export function createStoreCache({ clock, freshMs }: StoreCacheContext): StoreCache {
   const kinds = new Map<string, CachedKind>();
   let answeredAt = Number.NEGATIVE_INFINITY;
   let askedAt = Number.NEGATIVE_INFINITY;
@@ -89,6 +89,9 @@
     get askedAt() {
       return askedAt;
     },
+    get answeredAt() {
+      return answeredAt;
+    },
     get isFresh() {
       return freshLeftMs() > 0;
     },
@@ -117,10 +120,8 @@
         wake(known);
       }
     },
-    noteAnswered: (kind) => {
-      if (kind === proofKind) {
-        answeredAt = clock.now();
-      }
+    noteAnswered: () => {
+      answeredAt = clock.now();
     },
     read: async (question) => {
       askedAt = clock.now();
--- a/src/relay/zoneReaders.ts
+++ b/src/relay/zoneReaders.ts
@@ -5,11 +5,8 @@
  */
 import { rankNames } from '../model/rendezvous.js';
 
-/**
- * Smallest zone in which reading for others pays. A reader asks every second or so, to show that it
- * reaches the store; a node for itself asks some 0.23 times a second while nothing changes.
- */
-const SMALLEST_ZONE = 5;
+/** Smallest zone in which a node reads for others. */
+const SMALLEST_ZONE = 2;
 
 /** Nodes for each reader: a change goes to so many over the reader's own link, one after the other. */
 const NODES_PER_READER = 16;
@@ -26,7 +23,7 @@
 
 /** A node's part in its zone. */
 export enum ZoneRole {
-  /** The zone is too small: every node reads for itself. */
+  /** The only node of its zone. */
   Alone = 'alone',
   Reader = 'reader',
   Follower = 'follower',
--- a/src/relay/zoneRelay.ts
+++ b/src/relay/zoneRelay.ts
@@ -1,6 +1,7 @@
 /** One node's part in reading the store for its zone, put together. */
 import type { Clock } from '../model/clock.js';
 import type { ObjectStore } from '../source/object-store.js';
+import { startReachProof } from './reachProof.js';
 import { createRelayedStore, type RelayedStore } from './relayedStore.js';
 import { createStoreCache, type StoreQuestion } from './storeCache.js';
 import { packStoreResult, unpackStoreResult } from './storeResultCodec.js';
@@ -8,14 +9,16 @@
 
 /**
  * Parts of the time within which a version must be in force. A follower finds out that its reader
- * is cut off after the reader's settling, its pace and the margin at the latest (0.6), that it is
- * frozen after the pace and the patience (0.5); the rest is for its own call to the store.
+ * is cut off after the pace and the margin at the latest (0.5), that it is frozen after the pace and
+ * the patience (0.5); the rest is for its own call to the store.
  */
-const READER_SETTLE_SHARE = 0.15;
 const PACE_SHARE = 0.3;
-const MARGIN_SHARE = 0.15;
+const MARGIN_SHARE = 0.2;
 const PATIENCE_SHARE = 0.2;
 
+/** Pause of a reader after a change: short, since its followers wait for it. */
+const READER_SETTLE_SHARE = 0.15;
+
 /** Pause of a node that reads only for itself: longer, since each of its calls serves one node. */
 const ALONE_SETTLE_SHARE = 0.35;
 
@@ -24,8 +27,8 @@
   readonly clock: Clock;
   /** The store itself. */
   readonly store: ObjectStore;
-  /** Kind of the configuration: its watch shows that the store is within reach. */
-  readonly configurationKind: string;
+  /** A small object of the store, which need not exist. */
+  readonly probed: { readonly kind: string; readonly name: string };
   /** Milliseconds from a version's acknowledgement until it must be in force. */
   readonly applyMs: number;
   readonly zonePart: () => ZonePart;
@@ -45,20 +48,19 @@
   settleMs(): number;
   /** Answers a node that reads by way of this one. */
   answer(question: StoreQuestion): Promise<Buffer>;
+  stop(): void;
 }
 
 export function createZoneRelay(context: ZoneRelayContext): ZoneRelay {
-  const { clock, applyMs, configurationKind } = context;
+  const { clock, applyMs, probed } = context;
   const cache = createStoreCache({
     clock,
-    proofKind: configurationKind,
-    freshMs: applyMs * (READER_SETTLE_SHARE + PACE_SHARE + MARGIN_SHARE),
+    freshMs: applyMs * (PACE_SHARE + MARGIN_SHARE),
   });
   const store = createRelayedStore({
     clock,
     store: context.store,
     cache,
-    proofKind: configurationKind,
     paceMs: applyMs * PACE_SHARE,
     patienceMs: applyMs * PATIENCE_SHARE,
     zonePart: context.zonePart,
@@ -68,6 +70,14 @@
     },
     onReader: context.onReader,
   });
+  const proof = startReachProof({
+    clock,
+    store: context.store,
+    cache,
+    object: probed,
+    paceMs: applyMs * PACE_SHARE,
+    isWanted: () => store.isReader,
+  });
   // Followers that wait for the same change get the same bytes: packing is the dear part.
   const packed = createPackedAnswers();
   return {
@@ -87,6 +97,7 @@
           )
         : packStoreResult(result);
     },
+    stop: () => proof.stop(),
   };
 }
 
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -1,7 +1,7 @@
 /** A node beside one back end: ingress, owner, directory, configuration and lifecycle together. */
 import type { DecisionLog } from '../diagnostics/decision-log.js';
 import type { SidecarMetrics } from '../diagnostics/sidecar-metrics.js';
-import { DirectorySync } from '../directory/directory-sync.js';
+import { DirectorySync, NODE_KIND } from '../directory/directory-sync.js';
 import { OwnerDirectory } from '../directory/owner-directory.js';
 import { OwnerEntry, type OwnerRecord } from '../directory/owner-entry.js';
 import { createSpillAllowance } from '../directory/spillAllowance.js';
@@ -32,6 +32,12 @@
 const DIRECTORY_WAIT_MS = 15_000;
 const DIRECTORY_SETTLE_MS = 500;
 
+/** The configuration is read this long after the directory at the latest, in milliseconds. */
+const DIRECTORY_HEAD_START_MS = 300;
+
+/** Pause between two looks whether the directory is there, in milliseconds. */
+const HEAD_START_TICK_MS = 10;
+
 /** A configuration is asked of another node for at the most this long, in milliseconds. */
 const PEER_CONFIGURATION_TIMEOUT_MS = 1_000;
 
@@ -91,7 +97,7 @@
     this.relay = createZoneRelay({
       clock,
       store,
-      configurationKind: outside.configurationKind,
+      probed: { kind: NODE_KIND, name: settings.node },
       applyMs: settings.configurationApplyMs,
       zonePart: () => this.zonePart(),
       readPeer: (address, question, timeoutMs) => this.reads.read(address, question, timeoutMs),
@@ -207,7 +213,7 @@
     };
     this.directory.put(this.record());
     this.sync.start();
-    this.configuration.start();
+    this.startConfiguration();
     this.owner.start();
     this.log.event('started', {
       zone: this.settings.zone,
@@ -249,11 +255,24 @@
       entry.close();
     }
     this.reads.close();
+    this.relay.stop();
     this.configuration.stop();
     void this.sync.stop(false);
     this.outside.store.close();
   }
 
+  /** A node that knows its zone can ask its reader: the directory's first list goes first. */
+  private startConfiguration(): void {
+    const startedAt = this.clock.now();
+    const timer = setInterval(() => {
+      const waitedMs = this.clock.now() - startedAt;
+      if (this.sync.isListed || waitedMs >= DIRECTORY_HEAD_START_MS || this.stopping) {
+        clearInterval(timer);
+        this.configuration.start();
+      }
+    }, HEAD_START_TICK_MS);
+  }
+
   /** This node's part in reading the store for its zone. */
   private zonePart(): ZonePart {
     const isAway = ({ absence }: OwnerEntry) => absence === 'silent' || absence === 'stopping';
--- a/src/source/collection-watcher.ts
+++ b/src/source/collection-watcher.ts
@@ -3,7 +3,7 @@
  * new list; failures lead to jittered back-off, so that a herd of nodes does not
  * storm the store.
  */
-import type { ObjectStore, StoredObject, StoreFailure } from './object-store.js';
+import { type ObjectStore, Reading, type StoredObject, type StoreFailure } from './object-store.js';
 
 /** Receives what a watcher learns, in order. */
 export interface CollectionHandler<Spec> {
@@ -82,7 +82,9 @@
   }
 
   private async list(): Promise<StoreFailure | undefined> {
-    const result = await this.store.list<Spec>(this.kind);
+    // The first list may lag: the watch from its revision brings what came since.
+    const reading = this.newest === 0 ? Reading.Lately : Reading.Now;
+    const result = await this.store.list<Spec>(this.kind, reading);
     if (this.stopped) {
       return undefined;
     }
--- a/src/source/object-store.ts
+++ b/src/source/object-store.ts
@@ -45,9 +45,17 @@
   | { readonly ok: true; readonly value: Value }
   | { readonly ok: false; readonly failure: StoreFailure; readonly detail: string };
 
+/** How old an answer may be. */
+export enum Reading {
+  /** As of now. */
+  Now = 'now',
+  /** It may be some seconds old, which costs the store little: a watch from there brings the rest. */
+  Lately = 'lately',
+}
+
 /** Calls never reject. */
 export interface ObjectStore {
-  list<Spec>(kind: string): Promise<StoreResult<StoreListing<Spec>>>;
+  list<Spec>(kind: string, reading: Reading): Promise<StoreResult<StoreListing<Spec>>>;
   /** Waits up to `waitMs` for changes after a revision. */
   watch<Spec>(
     kind: string,
@@ -59,5 +67,9 @@
   replace<Spec>(kind: string, object: StoredObject<Spec>): Promise<StoreResult<StoredObject<Spec>>>;
   /** Deletes an object if its revision is still the given one. */
   remove(kind: string, name: string, revision: number): Promise<StoreResult<undefined>>;
+  /** The cheapest call that shows whether the store is within reach; the object need not exist. */
+  probe(kind: string, name: string): Promise<StoreResult<undefined>>;
+  /** Ends the watches that wait: the store was found out of reach, and may have forgotten them. */
+  abandonWatches(): void;
   close(): void;
 }
--- a/src/source/observed-store.ts
+++ b/src/source/observed-store.ts
@@ -1,10 +1,11 @@
 /** An object store whose calls are counted by operation and result. */
-import type {
-  ObjectStore,
-  StoreChanges,
-  StoredObject,
-  StoreListing,
-  StoreResult,
+import {
+  type ObjectStore,
+  Reading,
+  type StoreChanges,
+  type StoredObject,
+  type StoreListing,
+  type StoreResult,
 } from './object-store.js';
 
 /** Hears of every call. */
@@ -18,8 +19,9 @@
     private readonly observer: StoreObserver,
   ) {}
 
-  list<Spec>(kind: string): Promise<StoreResult<StoreListing<Spec>>> {
-    return this.observe('list', this.store.list<Spec>(kind));
+  list<Spec>(kind: string, reading: Reading): Promise<StoreResult<StoreListing<Spec>>> {
+    const operation = reading === Reading.Lately ? 'list-lately' : 'list';
+    return this.observe(operation, this.store.list<Spec>(kind, reading));
   }
 
   watch<Spec>(
@@ -45,6 +47,14 @@
     return this.observe('remove', this.store.remove(kind, name, revision));
   }
 
+  probe(kind: string, name: string): Promise<StoreResult<undefined>> {
+    return this.observe('probe', this.store.probe(kind, name));
+  }
+
+  abandonWatches(): void {
+    this.store.abandonWatches();
+  }
+
   close(): void {
     this.store.close();
   }
--- a/src/source/source.test.ts
+++ b/src/source/source.test.ts
@@ -72,6 +72,12 @@
     throw new Error('not used');
   }
 
+  probe(): Promise<never> {
+    throw new Error('not used');
+  }
+
+  abandonWatches(): void {}
+
   close(): void {}
 
   private next<Spec>(shape: 'items' | 'events'): Promise<StoreResult<never>> {
--- a/test/zone-relay.test.ts
+++ b/test/zone-relay.test.ts
@@ -73,6 +73,7 @@
     const others = mesh.machines.filter((machine) => machine !== reader);
     reader.view.watch = () => new Promise(() => {});
     reader.view.list = () => new Promise(() => {});
+    reader.view.probe = () => new Promise(() => {});
     // The call that was waiting when the way was cut ends with the way.
     mesh.store.wake();
     expect(await inForceMs(configure(), others)).toBeLessThan(APPLY_MS);
@@ -88,6 +89,9 @@
 
   it('comes through a loss of history with one list', async () => {
     const reader = theReader();
+    // Watches from the start, when no node knew its zone, end with this one.
+    mesh.store.compact();
+    expect(await inForceMs(configure(), mesh.machines)).toBeLessThan(APPLY_MS);
     const before = mesh.machines.map((machine) => machine.view.calls);
     mesh.store.compact();
     expect(await inForceMs(configure(), mesh.machines)).toBeLessThan(APPLY_MS);
