--- a/lab/costExperiment.ts
+++ b/lab/costExperiment.ts
@@ -63,7 +63,7 @@
     applications: [application, idle],
     zones: ['zone-a'],
     folder,
-    configuration: configuration(),
+    store: configuration(),
     nodeFlags: plan.nodeFlags,
   });
   await pause(MILLISECONDS_PER_SECOND);
--- a/lab/process-handle.ts
+++ b/lab/process-handle.ts
@@ -1,7 +1,9 @@
 /** One process that the lab has started: its ready line, its events, its end. */
 import { type ChildProcess, spawn } from 'node:child_process';
 import { fileURLToPath } from 'node:url';
-import type { NodeEvent } from '../src/node/event-log.js';
+
+/** A JSON line that a process has printed. */
+export type NodeEvent = Readonly<Record<string, unknown>> & { readonly event: string };
 
 const START_LIMIT_MS = 20_000;
 
--- a/lab/sidecarProcesses.ts
+++ b/lab/sidecarProcesses.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path';
 import type { ApplicationStandIn } from './application-stand-in.js';
 import { ProcessHandle } from './process-handle.js';
-import type { SidecarPlan } from './sidecarMain.js';
+import type { SidecarPlan, StoreContents } from './sidecarMain.js';
 
 /** Milliseconds from SIGTERM to the end of a sidecar. */
 const GRACE_MS = 4_000;
@@ -34,8 +34,11 @@
   readonly zones: readonly string[];
   /** A folder for the settings of the processes. */
   readonly folder: string;
-  readonly configuration: SidecarPlan['configuration'];
+  /** The way of each sidecar to a store, or what is in the copy that each of them gets. */
+  readonly store: ((index: number) => string) | StoreContents['configuration'];
   readonly nodeFlags: readonly string[];
+  /** Settings beside the addresses. */
+  readonly settings?: Readonly<Record<string, unknown>>;
 }
 
 /** Starts the sidecars and tells each of its back end. */
@@ -60,9 +63,14 @@
         backEndAddress: application.address,
         listen,
         graceMs: GRACE_MS,
+        ...plan.settings,
       };
-      const { configuration } = plan;
-      writeFileSync(file, JSON.stringify({ settings, records, configuration }));
+      const { store } = plan;
+      const told: SidecarPlan = {
+        settings,
+        store: typeof store === 'function' ? store(index) : { records, configuration: store },
+      };
+      writeFileSync(file, JSON.stringify(told));
       const start = () =>
         ProcessHandle.start(record.node, 'lab/sidecarMain.js', [file], plan.nodeFlags);
       const sidecar: Sidecar = {
--- a/lab/sidecarSoak.ts
+++ b/lab/sidecarSoak.ts
@@ -87,7 +87,7 @@
     applications,
     zones: ZONES,
     folder,
-    configuration,
+    store: configuration,
     nodeFlags: [],
   });
   const heartbeats = setInterval(() => beatAll(sidecars), HEARTBEAT_MS);
--- /dev/null
+++ b/lab/storeServer.ts
@@ -0,0 +1,147 @@
+/**
+ * The store stand-in over HTTP, in the words of the users' platform, for real processes. Each node
+ * gets a way of its own, so that troubles can strike one node's calls and spare the others'.
+ */
+import http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { Reading, type StoreFailure, type StoreResult } from '../src/source/object-store.js';
+import { type MemoryStore, StoreView } from './memory-store.js';
+
+const STATUS_OF: Readonly<Partial<Record<StoreFailure, number>>> = {
+  conflict: 409,
+  'not-found': 404,
+  'history-gone': 410,
+  throttled: 429,
+  unavailable: 503,
+  rejected: 422,
+};
+
+/** One node's way to the store. */
+export interface StoreWay {
+  readonly address: string;
+  /** Its faults. */
+  readonly view: StoreView;
+  /** Milliseconds by which every answer is late. */
+  delayMs: number;
+  /** While true, calls are taken and not answered. */
+  isSilent: boolean;
+  close(): void;
+}
+
+/** Opens a way to the store on a port of its own. */
+export async function openStoreWay(store: MemoryStore): Promise<StoreWay> {
+  const view = new StoreView(store);
+  const server = http.createServer((request, response) => {
+    answer(request, view)
+      .catch(() => undefined)
+      .then(async (result) => {
+        await new Promise((resolve) => setTimeout(resolve, way.delayMs));
+        if (way.isSilent) {
+          return;
+        }
+        if (!result) {
+          request.socket.destroy();
+          return;
+        }
+        response.writeHead(result.status, { 'content-type': 'application/json' });
+        response.end(JSON.stringify(result.body));
+      });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const way: StoreWay = {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    view,
+    delayMs: 0,
+    isSilent: false,
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+  return way;
+}
+
+interface Answer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Undefined when nothing is to be said of what became of the call. */
+async function answer(request: http.IncomingMessage, view: StoreView): Promise<Answer | undefined> {
+  const url = new URL(request.url ?? '/', 'http://store');
+  const [kind = '', name] = url.pathname
+    .replace('/v1/objects/', '')
+    .split('/')
+    .map(decodeURIComponent);
+  const body = await bodyOf(request);
+  switch (request.method) {
+    case 'GET':
+      return read(view, kind, name, url.searchParams);
+    case 'POST':
+      return told(await view.create(kind, body.metadata.name, body.spec), wireObject);
+    case 'PUT': {
+      const { revision } = body.metadata;
+      const object = { name: name ?? '', revision, spec: body.spec };
+      return told(await view.replace(kind, object), wireObject);
+    }
+    case 'DELETE': {
+      const revision = Number(url.searchParams.get('revision'));
+      return told(await view.remove(kind, name ?? '', revision), () => ({}));
+    }
+    default:
+      return { status: 405, body: {} };
+  }
+}
+
+async function read(
+  view: StoreView,
+  kind: string,
+  name: string | undefined,
+  query: URLSearchParams,
+): Promise<Answer | undefined> {
+  if (name !== undefined) {
+    return told(await view.probe(), () => ({ metadata: { name, revision: 0 } }));
+  }
+  if (query.has('watch')) {
+    const waitMs = Number(query.get('wait-ms'));
+    return told(await view.watch(kind, Number(query.get('watch')), waitMs), (changes) => ({
+      events: changes.events.map(({ object, gone }) => ({ object: wireObject(object), gone })),
+      at: changes.revision,
+    }));
+  }
+  const reading = query.has('stale') ? Reading.Lately : Reading.Now;
+  return told(await view.list(kind, reading), ({ items, revision }) => ({
+    items: items.map(wireObject),
+    more: false,
+    at: revision,
+  }));
+}
+
+function told<Value>(
+  result: StoreResult<Value>,
+  render: (value: Value) => unknown,
+): Answer | undefined {
+  if (result.ok) {
+    return { status: 200, body: render(result.value) };
+  }
+  const status = STATUS_OF[result.failure];
+  return status === undefined ? undefined : { status, body: {} };
+}
+
+function wireObject({ name, revision, spec }: { name: string; revision: number; spec: unknown }) {
+  return { metadata: { name, revision }, spec };
+}
+
+interface WireBody {
+  readonly metadata: { readonly name: string; readonly revision: number };
+  readonly spec: unknown;
+}
+
+async function bodyOf(request: http.IncomingMessage): Promise<WireBody> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) {
+    chunks.push(chunk as Buffer);
+  }
+  const text = Buffer.concat(chunks).toString();
+  return (text === '' ? { metadata: {} } : JSON.parse(text)) as WireBody;
+}
--- /dev/null
+++ b/src/cli/fleetStatus.ts
@@ -0,0 +1,78 @@
+/** Which version every node has in force, as the nodes themselves say. */
+import PQueue from 'p-queue';
+import { NODE_KIND } from '../directory/directory-sync.js';
+import type { OwnerRecord } from '../directory/owner-entry.js';
+import { PeerCaller } from '../peer/peerCaller.js';
+import type { PeerReport } from '../peer/peerMessages.js';
+import { type ObjectStore, Reading, type StoreFailure } from '../source/object-store.js';
+
+/** Nodes that are asked at the same time. */
+const CONCURRENCY = 32;
+
+/** A node that takes longer to answer, in milliseconds, is out of reach. */
+const ANSWER_TIMEOUT_MS = 1_000;
+
+/** An operator's program is no node: it has no back end and holds no version. */
+const NO_REPORT: PeerReport = {
+  service: undefined,
+  ready: false,
+  inFlight: 0,
+  queued: 0,
+  slots: 0,
+  meanServiceMs: undefined,
+  failureShare: 0,
+  version: 0,
+};
+const NO_ADDRESS = '0.0.0.0:0';
+
+/** One node, as it is known. */
+export interface NodeStatus {
+  readonly node: string;
+  readonly zone: string;
+  readonly service: string;
+  /** Version in force; undefined if the node is out of reach. */
+  readonly version: number | undefined;
+  /** True while its back end takes work. */
+  readonly ready: boolean;
+}
+
+export type FleetResult =
+  | { readonly kind: 'known'; readonly nodes: readonly NodeStatus[] }
+  | { readonly kind: 'unavailable'; readonly failure: StoreFailure };
+
+/** The records of all nodes in the store. */
+export async function readRecords(
+  store: ObjectStore,
+): Promise<{ records: OwnerRecord[] } | { failure: StoreFailure }> {
+  const listed = await store.list<OwnerRecord>(NODE_KIND, Reading.Now);
+  return listed.ok
+    ? { records: listed.value.items.map(({ name, spec }) => ({ ...spec, node: name })) }
+    : { failure: listed.failure };
+}
+
+/** Asks every node that the store names. */
+export async function readFleet(store: ObjectStore): Promise<FleetResult> {
+  const found = await readRecords(store);
+  if ('failure' in found) {
+    return { kind: 'unavailable', failure: found.failure };
+  }
+  const caller = new PeerCaller(
+    () => ({ address: NO_ADDRESS, version: 0 }),
+    () => NO_REPORT,
+  );
+  const queue = new PQueue({ concurrency: CONCURRENCY });
+  const nodes = await queue.addAll(
+    found.records.map(({ node, address, zone, service }) => async (): Promise<NodeStatus> => {
+      const report = await caller.status(address, ANSWER_TIMEOUT_MS);
+      return { node, zone, service, version: report?.version, ready: report?.ready ?? false };
+    }),
+  );
+  const byZone = (left: NodeStatus, right: NodeStatus) =>
+    left.zone.localeCompare(right.zone) || left.node.localeCompare(right.node);
+  return { kind: 'known', nodes: [...nodes].sort(byZone) };
+}
+
+/** Nodes that do not have a version in force, or a newer one. */
+export function laggards(nodes: readonly NodeStatus[], version: number): NodeStatus[] {
+  return nodes.filter((node) => node.version === undefined || node.version < version);
+}
--- a/src/cli/output.ts
+++ b/src/cli/output.ts
@@ -1,34 +1,37 @@
-/** What commands print: tables and findings for people, JSON for programs. */
-import { type Finding, formatFinding } from '../model/finding.js';
+/** What commands print: sentences and tables for people, JSON for programs. */
 
-/** Prints a value as JSON on one line. */
-export function printJson(value: unknown): void {
-  process.stdout.write(`${JSON.stringify(value)}\n`);
+/** Where a command's result goes. */
+export interface Output {
+  /** On standard output; `render` is called for people only. */
+  result(value: unknown, render: () => string): void;
+  /** On standard error for people, on standard output as JSON. */
+  failure(value: unknown, text: string): void;
 }
 
-/** Prints one line. */
-export function printLine(text: string): void {
-  process.stdout.write(`${text}\n`);
-}
+/** Writes a text somewhere. */
+export type Write = (text: string) => void;
 
-/** Prints findings on standard error, one a line. */
-export function printFindings(findings: readonly Finding[]): void {
-  for (const finding of findings) {
-    process.stderr.write(`${formatFinding(finding)}\n`);
-  }
+export function createOutput(isJson: boolean, write: Write, writeError: Write): Output {
+  const json = (value: unknown) => write(`${JSON.stringify(value)}\n`);
+  return {
+    result: (value, render) => (isJson ? json(value) : write(`${render()}\n`)),
+    failure: (value, text) => (isJson ? json(value) : writeError(`${text}\n`)),
+  };
 }
 
-/** Prints rows in aligned columns below a heading. */
-export function printTable(
+/** Rows in aligned columns below a heading. */
+export function tableOf(
   heading: readonly string[],
   rows: readonly (readonly (string | number)[])[],
-): void {
+): string {
   const texts = [heading, ...rows].map((row) => row.map(String));
   const widths = heading.map((_, column) =>
     Math.max(...texts.map((row) => row[column]?.length ?? 0)),
   );
-  for (const row of texts) {
-    const cells = row.map((cell, column) => cell.padEnd(widths[column] ?? 0));
-    printLine(cells.join('  ').trimEnd());
-  }
+  return texts
+    .map((row) => {
+      const cells = row.map((cell, column) => cell.padEnd(widths[column] ?? 0));
+      return cells.join('  ').trimEnd();
+    })
+    .join('\n');
 }
--- /dev/null
+++ b/src/cli/runCli.ts
@@ -0,0 +1,161 @@
+/** The command line of the operators: words to commands, nothing else. */
+import yargs, { type Argv } from 'yargs';
+import {
+  apply,
+  type CommandContext,
+  diff,
+  explainRequest,
+  get,
+  putSecret,
+  status,
+  validate,
+  waitInForce,
+} from './commands.js';
+import { ExitCode } from './exitCode.js';
+import type { OperatorOutside } from './operatorOutside.js';
+import { createOutput, type Write } from './output.js';
+
+const DEFAULT_WAIT_SECONDS = 30;
+
+/** Where the program meets the world. */
+export interface CliContext {
+  readonly outside: OperatorOutside;
+  readonly write: Write;
+  readonly writeError: Write;
+  /** Address of the store if the command names none. */
+  readonly defaultStore: string | undefined;
+}
+
+/** Runs one command and resolves with its exit code. */
+export async function runCli(words: readonly string[], context: CliContext): Promise<ExitCode> {
+  let code = ExitCode.Usage;
+  const run = async (
+    options: { readonly store: string; readonly json: boolean },
+    command: (context: CommandContext) => Promise<ExitCode>,
+  ) => {
+    const store = context.outside.connect(options.store);
+    const output = createOutput(options.json, context.write, context.writeError);
+    code = await command({ outside: context.outside, store, output }).finally(() => store.close());
+  };
+  const parser = yargs([...words])
+    .scriptName('spindlepaddle')
+    .version(false)
+    .strict()
+    .exitProcess(false)
+    .demandCommand(1, 'Name a command.')
+    .option('json', { type: 'boolean', default: false, describe: 'Print JSON' })
+    .fail((message, error, self) => {
+      context.writeError(`${message ?? error?.message ?? 'failed'}\n`);
+      if (message) {
+        self.showHelp((text) => context.writeError(`${text}\n`));
+      }
+      throw error ?? new Error(message);
+    })
+    .command(
+      'validate <file>',
+      'Check a file as a whole configuration; needs no store',
+      (options) => options.positional('file', { type: 'string', demandOption: true }),
+      ({ file, json }) => {
+        code = validate(file, createOutput(json, context.write, context.writeError));
+      },
+    )
+    .command(
+      'apply <file>',
+      'Put a file in the place of the whole configuration',
+      (options) =>
+        withStore(options, context.defaultStore)
+          .positional('file', { type: 'string', demandOption: true })
+          .option('expect', { type: 'number', describe: 'Version that the file was made from' })
+          .option('wait', {
+            type: 'boolean',
+            default: false,
+            describe: 'Until in force everywhere',
+          })
+          .option('timeout', { type: 'number', default: DEFAULT_WAIT_SECONDS }),
+      ({ file, expect, wait, timeout, ...rest }) =>
+        run(rest, (command) =>
+          apply(command, { file, expected: expect, waitSeconds: wait ? timeout : undefined }),
+        ),
+    )
+    .command(
+      'get',
+      'Print the configuration that the store holds',
+      (options) => withStore(options, context.defaultStore),
+      (options) => run(options, get),
+    )
+    .command(
+      'diff <file>',
+      'Print what a file would change',
+      (options) =>
+        withStore(options, context.defaultStore).positional('file', {
+          type: 'string',
+          demandOption: true,
+        }),
+      ({ file, ...rest }) => run(rest, (command) => diff(command, file)),
+    )
+    .command(
+      'status',
+      'Print the version that each node has in force, and who is behind',
+      (options) => withStore(options, context.defaultStore),
+      (options) => run(options, status),
+    )
+    .command(
+      'wait <number>',
+      'Wait until a version is in force on every node',
+      (options) =>
+        withStore(options, context.defaultStore)
+          .positional('number', { type: 'number', demandOption: true })
+          .option('timeout', { type: 'number', default: DEFAULT_WAIT_SECONDS }),
+      ({ number, timeout, ...rest }) =>
+        run(rest, (command) => waitInForce(command, number, timeout)),
+    )
+    .command(
+      'explain <host> <path>',
+      'Print the route of a request and the owners that may serve it',
+      (options) =>
+        withStore(options, context.defaultStore)
+          .positional('host', { type: 'string', demandOption: true })
+          .positional('path', { type: 'string', demandOption: true })
+          .option('method', { type: 'string', default: 'GET' })
+          .option('zone', { type: 'string', default: '', describe: 'Where the request begins' })
+          .option('header', { type: 'string', array: true, default: [] as string[] }),
+      ({ host, path, method, zone, header, ...rest }) =>
+        run(rest, (command) =>
+          explainRequest(command, { host, path, method, zone, headers: headersOf(header) }),
+        ),
+    )
+    .command(
+      'secret <name> <file>',
+      'Write the value of a secret and print its digest',
+      (options) =>
+        withStore(options, context.defaultStore)
+          .positional('name', { type: 'string', demandOption: true })
+          .positional('file', { type: 'string', demandOption: true }),
+      ({ name, file, ...rest }) => run(rest, (command) => putSecret(command, name, file)),
+    );
+  try {
+    await parser.parseAsync();
+  } catch {
+    // Said by `fail`.
+    return ExitCode.Usage;
+  }
+  return code;
+}
+
+function withStore<Options>(options: Argv<Options>, defaultStore: string | undefined) {
+  return options.option('store', {
+    type: 'string',
+    demandOption: defaultStore === undefined,
+    default: defaultStore as string,
+    describe: 'IP:PORT of the object store (SPINDLEPADDLE_STORE)',
+  });
+}
+
+function headersOf(texts: readonly string[]): Record<string, string> {
+  return Object.fromEntries(
+    texts.map((text) => {
+      const [name = '', ...value] = text.split(':');
+      return [name.trim().toLowerCase(), value.join(':').trim()];
+    }),
+  );
+}
--- /dev/null
+++ b/src/cli/storedConfiguration.ts
@@ -0,0 +1,102 @@
+/** The one whole configuration in the store, as an operator reads and replaces it. */
+import { setTimeout as delay } from 'node:timers/promises';
+import { isDeepStrictEqual } from 'node:util';
+import { checkMeshConfiguration, type MeshConfiguration } from '../routing/mesh-configuration.js';
+import {
+  type ObjectStore,
+  Reading,
+  type StoredObject,
+  type StoreFailure,
+} from '../source/object-store.js';
+import type { OperatorOutside } from './operatorOutside.js';
+
+/** Attempts to learn what became of a write whose answer was lost, and the pause between them. */
+const MAX_WRITES = 6;
+const WRITE_RETRY_MS = 400;
+
+/** What is in the store. */
+export interface Stored {
+  readonly object: StoredObject<unknown>;
+  readonly version: number;
+  /** Undefined if it does not pass this program's checks. */
+  readonly configuration: MeshConfiguration | undefined;
+}
+
+export type ReadResult =
+  | { readonly kind: 'read'; readonly stored: Stored | undefined }
+  | { readonly kind: 'unavailable'; readonly failure: StoreFailure };
+
+/** What became of a change. */
+export type WriteResult =
+  | { readonly kind: 'accepted'; readonly version: number }
+  | { readonly kind: 'conflict'; readonly version: number | undefined }
+  | { readonly kind: 'rejected' | 'unavailable' | 'unknown'; readonly failure: StoreFailure };
+
+/** Reads the configuration that the store holds now. */
+export async function readStored(
+  store: ObjectStore,
+  outside: OperatorOutside,
+): Promise<ReadResult> {
+  const listed = await store.list<unknown>(outside.configurationKind, Reading.Now);
+  if (!listed.ok) {
+    return { kind: 'unavailable', failure: listed.failure };
+  }
+  const object = listed.value.items.find(({ name }) => name === outside.configurationName);
+  const decoded = object && outside.decodeConfiguration(object.spec);
+  if (!object || !decoded) {
+    return { kind: 'read', stored: undefined };
+  }
+  const configuration = checkMeshConfiguration(decoded.candidate).toMaybe().extract();
+  return { kind: 'read', stored: { object, version: decoded.version, configuration } };
+}
+
+/**
+ * Puts a configuration in the place of `base`, under the next version. The write is conditional on
+ * what was read, so it may be repeated until it is known what became of it: a second one that meets
+ * the first finds exactly its own content there.
+ */
+export async function replaceStored(
+  store: ObjectStore,
+  outside: OperatorOutside,
+  base: Stored | undefined,
+  configuration: MeshConfiguration,
+): Promise<WriteResult> {
+  const version = (base?.version ?? 0) + 1;
+  const spec = outside.encodeConfiguration({ ...configuration, version });
+  const { configurationKind: kind, configurationName: name } = outside;
+  for (let attempt = 1; ; attempt += 1) {
+    const result = base
+      ? await store.replace(kind, { name, revision: base.object.revision, spec })
+      : await store.create(kind, name, spec);
+    if (result.ok) {
+      return { kind: 'accepted', version };
+    }
+    if (result.failure === 'conflict' || result.failure === 'not-found') {
+      return whoWon(store, outside, spec, version);
+    }
+    if (result.failure !== 'unknown') {
+      const isRefused = result.failure === 'rejected';
+      return { kind: isRefused ? 'rejected' : 'unavailable', failure: result.failure };
+    }
+    if (attempt >= MAX_WRITES) {
+      return { kind: 'unknown', failure: result.failure };
+    }
+    await delay(WRITE_RETRY_MS);
+  }
+}
+
+async function whoWon(
+  store: ObjectStore,
+  outside: OperatorOutside,
+  spec: unknown,
+  version: number,
+): Promise<WriteResult> {
+  const now = await readStored(store, outside);
+  if (now.kind === 'unavailable') {
+    return { kind: 'unknown', failure: now.failure };
+  }
+  const isOurs = isDeepStrictEqual(now.stored?.object.spec, JSON.parse(JSON.stringify(spec)));
+  return isOurs
+    ? { kind: 'accepted', version }
+    : { kind: 'conflict', version: now.stored?.version };
+}
--- a/src/directory/owner-directory.ts
+++ b/src/directory/owner-directory.ts
@@ -1,4 +1,5 @@
 /** The owners that this node knows, by service, and the choice among them. */
+import { isDeepStrictEqual } from 'node:util';
 import type { OwnerEntry, OwnerRecord } from './owner-entry.js';
 
 /** An owner's score varies by this share, so that nodes do not all choose the same one. */
@@ -23,6 +24,8 @@
   readonly priority: number;
   /** True if an owner of the own zone is better than one elsewhere whose back end fails less. */
   readonly prefersZone: boolean;
+  /** What placement policies say of an owner; left out where there are none. */
+  readonly mayServe?: ((record: OwnerRecord) => boolean) | undefined;
 }
 
 /** Creates the entry of an owner. */
@@ -99,6 +102,9 @@
       if (tried.has(entry) || !entry.available(wish.priority, now)) {
         continue;
       }
+      if (wish.mayServe && !wish.mayServe(entry.record)) {
+        continue;
+      }
       const group = this.groupOf(entry, wish, now);
       if (group > bestGroup) {
         continue;
@@ -138,9 +144,14 @@
     return entry.record.zone === this.zone;
   }
 
-  /** True while some owner of a service in this node's zone is up, busy or not. */
-  hasNearOwner(service: string): boolean {
-    return this.ownersOf(service).some((entry) => this.isNear(entry) && !entry.absence);
+  /** True while some owner in this node's zone that may serve is up, busy or not. */
+  hasNearOwner({
+    service,
+    mayServe = () => true,
+  }: Pick<OwnerWish, 'service' | 'mayServe'>): boolean {
+    return this.ownersOf(service).some(
+      (entry) => this.isNear(entry) && !entry.absence && mayServe(entry.record),
+    );
   }
 
   /** Milliseconds until some owner of a service may take a task again. */
@@ -172,7 +183,5 @@
 }
 
 function isSame(left: OwnerRecord, right: OwnerRecord): boolean {
-  return (
-    left.address === right.address && left.zone === right.zone && left.service === right.service
-  );
+  return isDeepStrictEqual({ ...left, node: '' }, { ...right, node: '' });
 }
--- a/src/directory/owner-entry.ts
+++ b/src/directory/owner-entry.ts
@@ -10,6 +10,9 @@
   readonly zone: string;
   /** Service of the back end that runs beside the node. */
   readonly service: string;
+  /** For placement policies, where the settings tell them. */
+  readonly region?: string;
+  readonly labels?: Readonly<Record<string, string>>;
 }
 
 /** Why an owner is not asked. */
--- a/src/ingress/client-answer.ts
+++ b/src/ingress/client-answer.ts
@@ -12,6 +12,8 @@
   | 'busy'
   | 'stopping'
   | 'no-owner'
+  | 'placement-denied'
+  | 'ambiguous-path'
   | 'retry-budget-spent'
   | 'attempts-spent'
   | 'deadline'
@@ -21,7 +23,7 @@
 /** A refusal; 503 promises that the request has not run and never will. */
 export interface ClientRefusal {
   readonly code: RefusalCode;
-  readonly status: 404 | 413 | 431 | 502 | 503 | 504;
+  readonly status: 400 | 404 | 413 | 431 | 502 | 503 | 504;
   /** Milliseconds after which to come back, for 503. */
   readonly retryAfterMs?: number;
 }
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -3,7 +3,7 @@
  * is allowed, and gives up at once when nothing is left to try.
  */
 
-import type { OwnerDirectory } from '../directory/owner-directory.js';
+import type { OwnerDirectory, OwnerWish } from '../directory/owner-directory.js';
 import type { OwnerEntry } from '../directory/owner-entry.js';
 import { LARGE_BODY_BYTES, type SpillAllowance } from '../directory/spillAllowance.js';
 import type { Clock } from '../model/clock.js';
@@ -60,6 +60,7 @@
     private readonly maxAttempts: number,
     /** Size of the request's body; infinite when it is not known. */
     private readonly bodyBytes: number,
+    private readonly mayServe?: OwnerWish['mayServe'],
   ) {}
 
   /** True when no back end can have run the request so far. */
@@ -119,10 +120,11 @@
   private chooseOwner(): OwnerEntry | undefined {
     const { directory, clock } = this.context;
     const { service, priority } = this.task;
-    const wish = { service, priority, prefersZone: this.isLarge };
+    const { mayServe } = this;
+    const wish = { service, priority, prefersZone: this.isLarge, mayServe };
     const entry = directory.choose(wish, this.tried, clock.now());
     const leavesZone = entry !== undefined && !directory.isNear(entry);
-    if (leavesZone && this.isLarge && directory.hasNearOwner(service)) {
+    if (leavesZone && this.isLarge && directory.hasNearOwner(wish)) {
       return this.context.spill.take() ? entry : undefined;
     }
     return entry;
@@ -131,7 +133,9 @@
   /** While its own zone is up, a request takes only slots that are free in another one. */
   private mayWaitAt(entry: OwnerEntry): boolean {
     const { directory } = this.context;
-    return directory.isNear(entry) || !directory.hasNearOwner(this.task.service);
+    const { mayServe } = this;
+    const { service } = this.task;
+    return directory.isNear(entry) || !directory.hasNearOwner({ service, mayServe });
   }
 
   private get isLarge(): boolean {
@@ -171,6 +175,9 @@
     if (this.mayHaveRun) {
       return this.giveUp('no-owner');
     }
+    if (this.isDenied()) {
+      return { code: 'placement-denied', status: 503, retryAfterMs: NO_OWNER_RETRY_AFTER_MS };
+    }
     const isBusy = this.lastNotRun?.reason === 'busy';
     const now = this.context.clock.now();
     const restMs = this.context.directory.restMs(this.task.service, now);
@@ -183,6 +190,14 @@
     return { code: 'busy', status: 503, retryAfterMs };
   }
 
+  /** True when owners of the service are up, and placement policies allow none of them. */
+  private isDenied(): boolean {
+    const { mayServe } = this;
+    const owners = this.context.directory.ownersOf(this.task.service);
+    const isUp = owners.some((entry) => !entry.absence);
+    return mayServe !== undefined && isUp && !owners.some((entry) => mayServe(entry.record));
+  }
+
   private giveUp(code: ClientRefusal['code']): ClientRefusal {
     if (this.mayHaveRun) {
       return { code, status: code === 'deadline' ? 504 : 502 };
--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -1,15 +1,17 @@
 /** One client's request, from its head to the final answer. */
 import type http from 'node:http';
+import type { OwnerRecord } from '../directory/owner-entry.js';
 import type { Clock } from '../model/clock.js';
+import { Cancellation } from '../owner/cancellation.js';
 import type { HeaderNames } from '../owner/header-names.js';
 import { collectBody, EMPTY_BODY, type MessageBody } from '../owner/message-body.js';
 import type { OwnerTask } from '../owner/owner.js';
-import { endToEndFields } from '../owner/raw-headers.js';
-import { Cancellation } from '../proxy/cancellation.js';
+import { endToEndFields, withField } from '../owner/raw-headers.js';
 import type { MeshLimits, MeshRoute } from '../routing/mesh-configuration.js';
-import type { RouteMatcher } from '../routing/route-matcher.js';
+import type { MatchedRoute, RouteMatcher } from '../routing/route-matcher.js';
 import { type ClientRefusal, sendAnswer, sendRefusal } from './client-answer.js';
 import { Dispatch, type DispatchContext, type OfferRecord } from './dispatch.js';
+import { type OwnerCheck, placementOf } from './placement.js';
 
 /** A body up to this size, in bytes, is held, so that it can be offered again. */
 const MAX_HELD_BODY_BYTES = 1024 * 1024;
@@ -46,6 +48,8 @@
   readonly clock: Clock;
   readonly names: HeaderNames;
   readonly routes: () => RouteMatcher | undefined;
+  /** This node's own record. */
+  readonly own: () => OwnerRecord;
   /** Service that runs on this machine. */
   readonly callerService: () => string;
   readonly onFinished: (record: RequestRecord) => void;
@@ -110,25 +114,32 @@
       this.refuse({ code: 'stopping', ...refusal }, mayClose());
       return;
     }
+    const placement = placementOf(this.request, matched, this.service, this.options.own());
+    if (placement.isLeft()) {
+      this.refuse({ code: 'ambiguous-path', status: 400 }, mayClose());
+      return;
+    }
     const body = await this.takeBody(routes.configuration.limits);
     if (body === 'too-large') {
       this.refuse({ code: 'too-large', status: 413 }, true);
     } else if (body && !this.isFinished) {
-      await this.bringToOwner(matched.route, body, mayClose);
+      await this.bringToOwner(matched, body, placement.orDefault(undefined), mayClose);
     }
   }
 
   private async bringToOwner(
-    route: MeshRoute,
+    matched: MatchedRoute,
     body: MessageBody,
+    mayServe: OwnerCheck | undefined,
     mayClose: () => boolean,
   ): Promise<void> {
     const isStream = body.kind === 'stream';
     const dispatch = new Dispatch(
       this.options,
-      this.taskOf(route, body),
-      isStream ? 1 : route.maxAttempts,
+      this.taskOf(matched, body),
+      isStream ? 1 : matched.route.maxAttempts,
       body.kind === 'bytes' ? body.bytes.length : Number.POSITIVE_INFINITY,
+      mayServe,
     );
     this.dispatch = dispatch;
     const { result } = await dispatch.run();
@@ -143,14 +154,15 @@
     }
   }
 
-  private taskOf(route: MeshRoute, body: MessageBody): OwnerTask {
+  private taskOf({ route, credential }: MatchedRoute, body: MessageBody): OwnerTask {
     const { request, options } = this;
+    const fields = endToEndFields(request.rawHeaders, request.headers.connection, this.reserved);
     const targetMs = Math.min(this.allowedMs, route.targetLatencyMs ?? this.allowedMs);
     return {
       requestId: this.requestId,
       method: request.method ?? 'GET',
       target: request.url ?? '/',
-      headers: endToEndFields(request.rawHeaders, request.headers.connection, this.reserved),
+      headers: credential ? withField(fields, credential.header, credential.value) : fields,
       service: this.service,
       route: route.name,
       callerService: options.callerService(),
--- /dev/null
+++ b/src/ingress/placement.ts
@@ -0,0 +1,45 @@
+/** Which owners the placement policies of a route allow for one request. */
+import { type Either, Right } from 'purify-ts';
+import type { OwnerRecord } from '../directory/owner-entry.js';
+import type { PolicyLocality } from '../policy/placement-policy.js';
+import { normalizeRequest, type RequestHead } from '../policy/request-normalizer.js';
+import type { MatchedRoute } from '../routing/route-matcher.js';
+
+/** Says whether an owner may serve the request. */
+export type OwnerCheck = (record: OwnerRecord) => boolean;
+
+/**
+ * The check for one request; undefined where the route has no policies, so that it costs nothing.
+ * Left: the path can be read in more than one way, and the back end might read another one.
+ */
+export function placementOf(
+  request: RequestHead,
+  { route, policies }: MatchedRoute,
+  service: string,
+  own: OwnerRecord,
+): Either<string, OwnerCheck | undefined> {
+  if (policies.length === 0) {
+    return Right(undefined);
+  }
+  return normalizeRequest(request).map((normalized) => {
+    const context = {
+      request: normalized,
+      route: { name: route.name, service, kind: route.kind },
+      node: localityOf(own),
+    };
+    // Owners of one locality get one evaluation.
+    const known = new Map<string, boolean>();
+    return (record) => {
+      const endpoint = localityOf(record);
+      const key = JSON.stringify(endpoint);
+      const allowed =
+        known.get(key) ?? policies.every((policy) => policy.allows({ ...context, endpoint }));
+      known.set(key, allowed);
+      return allowed;
+    };
+  });
+}
+
+function localityOf({ zone, region = '', labels = {} }: OwnerRecord): PolicyLocality {
+  return { zone, region, labels };
+}
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -1,8 +1,8 @@
 /** The gate to the back end on this machine: admits tasks, sends them, and reports its load. */
 import type http from 'node:http';
-import { BackEndConnections } from '../proxy/back-end-agent.js';
 import type { BackEnd, Heartbeat } from '../registry/back-end-registry.js';
 import { AdmissionControl, type Waiter } from './admission-control.js';
+import { BackEndConnections } from './back-end-agent.js';
 import { callBackEnd } from './back-end-call.js';
 import { BackEndPresence, type BackEndPresenceOptions } from './back-end-presence.js';
 import { createFailureShare } from './failureShare.js';
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -3,7 +3,7 @@
  * hands a task to an owner, in the same process or over the network, and learns
  * exactly what is known about its fate.
  */
-import type { Cancellation } from '../proxy/cancellation.js';
+import type { Cancellation } from './cancellation.js';
 import type { BytesBody, MessageBody } from './message-body.js';
 
 /** A request on its way to a back end of one service. */
--- a/src/owner/raw-headers.ts
+++ b/src/owner/raw-headers.ts
@@ -1,5 +1,18 @@
 /** Work on header fields as a flat list of names and values, in the order and case of arrival. */
-import { HOP_BY_HOP, listOf } from '../proxy/headers.js';
+
+/** Fields that concern one connection only (RFC 9110, section 7.6.1). */
+const HOP_BY_HOP: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'expect',
+]);
 
 /** Each hop frames the body itself. */
 const LENGTH_FIELD = 'content-length';
@@ -33,3 +46,19 @@
   }
   return kept;
 }
+
+/** Sets a field in place of every one of the same name. */
+export function withField(headers: readonly string[], name: string, value: string): string[] {
+  const kept: string[] = [];
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    if ((headers[index] as string).toLowerCase() !== name.toLowerCase()) {
+      kept.push(headers[index] as string, headers[index + 1] as string);
+    }
+  }
+  return [...kept, name, value];
+}
+
+/** The names that a `connection` field lists, in lower case. */
+function listOf(value: string | undefined): string[] {
+  return (value ?? '').split(',').map((item) => item.trim().toLowerCase());
+}
--- a/src/peer/peerCodec.ts
+++ b/src/peer/peerCodec.ts
@@ -1,6 +1,6 @@
 /** How messages between nodes travel: each is a frame that holds a list, its kind first. */
 import type { NotRunReason, OwnerNotRun, OwnerUnknown } from '../owner/owner.js';
-import { encodeFrame } from '../wire/frame.js';
+import { encodeFrame } from './frame.js';
 import {
   type AnswerMessage,
   type AskMessage,
--- a/src/peer/peerConnection.ts
+++ b/src/peer/peerConnection.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net';
 import { Readable } from 'node:stream';
 import type { BytesBody, MessageBody } from '../owner/message-body.js';
-import { FrameReader } from '../wire/frame.js';
+import { FrameReader } from './frame.js';
 import { decodeMessage, encodeMessage } from './peerCodec.js';
 import { CHUNK_BYTES, type ChunkMessage, MessageKind, type PeerMessage } from './peerMessages.js';
 
--- a/src/peer/peerServer.ts
+++ b/src/peer/peerServer.ts
@@ -1,8 +1,8 @@
 /** Listens for other nodes: runs their tasks on the local owner, tells status and configuration. */
 import net from 'node:net';
 import type { Clock } from '../model/clock.js';
+import { Cancellation } from '../owner/cancellation.js';
 import type { Owner, OwnerAnswer, OwnerOutcome, OwnerTask } from '../owner/owner.js';
-import { Cancellation } from '../proxy/cancellation.js';
 import type { StoreQuestion } from '../relay/storeCache.js';
 import { listenOn } from './listenOn.js';
 import {
--- a/src/policy/placement-policy.ts
+++ b/src/policy/placement-policy.ts
@@ -18,8 +18,8 @@
 export interface PolicyRoute {
   readonly name: string;
   readonly service: string;
-  readonly priority: string;
-  readonly repeatable: boolean;
+  /** `safe`, `unsafe` or `upload`. */
+  readonly kind: string;
 }
 
 /** What a policy sees of a machine: the deciding node, or a candidate endpoint. */
@@ -69,7 +69,7 @@
   })
   .registerVariable({
     name: 'route',
-    schema: { name: 'string', service: 'string', priority: 'string', repeatable: 'bool' },
+    schema: { name: 'string', service: 'string', kind: 'string' },
   })
   .registerVariable({ name: 'node', schema: localitySchema })
   .registerVariable({ name: 'endpoint', schema: localitySchema });
--- a/src/proxy/request-normalizer.ts
+++ b/src/policy/request-normalizer.ts
@@ -21,8 +21,11 @@
 
 const ENCODED_OCTET = /%([0-9A-Fa-f]{2})/g;
 
+/** What is read of a request. */
+export type RequestHead = Pick<IncomingMessage, 'url' | 'method' | 'headers'>;
+
 /** Returns the normal form, or the reason why the request has none. */
-export function normalizeRequest(request: IncomingMessage): Either<string, NormalizedRequest> {
+export function normalizeRequest(request: RequestHead): Either<string, NormalizedRequest> {
   const target = request.url ?? '';
   const split = target.indexOf('?');
   const rawPath = split < 0 ? target : target.slice(0, split);
@@ -69,7 +72,7 @@
   return `/${kept.join('/')}${endsWithSlash ? '/' : ''}`;
 }
 
-function flatHeaders(request: IncomingMessage): Record<string, string> {
+function flatHeaders(request: RequestHead): Record<string, string> {
   const flat: Record<string, string> = {};
   for (const [name, value] of Object.entries(request.headers)) {
     if (value !== undefined) {
--- a/src/relay/reachProof.ts
+++ b/src/relay/reachProof.ts
@@ -6,6 +6,9 @@
 import type { ObjectStore } from '../source/object-store.js';
 import type { StoreCache } from './storeCache.js';
 
+/** Looks in the time of one proof: a proof is late by one of them at the most. */
+const LOOKS = 8;
+
 /** What is needed of the node. */
 export interface ReachProofContext {
   readonly clock: Clock;
@@ -39,12 +42,11 @@
     }
     isReached = result.ok;
   };
-  // The timer looks twice as often as the pace, so that a proof is not late by a whole one.
   const timer = setInterval(() => {
-    const isDue = clock.now() - cache.answeredAt >= paceMs / 2;
+    const isDue = clock.now() - cache.answeredAt >= paceMs;
     if (isDue && !isAsking && isWanted()) {
       void ask();
     }
-  }, paceMs / 2);
+  }, paceMs / LOOKS);
   return { stop: () => clearInterval(timer) };
 }
--- a/src/relay/relayedStore.ts
+++ b/src/relay/relayedStore.ts
@@ -1,8 +1,9 @@
 /**
  * The store as a node of a zone sees it: a few nodes of each zone watch the store, the others watch
  * them. A node turns to the store itself as soon as its reader is silent or says that the store
- * does not answer it. Writes, and lists that must be of now, always go to the store.
+ * does not answer it, and to the reader of another zone if the store does not answer itself. Writes, and lists that must be of now, always go to the store.
  */
+import { setTimeout as delay } from 'node:timers/promises';
 import type { Clock } from '../model/clock.js';
 import {
   type ObjectStore,
@@ -24,12 +25,25 @@
 /** Wait of a watch that only brings up to date, in milliseconds: the store takes no zero. */
 const CATCH_UP_WAIT_MS = 1;
 
+/**
+ * While all nodes start together, each sees none or few of the others in its first list. Its watches
+ * begin this long after that, in milliseconds: the directory's first, so that the next one already
+ * knows whom to ask.
+ */
+const FIRST_WATCH_MS = 1_500;
+const LATER_WATCH_MS = 2_000;
+
+/** Pause between two looks whether the zone is known, in milliseconds. */
+const ZONE_TICK_MS = 50;
+
 /** What is needed of the node. */
 export interface RelayedStoreContext {
   readonly clock: Clock;
   /** The store itself. */
   readonly store: ObjectStore;
   readonly cache: StoreCache;
+  /** Kind of the records by which nodes find one another. */
+  readonly nodeKind: string;
   /** Milliseconds for which a follower's watch waits. */
   readonly paceMs: number;
   /** Milliseconds beyond the pace after which a reader counts as silent. */
@@ -51,17 +65,20 @@
   readonly isFollowing: boolean;
   /** True while this node reads for others. */
   readonly isReader: boolean;
+  /** True while others ask this node. */
+  readonly isAsked: boolean;
 }
 
 export function createRelayedStore(context: RelayedStoreContext): RelayedStore {
-  const { clock, store, cache, paceMs, patienceMs, zonePart, ask } = context;
+  const { clock, store, cache, nodeKind, paceMs, patienceMs, zonePart, ask } = context;
+  const startedAt = clock.now();
   const restingUntil = new Map<string, number>();
   /** Kinds whose reader no longer knows the changes since this node's revision. */
   const toList = new Set<string>();
   let reader: string | undefined;
 
-  const isReader = () =>
-    zonePart().role === ZoneRole.Reader || clock.now() - cache.askedAt < ASKED_LIFETIME_MS;
+  const isAsked = () => clock.now() - cache.askedAt < ASKED_LIFETIME_MS;
+  const isReader = () => zonePart().role === ZoneRole.Reader || isAsked();
   const noteReader = (next: string | undefined, cause: string) => {
     if (next !== reader) {
       reader = next;
@@ -93,6 +110,14 @@
     return result;
   };
 
+  /** Gives the nodes that start together the time to find one another. */
+  const zoneKnown = async (kind: string): Promise<void> => {
+    const until = startedAt + (kind === nodeKind ? FIRST_WATCH_MS : LATER_WATCH_MS);
+    while (zonePart().role === ZoneRole.Alone && clock.now() < until) {
+      await delay(ZONE_TICK_MS);
+    }
+  };
+
   /** Undefined when the reader cannot speak for the store now. */
   const askReader = async (from: ZoneNode, question: StoreQuestion) => {
     const result = await ask(from.address, question, question.waitMs + patienceMs);
@@ -106,6 +131,43 @@
     return undefined;
   };
 
+  /** The store has not answered this node: another zone's reader may have what it says. */
+  const askElsewhere = async (question: StoreQuestion) => {
+    const now = clock.now();
+    const from = zonePart().elsewhere.find(
+      ({ address }) => now >= (restingUntil.get(address) ?? 0),
+    );
+    return from && (await askReader(from, question));
+  };
+
+  const watchAlone = async <Spec>(
+    kind: string,
+    revision: number,
+    waitMs: number,
+  ): Promise<StoreResult<StoreChanges<Spec>>> => {
+    const result = await watchStore<Spec>(kind, revision, waitMs);
+    if (result.ok || result.failure === 'history-gone') {
+      noteReader(undefined, zonePart().role);
+      return result;
+    }
+    const answer = await askElsewhere({ kind, revision, waitMs: Math.min(waitMs, paceMs) });
+    return answer ? taken<Spec>(kind, revision, answer) : result;
+  };
+
+  /** What a reader has answered is known here from now on. */
+  const taken = <Spec>(
+    kind: string,
+    revision: number,
+    answer: StoreResult<StoreChanges<unknown>>,
+  ): StoreResult<StoreChanges<Spec>> => {
+    if (answer.ok) {
+      cache.noteChanges(kind, revision, answer.value);
+    } else {
+      toList.add(kind);
+    }
+    return answer as StoreResult<StoreChanges<Spec>>;
+  };
+
   return {
     get isFollowing() {
       return reader !== undefined;
@@ -113,15 +175,23 @@
     get isReader() {
       return isReader();
     },
+    get isAsked() {
+      return isAsked();
+    },
     list: async <Spec>(
       kind: string,
       reading: Reading,
     ): Promise<StoreResult<StoreListing<Spec>>> => {
       const mayAsk = toList.delete(kind) || reading === Reading.Lately;
       const from = mayAsk ? readerToAsk() : undefined;
-      const answer = from && (await askReader(from, { kind, revision: undefined, waitMs: 0 }));
+      const question = { kind, revision: undefined, waitMs: 0 };
+      let answer = from && (await askReader(from, question));
       if (!answer?.ok) {
-        return listStore<Spec>(kind, reading);
+        const result = await listStore<Spec>(kind, reading);
+        answer = result.ok ? undefined : await askElsewhere(question);
+        if (!answer?.ok) {
+          return result;
+        }
       }
       const { events, revision } = answer.value;
       const items = events.map(({ object }) => object as StoredObject<Spec>);
@@ -133,21 +203,15 @@
       revision: number,
       waitMs: number,
     ): Promise<StoreResult<StoreChanges<Spec>>> => {
+      await zoneKnown(kind);
       const from = readerToAsk();
       if (!from) {
-        noteReader(undefined, zonePart().role);
-        return watchStore<Spec>(kind, revision, waitMs);
+        return watchAlone<Spec>(kind, revision, waitMs);
       }
       const answer = await askReader(from, { kind, revision, waitMs: Math.min(waitMs, paceMs) });
-      if (!answer) {
-        return watchStore<Spec>(kind, revision, CATCH_UP_WAIT_MS);
-      }
-      if (answer.ok) {
-        cache.noteChanges(kind, revision, answer.value);
-      } else {
-        toList.add(kind);
-      }
-      return answer as StoreResult<StoreChanges<Spec>>;
+      return answer
+        ? taken<Spec>(kind, revision, answer)
+        : watchAlone<Spec>(kind, revision, CATCH_UP_WAIT_MS);
     },
     create: (kind, name, spec) => store.create(kind, name, spec),
     replace: (kind, object) => store.replace(kind, object),
--- a/src/relay/storeResultCodec.ts
+++ b/src/relay/storeResultCodec.ts
@@ -1,7 +1,7 @@
 /** How a reader's answer travels to its followers: CBOR, deflated where that is worth it. */
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
+import { decodeValue, encodeValue } from '../peer/frame.js';
 import type { StoreChanges, StoreResult } from '../source/object-store.js';
-import { decodeValue, encodeValue } from '../wire/frame.js';
 
 /**
  * Answers above this size, in bytes, are deflated: a large configuration goes to every follower
--- a/src/relay/zoneReaders.ts
+++ b/src/relay/zoneReaders.ts
@@ -17,6 +17,7 @@
 /** A node that may read for others. */
 export interface ZoneNode {
   readonly node: string;
+  readonly zone: string;
   /** `host:port` for other nodes. */
   readonly address: string;
 }
@@ -33,25 +34,40 @@
   readonly role: ZoneRole;
   /** Readers to ask, the preferred one first; none for other roles than follower. */
   readonly readers: readonly ZoneNode[];
+  /** The first reader of each other zone, for a node that the store turns away. */
+  readonly elsewhere: readonly ZoneNode[];
 }
 
-/** `nodes` are all known nodes of the zone that are not known to be away, `own` among them. */
-export function zonePartOf(own: string, nodes: readonly ZoneNode[]): ZonePart {
-  if (nodes.length < SMALLEST_ZONE) {
-    return { role: ZoneRole.Alone, readers: [] };
+/** `nodes` are all known nodes that are not known to be away, `own` among them. */
+export function zonePartOf(own: ZoneNode, nodes: readonly ZoneNode[]): ZonePart {
+  const zone = nodes.filter((node) => node.zone === own.zone);
+  const elsewhere = readersElsewhere(own, nodes);
+  if (zone.length < SMALLEST_ZONE) {
+    return { role: ZoneRole.Alone, readers: [], elsewhere };
   }
-  const names = nodes.map(({ node }) => node);
-  const ranked = rankNames('reader', names);
-  const count = Math.ceil(nodes.length / NODES_PER_READER);
+  const ranked = ranking(zone);
+  const count = Math.ceil(zone.length / NODES_PER_READER);
   const readers = ranked.slice(0, count);
-  if (readers.includes(own)) {
-    return { role: ZoneRole.Reader, readers: [] };
+  if (readers.some(({ node }) => node === own.node)) {
+    return { role: ZoneRole.Reader, readers: [], elsewhere };
   }
   // Each follower prefers another one of the readers, so that they share the work.
-  const order = [...rankNames(own, readers), ...ranked.slice(count, count + SPARE_READERS)];
+  const order = [...ranking(readers, own.node), ...ranked.slice(count, count + SPARE_READERS)];
+  const others = order.filter(({ node }) => node !== own.node);
+  return { role: ZoneRole.Follower, readers: others, elsewhere };
+}
+
+function readersElsewhere(own: ZoneNode, nodes: readonly ZoneNode[]): ZoneNode[] {
+  const zones = new Set(nodes.map(({ zone }) => zone));
+  zones.delete(own.zone);
+  const first = [...zones].flatMap((zone) =>
+    ranking(nodes.filter((node) => node.zone === zone)).slice(0, 1),
+  );
+  return ranking(first, own.node);
+}
+
+/** Nodes by rank; all nodes agree on that for the role of a reader. */
+function ranking(nodes: readonly ZoneNode[], role = 'reader'): ZoneNode[] {
   const byName = new Map(nodes.map((node) => [node.node, node]));
-  return {
-    role: ZoneRole.Follower,
-    readers: order.filter((name) => name !== own).flatMap((name) => byName.get(name) ?? []),
-  };
+  return rankNames(role, [...byName.keys()]).flatMap((name) => byName.get(name) ?? []);
 }
--- a/src/relay/zoneRelay.ts
+++ b/src/relay/zoneRelay.ts
@@ -16,8 +16,8 @@
 const MARGIN_SHARE = 0.2;
 const PATIENCE_SHARE = 0.2;
 
-/** Pause of a reader after a change: short, since its followers wait for it. */
-const READER_SETTLE_SHARE = 0.15;
+/** Pause of a reader after a change: its followers wait for it. */
+const READER_SETTLE_SHARE = 0.25;
 
 /** Pause of a node that reads only for itself: longer, since each of its calls serves one node. */
 const ALONE_SETTLE_SHARE = 0.35;
@@ -27,7 +27,7 @@
   readonly clock: Clock;
   /** The store itself. */
   readonly store: ObjectStore;
-  /** A small object of the store, which need not exist. */
+  /** This node's own record: a small object of the store, which need not exist. */
   readonly probed: { readonly kind: string; readonly name: string };
   /** Milliseconds from a version's acknowledgement until it must be in force. */
   readonly applyMs: number;
@@ -61,6 +61,7 @@
     clock,
     store: context.store,
     cache,
+    nodeKind: probed.kind,
     paceMs: applyMs * PACE_SHARE,
     patienceMs: applyMs * PATIENCE_SHARE,
     zonePart: context.zonePart,
@@ -76,7 +77,7 @@
     cache,
     object: probed,
     paceMs: applyMs * PACE_SHARE,
-    isWanted: () => store.isReader,
+    isWanted: () => !store.isFollowing,
   });
   // Followers that wait for the same change get the same bytes: packing is the dear part.
   const packed = createPackedAnswers();
--- a/src/routing/mesh-configuration.ts
+++ b/src/routing/mesh-configuration.ts
@@ -22,6 +22,22 @@
   priority: z.number().int().min(0).max(MAX_PRIORITY).default(1),
   maxAttempts: z.number().int().min(1).max(MAX_ATTEMPTS).default(1),
   split: z.array(z.object({ service: z.string().min(1), weight: z.number().min(0) })).min(1),
+  /** Names of the placement policies that must all allow an owner. */
+  policies: z.array(z.string()).default([]),
+  /** A secret that the back end gets in a header field. */
+  credential: z.object({ header: z.string().min(1), secret: z.string().min(1) }).optional(),
+});
+
+const policySchema = z.object({
+  name: z.string().min(1),
+  /** CEL program: true for an owner that may serve. */
+  allow: z.string().min(1),
+});
+
+const secretSchema = z.object({
+  name: z.string().min(1),
+  /** SHA-256 of the value, in hexadecimal digits: no node uses another value. */
+  digest: z.string().regex(/^[0-9a-f]{64}$/, 'expected 64 hexadecimal digits'),
 });
 
 const serviceSchema = z.object({
@@ -42,11 +58,15 @@
   version: z.number().int().positive(),
   routes: z.array(z.unknown()),
   services: z.array(serviceSchema),
+  policies: z.array(policySchema).default([]),
+  secrets: z.array(secretSchema).default([]),
   limits: limitsSchema.prefault({}),
 });
 
 export type MeshRoute = z.infer<typeof routeSchema>;
 export type MeshService = z.infer<typeof serviceSchema>;
+export type MeshPolicy = z.infer<typeof policySchema>;
+export type MeshSecret = z.infer<typeof secretSchema>;
 export type MeshLimits = z.infer<typeof limitsSchema>;
 
 /** A configuration that has passed every check. */
@@ -54,6 +74,8 @@
   readonly version: number;
   readonly routes: readonly MeshRoute[];
   readonly services: readonly MeshService[];
+  readonly policies: readonly MeshPolicy[];
+  readonly secrets: readonly MeshSecret[];
   readonly limits: MeshLimits;
 }
 
@@ -114,16 +136,31 @@
   }));
 }
 
-/** No route may point at a service that the configuration lacks. */
+/** No route may point at a service, a policy or a secret that the configuration lacks. */
 function danglingReferences(configuration: MeshConfiguration): Finding[] {
-  const known = new Set(configuration.services.map((service) => service.name));
-  return configuration.routes.flatMap((route, index) =>
-    route.split
-      .filter((part) => !known.has(part.service))
-      .map((part) => ({
-        code: 'dangling-reference',
-        path: `routes.${index}.split`,
-        message: `route ${route.name} names service ${part.service}, which is not there`,
-      })),
-  );
+  const services = namesOf(configuration.services);
+  const policies = namesOf(configuration.policies);
+  const secrets = namesOf(configuration.secrets);
+  return configuration.routes.flatMap((route, index) => {
+    const missing = (known: ReadonlySet<string>, kind: string, name: string, field: string) =>
+      known.has(name)
+        ? []
+        : [
+            {
+              code: 'dangling-reference',
+              path: `routes.${index}.${field}`,
+              message: `route ${route.name} names ${kind} ${name}, which is not there`,
+            },
+          ];
+    const { credential } = route;
+    return [
+      ...route.split.flatMap(({ service }) => missing(services, 'service', service, 'split')),
+      ...route.policies.flatMap((name) => missing(policies, 'policy', name, 'policies')),
+      ...(credential ? missing(secrets, 'secret', credential.secret, 'credential') : []),
+    ];
+  });
+}
+
+function namesOf(items: readonly { readonly name: string }[]): ReadonlySet<string> {
+  return new Set(items.map(({ name }) => name));
 }
--- a/src/routing/route-matcher.ts
+++ b/src/routing/route-matcher.ts
@@ -1,4 +1,6 @@
 /** Finds the route of a request: the longest prefix of its path among the routes of its host. */
+import type { CompiledPolicy } from '../policy/placement-policy.js';
+import { type Complements, NO_COMPLEMENTS } from './completeConfiguration.js';
 import type { MeshConfiguration, MeshRoute, MeshService } from './mesh-configuration.js';
 import { TrafficSplit } from './traffic-split.js';
 
@@ -6,6 +8,10 @@
 export interface MatchedRoute {
   readonly route: MeshRoute;
   readonly split: TrafficSplit;
+  /** All of them must allow an owner. */
+  readonly policies: readonly CompiledPolicy[];
+  /** Set on what the back end gets. */
+  readonly credential: { readonly header: string; readonly value: string } | undefined;
 }
 
 /** Immutable but for the state of the splits; a node holds one at a time. */
@@ -17,16 +23,14 @@
   constructor(
     readonly configuration: MeshConfiguration,
     previous?: RouteMatcher,
+    complements: Complements = NO_COMPLEMENTS,
   ) {
     for (const route of configuration.routes) {
       const host = route.host.toLowerCase();
       const prefixes = this.hosts.get(host) ?? new Map<string, MatchedRoute>();
       const known = previous?.hosts.get(host)?.get(route.pathPrefix);
-      const isSame = known?.route === route;
-      prefixes.set(
-        route.pathPrefix,
-        isSame ? known : { route, split: new TrafficSplit(route.split) },
-      );
+      const split = known?.route === route ? known.split : new TrafficSplit(route.split);
+      prefixes.set(route.pathPrefix, readyRoute(route, split, complements));
       this.hosts.set(host, prefixes);
     }
     for (const service of configuration.services) {
@@ -62,6 +66,21 @@
   }
 }
 
+function readyRoute(
+  route: MeshRoute,
+  split: TrafficSplit,
+  { policies, secrets }: Complements,
+): MatchedRoute {
+  const { credential } = route;
+  const value = credential && secrets.get(credential.secret);
+  return {
+    route,
+    split,
+    policies: route.policies.flatMap((name) => policies.get(name) ?? []),
+    credential: credential && value ? { header: credential.header, value } : undefined,
+  };
+}
+
 function hostName(host: string): string {
   const colon = host.lastIndexOf(':');
   const isPort = colon > host.lastIndexOf(']');
--- a/src/sidecar/outside.ts
+++ b/src/sidecar/outside.ts
@@ -1,6 +1,7 @@
 /** What a deployment brings to a sidecar: how the outside speaks. */
 import type { HeaderNames } from '../owner/header-names.js';
 import type { Heartbeat } from '../registry/back-end-registry.js';
+import type { PolicyCompiler } from '../routing/completeConfiguration.js';
 import type { ConfigurationCandidate } from '../source/configuration-holder.js';
 import type { ObjectStore } from '../source/object-store.js';
 
@@ -15,6 +16,8 @@
   readonly decodeConfiguration: (spec: unknown) => ConfigurationCandidate | undefined;
   /** Translates a configuration that another node gave. */
   readonly decodeConfigurationBytes: (bytes: Buffer) => ConfigurationCandidate | undefined;
+  /** Loads the compiler of placement policies, when a configuration has any. */
+  readonly loadPolicyCompiler: () => Promise<PolicyCompiler>;
   /** Translates a call of the back end. */
   readonly decodeRegistration: (method: string, path: string, body: Buffer) => Registration;
   /** True for the readiness question. */
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -23,6 +23,7 @@
 import type { RouteMatcher } from '../routing/route-matcher.js';
 import { ConfigurationFollower } from '../source/configuration-follower.js';
 import { ObservedStore } from '../source/observed-store.js';
+import { createSupplier } from '../source/supplier.js';
 import type { Outside } from './outside.js';
 import { finishWork } from './planned-stop.js';
 import type { SidecarSettings } from './sidecar-settings.js';
@@ -146,7 +147,13 @@
       onInForce: (routes, origin) => this.onConfiguration(routes, origin),
       onHeldOff: (version, origin, findings) =>
         this.log.event('configuration-held-off', { version, origin, findings }),
+      onShort: (version, shortage) =>
+        this.log.event('configuration-waits', { version, ...shortage }),
       onUnreadable: (revision) => this.log.event('configuration-unreadable', { revision }),
+      supplier: createSupplier({
+        store: this.relay.store,
+        loadPolicyCompiler: outside.loadPolicyCompiler,
+      }),
     });
     this.ingress = new IngressServer({
       clock,
@@ -160,6 +167,7 @@
       returns: createReturnTimes(),
       routes: () => this.configuration.routes,
       callerService: () => this.settings.service,
+      own: () => this.record(),
       onFinished: (record) => this.onFinished(record),
     });
     this.peers = new PeerServer({
@@ -278,14 +286,21 @@
     const isAway = ({ absence }: OwnerEntry) => absence === 'silent' || absence === 'stopping';
     const nodes = this.directory
       .all()
-      .filter((entry) => this.directory.isNear(entry) && (entry.isLocal || !isAway(entry)))
+      .filter((entry) => entry.isLocal || !isAway(entry))
       .map(({ record }) => record);
-    return zonePartOf(this.settings.node, nodes);
+    return zonePartOf(this.record(), nodes);
   }
 
   private record(): OwnerRecord {
-    const { node, zone, service, listen } = this.settings;
-    return { node, address: listen.peers, zone, service };
+    const { node, zone, service, listen, region, labels } = this.settings;
+    return {
+      node,
+      address: listen.peers,
+      zone,
+      service,
+      ...(region === undefined ? {} : { region }),
+      ...(labels === undefined ? {} : { labels }),
+    };
   }
 
   private entryOf(record: OwnerRecord): OwnerEntry {
--- a/src/sidecar/sidecar-settings.ts
+++ b/src/sidecar/sidecar-settings.ts
@@ -9,6 +9,9 @@
 const settingsSchema = z.object({
   node: z.string().min(1),
   zone: z.string().min(1),
+  /** Region and labels of this machine, for placement policies. */
+  region: z.string().min(1).optional(),
+  labels: z.record(z.string(), z.string()).optional(),
   /** Service of the back end on this machine. */
   service: z.string().min(1),
   backEndAddress: address,
--- a/src/source/collection-watcher.ts
+++ b/src/source/collection-watcher.ts
@@ -33,7 +33,8 @@
   /** Newest revision of any answer: an answer from before it lags behind. */
   private newest = 0;
   private stopped = false;
-  private connected = false;
+  /** Undefined before the first answer, or the first failure: either is told. */
+  private connected: boolean | undefined;
   private backoffMs = FIRST_BACKOFF_MS;
   private wake: () => void = () => {};
   private refreshWanted = false;
@@ -48,7 +49,7 @@
 
   /** True while the last call to the store was answered. */
   get isConnected(): boolean {
-    return this.connected;
+    return this.connected === true;
   }
 
   /** Runs until {@link stop}. */
--- a/src/source/configuration-follower.ts
+++ b/src/source/configuration-follower.ts
@@ -4,13 +4,19 @@
  */
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Finding } from '../model/finding.js';
+import type { Shortage } from '../routing/completeConfiguration.js';
 import type { RouteMatcher } from '../routing/route-matcher.js';
 import { CollectionWatcher } from './collection-watcher.js';
-import { type ConfigurationCandidate, ConfigurationHolder } from './configuration-holder.js';
+import {
+  type ConfigurationCandidate,
+  ConfigurationHolder,
+  type OfferResult,
+} from './configuration-holder.js';
 import type { ObjectStore, StoredObject } from './object-store.js';
+import type { Supplier } from './supplier.js';
 
-/** Longest wait of a watch, in milliseconds. */
-const WAIT_MS = 6_000;
+/** Longest wait of a watch, in milliseconds: a store that is out of reach is noticed otherwise. */
+const WAIT_MS = 12_000;
 
 /**
  * Part of the bound for which a node that hears of a newer version waits for its
@@ -19,6 +25,9 @@
  */
 const PATIENCE_SHARE = 0.5;
 
+/** Pause before what a version lacks is looked for again, in milliseconds. */
+const SHORT_RETRY_MS = 500;
+
 /** Findings that one log line names. */
 const MAX_FINDINGS = 5;
 
@@ -40,7 +49,10 @@
   readonly onConnected: (connected: boolean, detail: string) => void;
   readonly onInForce: (routes: RouteMatcher, origin: string) => void;
   readonly onHeldOff: (version: number, origin: string, findings: readonly Finding[]) => void;
+  /** A version waits for policies or secrets. */
+  readonly onShort: (version: number, shortage: Shortage) => void;
   readonly onUnreadable: (revision: number) => void;
+  readonly supplier: Supplier;
 }
 
 /** One per node. */
@@ -50,6 +62,9 @@
   private fetchingVersion = 0;
   private isStopped = false;
 
+  /** Newest version that was found short. */
+  private suppliedVersion = 0;
+
   constructor(private readonly options: ConfigurationFollowerOptions) {
     this.watcher = new CollectionWatcher<unknown>(
       options.store,
@@ -138,11 +153,42 @@
   }
 
   private offer(candidate: ConfigurationCandidate, origin: string): void {
-    const result = this.holder.offer(candidate);
+    const result = this.holder.offer(candidate, this.options.supplier.supplies);
+    this.noteOffer(result, origin);
+    if (result.kind === 'short' && result.version > this.suppliedVersion) {
+      this.suppliedVersion = result.version;
+      this.options.onShort(result.version, result.shortage);
+      void this.supplyAndOffer(candidate, origin);
+    }
+  }
+
+  private noteOffer(result: OfferResult, origin: string): void {
     if (result.kind === 'in-force' && this.holder.routes) {
       this.options.onInForce(this.holder.routes, origin);
     } else if (result.kind === 'held-off') {
       this.options.onHeldOff(result.version, origin, result.findings.slice(0, MAX_FINDINGS));
     }
   }
+
+  /** Fetches what a version lacks and offers it again, until it is in force or out of date. */
+  private async supplyAndOffer(candidate: ConfigurationCandidate, origin: string): Promise<void> {
+    const { supplier } = this.options;
+    let isFetched = false;
+    for (;;) {
+      const result = this.holder.offer(candidate, supplier.supplies);
+      if (result.kind !== 'short') {
+        this.noteOffer(result, origin);
+        return;
+      }
+      if (isFetched) {
+        await delay(SHORT_RETRY_MS);
+      }
+      await supplier.fetch(result.shortage);
+      isFetched = true;
+      const isOutdated = candidate.version < this.suppliedVersion;
+      if (this.isStopped || isOutdated) {
+        return;
+      }
+    }
+  }
 }
--- a/src/source/configuration-holder.ts
+++ b/src/source/configuration-holder.ts
@@ -4,7 +4,12 @@
  * whole is held off whole and reported once.
  */
 import type { Finding } from '../model/finding.js';
-import { createConfigurationCheck } from '../routing/mesh-configuration.js';
+import {
+  completeConfiguration,
+  type Shortage,
+  type Supplies,
+} from '../routing/completeConfiguration.js';
+import { createConfigurationCheck, type MeshConfiguration } from '../routing/mesh-configuration.js';
 import { RouteMatcher } from '../routing/route-matcher.js';
 
 /** A configuration as it came, with the means to give it to another node. */
@@ -20,7 +25,9 @@
 export type OfferResult =
   | { readonly kind: 'in-force'; readonly version: number }
   | { readonly kind: 'not-newer' }
-  | { readonly kind: 'held-off'; readonly version: number; readonly findings: readonly Finding[] };
+  | { readonly kind: 'held-off'; readonly version: number; readonly findings: readonly Finding[] }
+  /** It comes into force once what it lacks is there. */
+  | { readonly kind: 'short'; readonly version: number; readonly shortage: Shortage };
 
 /** One per node. */
 export class ConfigurationHolder {
@@ -44,20 +51,39 @@
   }
 
   /** Takes a candidate if it is newer than what is held. */
-  offer(offered: ConfigurationCandidate): OfferResult {
+  offer(offered: ConfigurationCandidate, supplies: Supplies = NO_SUPPLIES): OfferResult {
     if (!(offered.version > Math.max(this.version, this.refusedVersion))) {
       return { kind: 'not-newer' };
     }
     return this.check(offered.candidate).caseOf<OfferResult>({
-      Left: (findings) => {
-        this.refusedVersion = offered.version;
-        return { kind: 'held-off', version: offered.version, findings };
-      },
-      Right: (configuration) => {
-        this.matcher = new RouteMatcher(configuration, this.matcher);
-        this.held = offered;
-        return { kind: 'in-force', version: offered.version };
-      },
+      Left: (findings) => this.holdOff(offered.version, findings),
+      Right: (configuration) => this.complete(offered, configuration, supplies),
     });
   }
+
+  private complete(
+    offered: ConfigurationCandidate,
+    configuration: MeshConfiguration,
+    supplies: Supplies,
+  ): OfferResult {
+    const { version } = offered;
+    const completion = completeConfiguration(configuration, supplies);
+    switch (completion.kind) {
+      case 'short':
+        return { kind: 'short', version, shortage: completion.shortage };
+      case 'faulty':
+        return this.holdOff(version, completion.findings);
+      default:
+        this.matcher = new RouteMatcher(configuration, this.matcher, completion.complements);
+        this.held = offered;
+        return { kind: 'in-force', version };
+    }
+  }
+
+  private holdOff(version: number, findings: readonly Finding[]): OfferResult {
+    this.refusedVersion = version;
+    return { kind: 'held-off', version, findings };
+  }
 }
+
+const NO_SUPPLIES: Supplies = { compilePolicy: undefined, secrets: new Map() };
--- /dev/null
+++ b/src/source/supplier.ts
@@ -0,0 +1,55 @@
+/**
+ * Gets what some configurations need and most do not: the compiler of placement policies, which
+ * takes tens of milliseconds and megabytes to load, and the values of secrets.
+ */
+import type { PolicyCompiler, Shortage, Supplies } from '../routing/completeConfiguration.js';
+import { type ObjectStore, Reading } from './object-store.js';
+
+/** Kind of the objects that hold secrets. */
+export const SECRET_KIND = 'spindlepaddle-secrets';
+
+/** What a secret's object holds. */
+export interface SecretObject {
+  readonly value: string;
+}
+
+/** What is needed of the node. */
+export interface SupplierContext {
+  readonly store: ObjectStore;
+  readonly loadPolicyCompiler: () => Promise<PolicyCompiler>;
+}
+
+export interface Supplier {
+  /** What has been fetched so far. */
+  readonly supplies: Supplies;
+  /** Fetches what is missing, as far as it is to be had now. */
+  fetch(shortage: Shortage): Promise<void>;
+}
+
+export function createSupplier({ store, loadPolicyCompiler }: SupplierContext): Supplier {
+  let compilePolicy: PolicyCompiler | undefined;
+  let secrets: ReadonlyMap<string, string> = new Map();
+  const listSecrets = async (): Promise<void> => {
+    const listed = await store.list<Partial<SecretObject>>(SECRET_KIND, Reading.Now);
+    if (listed.ok) {
+      secrets = new Map(
+        listed.value.items.flatMap(({ name, spec }) =>
+          typeof spec.value === 'string' ? [[name, spec.value] as const] : [],
+        ),
+      );
+    }
+  };
+  return {
+    get supplies() {
+      return { compilePolicy, secrets };
+    },
+    fetch: async ({ needsPolicies, secrets: names }) => {
+      if (needsPolicies) {
+        compilePolicy = await loadPolicyCompiler();
+      }
+      if (names.length > 0) {
+        await listSecrets();
+      }
+    },
+  };
+}
--- a/test/configuration-follower.test.ts
+++ b/test/configuration-follower.test.ts
@@ -2,8 +2,10 @@
 import { afterEach, expect, it } from 'vitest';
 import { MemoryStore, StoreView } from '../lab/memory-store.js';
 import { waitFor } from '../lab/sidecar-mesh.js';
+import { compilePolicy } from '../src/policy/placement-policy.js';
 import { ConfigurationFollower } from '../src/source/configuration-follower.js';
 import type { ConfigurationCandidate } from '../src/source/configuration-holder.js';
+import { createSupplier } from '../src/source/supplier.js';
 
 const APPLY_MS = 400;
 
@@ -35,7 +37,12 @@
     onConnected: () => {},
     onInForce: () => {},
     onHeldOff: () => {},
+    onShort: () => {},
     onUnreadable: () => {},
+    supplier: createSupplier({
+      store: view,
+      loadPolicyCompiler: () => Promise.resolve(compilePolicy),
+    }),
   });
   follower.start();
   return follower;
--- a/test/fixtures.ts
+++ b/test/fixtures.ts
@@ -1,8 +1,9 @@
 /** Values that many tests need and few look at. */
+
+import { Cancellation } from '../src/owner/cancellation.js';
 import { EMPTY_BODY } from '../src/owner/message-body.js';
 import type { OwnerTask } from '../src/owner/owner.js';
 import type { PeerReport } from '../src/peer/peerMessages.js';
-import { Cancellation } from '../src/proxy/cancellation.js';
 
 /** A ready, idle owner of `desk`. */
 export function peerReport(overrides: Partial<PeerReport> = {}): PeerReport {
--- /dev/null
+++ b/test/operators.test.ts
@@ -0,0 +1,261 @@
+/** The operators' commands against the store stand-in, while its answers are lost and others write. */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { CONFIGURATION_KIND, CONFIGURATION_NAME, labOperatorOutside } from '../lab/labOutside.js';
+import { MemoryStore, StoreView } from '../lab/memory-store.js';
+import { call, SidecarMesh, waitFor } from '../lab/sidecar-mesh.js';
+import { decodeConfiguration, encodeConfiguration } from '../platform/configuration.js';
+import { readConfigurationFile } from '../src/cli/configurationFile.js';
+import { ExitCode } from '../src/cli/exitCode.js';
+import { runCli } from '../src/cli/runCli.js';
+import { checkMeshConfiguration } from '../src/routing/mesh-configuration.js';
+
+let folder: string;
+
+beforeEach(() => {
+  folder = mkdtempSync(join(tmpdir(), 'spindlepaddle-operators-'));
+});
+
+afterEach(() => rmSync(folder, { recursive: true }));
+
+/** Writes a configuration with one route to `desk`; `more` is added to the route and to the rest. */
+function fileOf(name: string, pathPrefix: string, more = '', rest = ''): string {
+  const file = join(folder, `${name}.yaml`);
+  const route = `{ name: read, host: mesh.example, pathPrefix: ${pathPrefix}, kind: safe, service: desk${more} }`;
+  writeFileSync(file, `services: [{ name: desk }]\nroutes:\n  - ${route}\n${rest}`);
+  return file;
+}
+
+/** Runs one command on a view of a store; the view outlives it. */
+async function run(store: MemoryStore, words: readonly string[], view = new StoreView(store)) {
+  const printed: string[] = [];
+  const errors: string[] = [];
+  const code = await runCli(['--json', ...words], {
+    outside: labOperatorOutside(() => view),
+    write: (text) => printed.push(text),
+    writeError: (text) => errors.push(text),
+    defaultStore: '127.0.0.1:1',
+  });
+  const results = printed.map((text) => JSON.parse(text) as Record<string, unknown>);
+  return { code, results, errors };
+}
+
+function storedVersion(store: MemoryStore): unknown {
+  return store.kind(CONFIGURATION_KIND).get(CONFIGURATION_NAME)?.spec;
+}
+
+describe('a change of the configuration', () => {
+  it('gets the next version, and can be read, compared and read again', async () => {
+    const store = new MemoryStore();
+    const first = fileOf('first', '/a/');
+    const second = fileOf('second', '/b/');
+    expect((await run(store, ['apply', first])).results).toEqual([
+      { kind: 'accepted', version: 1 },
+    ]);
+    expect((await run(store, ['diff', first])).results).toMatchObject([{ changes: [] }]);
+    expect((await run(store, ['diff', second])).results).toMatchObject([
+      { changes: [{ change: '~', kind: 'routes', name: 'read' }] },
+    ]);
+    expect((await run(store, ['apply', second])).results).toEqual([
+      { kind: 'accepted', version: 2 },
+    ]);
+    expect((await run(store, ['get'])).results).toMatchObject([
+      { version: 2, configuration: { routes: [{ pathPrefix: '/b/' }] } },
+    ]);
+  });
+
+  it('that is not valid is written nowhere', async () => {
+    const store = new MemoryStore();
+    const { code, results } = await run(store, ['apply', fileOf('bad', 'a')]);
+    expect(code).toBe(ExitCode.Rejected);
+    expect(results).toMatchObject([{ findings: [{ path: 'routes.0.pathPrefix', line: 3 }] }]);
+    expect(storedVersion(store)).toBeUndefined();
+  });
+
+  it('of one of two racing operators is accepted, and the other is told', async () => {
+    const store = new MemoryStore();
+    await run(store, ['apply', fileOf('base', '/base/')]);
+    for (let round = 0; round < 10; round += 1) {
+      const views = [new StoreView(store), new StoreView(store)] as const;
+      const results = await Promise.all([
+        run(store, ['apply', fileOf('left', '/left/')], views[0]),
+        run(store, ['apply', fileOf('right', '/right/')], views[1]),
+      ]);
+      expect(results.map(({ code }) => code).sort()).toEqual([ExitCode.Ok, ExitCode.Conflict]);
+      const winner = results[0].code === ExitCode.Ok ? '/left/' : '/right/';
+      expect(storedVersion(store)).toMatchObject({
+        version: round + 2,
+        routes: [{ pathPrefix: winner }],
+      });
+    }
+  });
+
+  it('made from another version than the operator has seen is refused', async () => {
+    const store = new MemoryStore();
+    const file = fileOf('base', '/base/');
+    await run(store, ['apply', file]);
+    const { code } = await run(store, ['apply', file, '--expect', '7']);
+    expect(code).toBe(ExitCode.Conflict);
+    expect(storedVersion(store)).toMatchObject({ version: 1 });
+  });
+
+  it('whose answer is lost is told as accepted, once', async () => {
+    const store = new MemoryStore();
+    await run(store, ['apply', fileOf('base', '/base/')]);
+    const view = new StoreView(store);
+    view.answersToLose = 1;
+    const { results } = await run(store, ['apply', fileOf('next', '/next/')], view);
+    expect(results).toEqual([{ kind: 'accepted', version: 2 }]);
+    expect(storedVersion(store)).toMatchObject({ version: 2, routes: [{ pathPrefix: '/next/' }] });
+  });
+
+  it('that is carried out late is not written twice', async () => {
+    const store = new MemoryStore();
+    await run(store, ['apply', fileOf('base', '/base/')]);
+    const view = new StoreView(store);
+    view.writesToDelay = 1;
+    view.lateMs = 150;
+    const before = store.revision;
+    const { results } = await run(store, ['apply', fileOf('next', '/next/')], view);
+    expect(results).toEqual([{ kind: 'accepted', version: 2 }]);
+    expect(store.revision - before).toBe(1);
+  });
+
+  it('without a store says so, and writes nothing', async () => {
+    const view = new StoreView(new MemoryStore());
+    view.failure = 'unavailable';
+    const { code } = await run(new MemoryStore(), ['apply', fileOf('base', '/base/')], view);
+    expect(code).toBe(ExitCode.Unavailable);
+  });
+});
+
+describe('a word that is no command', () => {
+  it('is a wrong use, with the help', async () => {
+    const { code, errors } = await run(new MemoryStore(), ['nonsense']);
+    expect(code).toBe(ExitCode.Usage);
+    expect(errors.join('')).toContain('validate');
+  });
+});
+
+describe('the users’ form of a configuration', () => {
+  it('says the same after it has been written and read', () => {
+    const file = new URL('../examples/lektorka.yaml', import.meta.url).pathname;
+    const { configuration } = readConfigurationFile(file);
+    if (!configuration) {
+      throw new Error('the example is not valid');
+    }
+    const written = { ...configuration, version: 7 };
+    const spec = JSON.parse(JSON.stringify(encodeConfiguration(written)));
+    const decoded = decodeConfiguration(spec);
+    expect(checkMeshConfiguration(decoded?.candidate).unsafeCoerce()).toEqual(written);
+  });
+});
+
+describe('a mesh under its operators', () => {
+  let mesh: SidecarMesh;
+
+  beforeEach(() => {
+    mesh = new SidecarMesh();
+  });
+
+  afterEach(() => mesh.close());
+
+  it('shows a version in force on every node, and names a node that is gone', async () => {
+    const [first, second] = await Promise.all([
+      mesh.add('desk'),
+      mesh.add('desk', { zone: 'zone-b' }),
+    ]);
+    const applied = await run(mesh.store, ['apply', fileOf('base', '/read/'), '--wait']);
+    expect(applied.results).toMatchObject([
+      { kind: 'accepted', version: 1 },
+      { inForce: true, nodes: 2 },
+    ]);
+    second.node.close();
+    const status = await run(mesh.store, ['status']);
+    expect(status.results).toMatchObject([{ version: 1, behind: [second.name] }]);
+    const waited = await run(mesh.store, ['wait', '1', '--timeout', '0.3']);
+    expect(waited.code).toBe(ExitCode.TimedOut);
+    expect(waited.results).toMatchObject([{ inForce: false, behind: [second.name] }]);
+    expect(first.node.status.version).toBe(1);
+  });
+
+  it('keeps requests where a policy allows them, and explains why', async () => {
+    const near = await mesh.add('desk');
+    const far = await mesh.add('desk', { zone: 'zone-b' });
+    const file = fileOf(
+      'placed',
+      '/read/',
+      ', policies: [far-only]',
+      'policies: [{ name: far-only, allow: endpoint.zone == "zone-b" }]\n',
+    );
+    await run(mesh.store, ['apply', file, '--wait']);
+    await mesh.settled();
+    const clients = near.node.addresses.clients;
+    for (let index = 0; index < 10; index += 1) {
+      expect((await call(clients, `/read/${index}`)).status).toBe(200);
+    }
+    expect(near.application.runs).toHaveLength(0);
+    expect(far.application.runs).toHaveLength(10);
+    const explained = await run(mesh.store, ['explain', 'mesh.example', '/read/1']);
+    const owners = explained.results[0]?.owners as { node: string; mayServe: boolean }[];
+    expect(Object.fromEntries(owners.map((owner) => [owner.node, owner.mayServe]))).toEqual({
+      [near.name]: false,
+      [far.name]: true,
+    });
+    expect((await call(clients, '/read/%2f..%2fx')).status).toBe(400);
+    // Nobody may serve: that is said, and nothing is run.
+    far.node.close();
+    mesh.store.delete('spindlepaddle-nodes', far.name);
+    await waitFor(async () =>
+      (await call(clients, '/read/late')).body.includes('placement-denied'),
+    );
+    expect(near.application.runs).toHaveLength(0);
+  });
+
+  it('holds a version back until its secret is there, and gives it to the back end alone', async () => {
+    const machine = await mesh.add('desk');
+    const secretFile = join(folder, 'token');
+    writeFileSync(secretFile, 'token-1\n');
+    await run(mesh.store, ['apply', fileOf('open', '/read/'), '--wait']);
+    await mesh.settled();
+    const other = new MemoryStore();
+    const [written] = (await run(other, ['secret', 'token', secretFile])).results;
+    const file = fileOf(
+      'secret',
+      '/read/',
+      ', credential: { header: X-Token, secret: token }',
+      `secrets: [{ name: token, digest: ${written?.digest} }]\n`,
+    );
+    await run(mesh.store, ['apply', file]);
+    await waitFor(() => machine.lines.some(({ event }) => event === 'configuration-waits'));
+    expect(machine.node.status.version).toBe(1);
+    // A value with another digest does not do.
+    writeFileSync(secretFile, 'token-2\n');
+    await run(mesh.store, ['secret', 'token', secretFile]);
+    await new Promise((resolve) => setTimeout(resolve, 700));
+    expect(machine.node.status.version).toBe(1);
+    writeFileSync(secretFile, 'token-1\n');
+    await run(mesh.store, ['secret', 'token', secretFile]);
+    await waitFor(() => machine.node.status.version === 2);
+    const answer = await call(machine.node.addresses.clients, '/read/1', {
+      headers: { 'x-token': 'forged' },
+    });
+    expect(answer.status).toBe(200);
+    expect(machine.application.runs.at(-1)?.headers['x-token']).toBe('token-1');
+    expect(JSON.stringify(machine.lines)).not.toContain('token-1');
+  });
+
+  it('does not put a version in force whose policy cannot be compiled', async () => {
+    const machine = await mesh.add('desk');
+    mesh.configure([{ name: 'read', service: 'desk' }]);
+    await mesh.settled();
+    mesh.configure([{ name: 'read', service: 'desk', policies: ['odd'] }], {
+      policies: [{ name: 'odd', allow: 'endpoint.nothing == 1' }],
+    });
+    await waitFor(() => machine.lines.some(({ event }) => event === 'configuration-held-off'));
+    expect(machine.node.status.version).toBe(1);
+    expect((await call(machine.node.addresses.clients, '/read/1')).status).toBe(200);
+  });
+});
