--- a/src/relay/relayedStore.ts
+++ b/src/relay/relayedStore.ts
@@ -33,6 +33,9 @@
 const FIRST_WATCH_MS = 1_500;
 const LATER_WATCH_MS = 2_000;
 
+/** A follower's watch of the directory waits so many times longer than that of a configuration. */
+const DIRECTORY_PACES = 4;
+
 /** Pause between two looks whether the zone is known, in milliseconds. */
 const ZONE_TICK_MS = 50;
 
@@ -208,7 +211,9 @@
       if (!from) {
         return watchAlone<Spec>(kind, revision, waitMs);
       }
-      const answer = await askReader(from, { kind, revision, waitMs: Math.min(waitMs, paceMs) });
+      // A version that is late breaks a promise; an owner that is known late does not.
+      const longestMs = kind === nodeKind ? paceMs * DIRECTORY_PACES : paceMs;
+      const answer = await askReader(from, { kind, revision, waitMs: Math.min(waitMs, longestMs) });
       return answer
         ? taken<Spec>(kind, revision, answer)
         : watchAlone<Spec>(kind, revision, CATCH_UP_WAIT_MS);
--- a/src/sidecar/sidecar-process.ts
+++ b/src/sidecar/sidecar-process.ts
@@ -20,13 +20,13 @@
   readonly metrics: SidecarMetrics;
   readonly settingsFile: string;
   /** Reads the settings file into the product's settings, unchecked; may throw. */
-  readonly readSettings: () => unknown;
+  readonly readSettings: () => Promise<unknown>;
   readonly outside: Outside;
 }
 
 /** Runs until SIGTERM. */
 export async function runSidecar(parts: SidecarProcess): Promise<void> {
-  const settings = load(parts);
+  const settings = await load(parts);
   if (!settings) {
     process.exitCode = EXIT_SETTINGS;
     return;
@@ -35,7 +35,7 @@
   process.on('SIGTERM', () => {
     void node.stop().finally(() => process.exit(0));
   });
-  process.on('SIGHUP', () => reload(parts, node));
+  process.on('SIGHUP', () => void reload(parts, node));
   process.on('uncaughtException', (error) => {
     parts.log.event('unexpected', { error: String(error.stack ?? error) });
   });
@@ -46,9 +46,9 @@
   await node.start();
 }
 
-function load(parts: SidecarProcess): SidecarSettings | undefined {
+async function load(parts: SidecarProcess): Promise<SidecarSettings | undefined> {
   try {
-    return checkSidecarSettings(parts.readSettings()).caseOf({
+    return checkSidecarSettings(await parts.readSettings()).caseOf({
       Left: (findings) => {
         parts.log.event('settings-refused', { findings });
         return undefined;
@@ -62,8 +62,8 @@
 }
 
 /** Settings that cannot be used are reported; the ones in force stay. */
-function reload(parts: SidecarProcess, node: SidecarNode): void {
-  const settings = load(parts);
+async function reload(parts: SidecarProcess, node: SidecarNode): Promise<void> {
+  const settings = await load(parts);
   if (settings) {
     node.reload(settings);
   }
@@ -75,7 +75,7 @@
     const found = modifiedAt(parts.settingsFile);
     if (found !== known) {
       known = found;
-      reload(parts, node);
+      void reload(parts, node);
     }
   }, SETTINGS_INTERVAL_MS);
   timer.unref();
