--- a/lab/main.ts
+++ b/lab/main.ts
@@ -6,6 +6,7 @@
 import { costExperiment } from './costExperiment.js';
 import { checkDecisionLog } from './decisionLogCheck.js';
 import type { ExperimentResult, Row } from './experiment.js';
+import { labLog } from './labLog.js';
 import { readLogFile } from './logFile.js';
 import { lossGroups, lossPlot } from './losses.js';
 import { sidecarSoak } from './sidecarSoak.js';
@@ -21,8 +22,9 @@
   process.stdout.write(`${tableOf(heading, rows)}\n`);
 }
 
+/** Progress goes to standard error, results to standard output. */
 function say(text: string): void {
-  process.stderr.write(`${text}\n`);
+  labLog.info(text);
 }
 
 /** Prints the rows as a table, one figure a line when there are many figures. */
--- a/src/charts/chart.ts
+++ b/src/charts/chart.ts
@@ -1,38 +1,43 @@
 /**
- * Interprets a state chart kept as a JSON file beside this module. Only
- * long-lived tasks take a chart: starting one costs tens of microseconds.
+ * Interprets a state chart that is kept in a file, in the form that XState reads, so that its tools
+ * can draw it. A sidecar's chart is flat; the library itself would be loaded at every start.
  */
-import { readFileSync } from 'node:fs';
-import { type AnyActorRef, createActor, createMachine } from 'xstate';
 
-/** The charts, by file name. */
-export type ChartName = 'node-lifecycle' | 'reader-slot';
-
-/** A running chart whose states and events are the given texts. */
-export class Chart<State extends string, Event extends string> {
-  private readonly actor: AnyActorRef;
+/** A flat chart. */
+export interface ChartDefinition {
+  readonly id: string;
+  readonly initial: string;
+  readonly states: Readonly<Record<string, ChartState>>;
+}
 
-  /** `onState` is called on entry to each state after the initial one. */
-  constructor(name: ChartName, onState: (state: State) => void = () => {}) {
-    const text = readFileSync(new URL(`./${name}.json`, import.meta.url), 'utf8');
-    this.actor = createActor(createMachine(JSON.parse(text)));
-    let previous = this.state;
-    this.actor.subscribe(() => {
-      if (this.state !== previous) {
-        previous = this.state;
-        onState(previous);
-      }
-    });
-    this.actor.start();
-  }
+interface ChartState {
+  readonly type?: string;
+  /** The state that each event leads to. */
+  readonly on?: Readonly<Record<string, string>>;
+}
 
-  /** The current state. */
-  get state(): State {
-    return this.actor.getSnapshot().value as State;
-  }
+/** A running chart. */
+export interface Chart<State extends string, Event extends string> {
+  readonly state: State;
+  /** A state without a transition for the event ignores it. */
+  send(event: Event): void;
+}
 
-  /** Offers an event; a state without a transition for it ignores it. */
-  send(event: Event): void {
-    this.actor.send({ type: event });
-  }
+export function createChart<State extends string, Event extends string>(
+  definition: ChartDefinition,
+  onState: (state: State) => void,
+): Chart<State, Event> {
+  let state = definition.initial as State;
+  return {
+    get state() {
+      return state;
+    },
+    send: (event) => {
+      const next = definition.states[state]?.on?.[event];
+      if (next !== undefined) {
+        state = next as State;
+        onState(state);
+      }
+    },
+  };
 }
--- a/src/sidecar/planned-stop.ts
+++ b/src/sidecar/planned-stop.ts
@@ -5,6 +5,7 @@
 import type { IngressServer } from '../ingress/ingress-server.js';
 import type { Clock } from '../model/clock.js';
 import type { LocalOwner } from '../owner/local-owner.js';
+import { type Lifecycle, LifecycleEvent } from './lifecycle.js';
 
 /** Share of the grace after which the back end gets no new tasks. */
 const TASKS_SHARE = 0.3;
@@ -37,10 +38,12 @@
   readonly owner: LocalOwner;
   /** Milliseconds until the process is killed. */
   readonly graceMs: number;
+  readonly lifecycle: Lifecycle;
 }
 
 /** Resolves when nothing is in flight, or just before the end of the grace. */
-export async function finishWork({ clock, ingress, owner, graceMs }: StoppedParts): Promise<void> {
+export async function finishWork(parts: StoppedParts): Promise<void> {
+  const { clock, ingress, owner, graceMs, lifecycle } = parts;
   const startedAt = clock.now();
   const waitUntil = async (condition: () => boolean, atMs: number) => {
     while (!condition() && clock.now() < startedAt + atMs) {
@@ -50,11 +53,14 @@
   const endsAt = startedAt + graceMs * (1 - MARGIN_SHARE);
   ingress.startStopping({ promisedFrom: startedAt + PROMISED_AFTER_MS, endsAt });
   await waitUntil(() => false, graceMs * TASKS_SHARE);
+  lifecycle.send(LifecycleEvent.NoticeGiven);
   owner.stopAdmitting();
   await waitUntil(() => false, graceMs * NOTICE_SHARE);
   // What the back end still runs may call other services through this node.
   await waitUntil(() => owner.report.inFlight === 0, graceMs * ACCEPTING_SHARE);
+  lifecycle.send(LifecycleEvent.TasksEnded);
   ingress.stopAccepting();
   const isIdle = () => ingress.inFlight === 0 && owner.report.inFlight === 0;
   await waitUntil(isIdle, endsAt - startedAt);
+  lifecycle.send(isIdle() ? LifecycleEvent.Idle : LifecycleEvent.GraceSpent);
 }
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -24,6 +24,7 @@
 import { ConfigurationFollower } from '../source/configuration-follower.js';
 import { ObservedStore } from '../source/observed-store.js';
 import { createSupplier } from '../source/supplier.js';
+import { createLifecycle, type Lifecycle, LifecycleEvent, LifecycleState } from './lifecycle.js';
 import type { Outside } from './outside.js';
 import { finishWork } from './planned-stop.js';
 import type { SidecarSettings } from './sidecar-settings.js';
@@ -77,7 +78,7 @@
   private readonly reads: PeerReads;
   private readonly relay: ZoneRelay;
   private readonly metricsServer: SmallServer;
-  private stopping = false;
+  private readonly lifecycle: Lifecycle;
   /** Steady time in milliseconds since which the configuration is in force. */
   private inForceSince = 0;
 
@@ -89,6 +90,9 @@
     private readonly metrics: SidecarMetrics,
   ) {
     const { names } = outside;
+    this.lifecycle = createLifecycle((state) => {
+      this.log.event('lifecycle', { state, inFlight: this.ingress.inFlight });
+    });
     const store = new ObservedStore(
       outside.store,
       () => clock.now(),
@@ -220,6 +224,7 @@
       listen: { peers, registrations, readiness, clients, metrics },
     };
     this.directory.put(this.record());
+    this.lifecycle.send(LifecycleEvent.Listening);
     this.sync.start();
     this.startConfiguration();
     this.owner.start();
@@ -239,10 +244,11 @@
 
   /** Planned stop; see `finishWork`. */
   async stop(): Promise<void> {
-    this.stopping = true;
-    const { clock, ingress, owner } = this;
+    this.lifecycle.send(LifecycleEvent.Stop);
+    const { clock, ingress, owner, lifecycle } = this;
     this.log.event('stopping', { inFlight: ingress.inFlight, version: this.configuration.version });
-    await finishWork({ clock, ingress, owner, graceMs: this.settings.graceMs });
+    const { graceMs } = this.settings;
+    await finishWork({ clock, ingress, owner, graceMs, lifecycle });
     await Promise.race([
       this.sync.stop(owner.isLeaving),
       new Promise((resolve) => setTimeout(resolve, REMOVE_TIMEOUT_MS)),
@@ -274,7 +280,8 @@
     const startedAt = this.clock.now();
     const timer = setInterval(() => {
       const waitedMs = this.clock.now() - startedAt;
-      if (this.sync.isListed || waitedMs >= DIRECTORY_HEAD_START_MS || this.stopping) {
+      const isStopping = this.lifecycle.state !== LifecycleState.Serving;
+      if (this.sync.isListed || waitedMs >= DIRECTORY_HEAD_START_MS || isStopping) {
         clearInterval(timer);
         this.configuration.start();
       }
@@ -419,7 +426,8 @@
   }
 
   private onReadinessCall(method: string, path: string) {
-    const isReady = !this.stopping && this.configuration.routes !== undefined && this.sync.isListed;
+    const isServing = this.lifecycle.state === LifecycleState.Serving;
+    const isReady = isServing && this.configuration.routes !== undefined && this.sync.isListed;
     const isKnown = this.outside.isReadinessCall(method, path);
     const status = isKnown ? (isReady ? 200 : 503) : 404;
     return { status, contentType: 'application/json', body: `{"ready":${isReady}}` };
