--- a/src/relay/zoneRelay.ts
+++ b/src/relay/zoneRelay.ts
@@ -28,7 +28,7 @@
   /** The store itself. */
   readonly store: ObjectStore;
   /** This node's own record: a small object of the store, which need not exist. */
-  readonly probed: { readonly kind: string; readonly name: string };
+  readonly record: { readonly kind: string; readonly name: string };
   /** Milliseconds from a version's acknowledgement until it must be in force. */
   readonly applyMs: number;
   readonly zonePart: () => ZonePart;
@@ -52,7 +52,7 @@
 }
 
 export function createZoneRelay(context: ZoneRelayContext): ZoneRelay {
-  const { clock, applyMs, probed } = context;
+  const { clock, applyMs, record } = context;
   const cache = createStoreCache({
     clock,
     freshMs: applyMs * (PACE_SHARE + MARGIN_SHARE),
@@ -61,7 +61,7 @@
     clock,
     store: context.store,
     cache,
-    nodeKind: probed.kind,
+    record,
     paceMs: applyMs * PACE_SHARE,
     patienceMs: applyMs * PATIENCE_SHARE,
     zonePart: context.zonePart,
@@ -75,7 +75,7 @@
     clock,
     store: context.store,
     cache,
-    object: probed,
+    object: record,
     paceMs: applyMs * PACE_SHARE,
     isWanted: () => !store.isFollowing,
   });
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -102,7 +102,7 @@
     this.relay = createZoneRelay({
       clock,
       store,
-      probed: { kind: NODE_KIND, name: settings.node },
+      record: { kind: NODE_KIND, name: settings.node },
       applyMs: settings.configurationApplyMs,
       zonePart: () => this.zonePart(),
       readPeer: (address, question, timeoutMs) => this.reads.read(address, question, timeoutMs),
