--- a/src/directory/owner-directory.ts
+++ b/src/directory/owner-directory.ts
@@ -33,6 +33,8 @@
 
 /** Owned by the node; takes the time as an argument. */
 export class OwnerDirectory {
+  /** Rises with each owner that comes, changes or goes. */
+  generation = 0;
   private readonly entries = new Map<string, OwnerEntry>();
   private readonly byService = new Map<string, OwnerEntry[]>();
   private readonly byAddress = new Map<string, OwnerEntry>();
@@ -73,6 +75,7 @@
       }
     }
     const entry = this.createEntry(record);
+    this.generation += 1;
     this.entries.set(record.node, entry);
     this.byAddress.set(record.address, entry);
     this.byService.set(record.service, [...this.ownersOf(record.service), entry]);
@@ -165,6 +168,7 @@
   /** Takes an entry out of every index. */
   private take(entry: OwnerEntry): void {
     const { node, address, service } = entry.record;
+    this.generation += 1;
     this.entries.delete(node);
     if (this.byAddress.get(address) === entry) {
       this.byAddress.delete(address);
--- a/src/relay/relayedStore.ts
+++ b/src/relay/relayedStore.ts
@@ -138,9 +138,9 @@
   /** The store has not answered this node: another zone's reader may have what it says. */
   const askElsewhere = async (question: StoreQuestion) => {
     const now = clock.now();
-    const from = zonePart().elsewhere.find(
-      ({ address }) => now >= (restingUntil.get(address) ?? 0),
-    );
+    const from = zonePart()
+      .elsewhere()
+      .find(({ address }) => now >= (restingUntil.get(address) ?? 0));
     return from && (await askReader(from, question));
   };
 
--- a/src/relay/zoneReaders.test.ts
+++ b/src/relay/zoneReaders.test.ts
@@ -62,7 +62,7 @@
     const nodes = ['a', 'b', 'c'].flatMap((zone) =>
       zoneOf(6).map((node) => ({ ...node, zone, node: `${zone}-${node.node}` })),
     );
-    const { elsewhere } = zonePartOf(nodes[0] as ZoneNode, nodes);
+    const elsewhere = zonePartOf(nodes[0] as ZoneNode, nodes).elsewhere();
     expect(elsewhere.map(({ zone }) => zone).sort()).toEqual(['b', 'c']);
     expect(readersOf(nodes)).toEqual(expect.arrayContaining(elsewhere.map(({ node }) => node)));
   });
--- a/src/relay/zoneReaders.ts
+++ b/src/relay/zoneReaders.ts
@@ -34,14 +34,14 @@
   readonly role: ZoneRole;
   /** Readers to ask, the preferred one first; none for other roles than follower. */
   readonly readers: readonly ZoneNode[];
-  /** The first reader of each other zone, for a node that the store turns away. */
-  readonly elsewhere: readonly ZoneNode[];
+  /** The first reader of each other zone, for a node that the store turns away; rarely needed. */
+  readonly elsewhere: () => readonly ZoneNode[];
 }
 
 /** `nodes` are all known nodes that are not known to be away, `own` among them. */
 export function zonePartOf(own: ZoneNode, nodes: readonly ZoneNode[]): ZonePart {
   const zone = nodes.filter((node) => node.zone === own.zone);
-  const elsewhere = readersElsewhere(own, nodes);
+  const elsewhere = () => readersElsewhere(own, nodes);
   if (zone.length < SMALLEST_ZONE) {
     return { role: ZoneRole.Alone, readers: [], elsewhere };
   }
--- /dev/null
+++ b/src/sidecar/decisionRecords.ts
@@ -0,0 +1,48 @@
+/** Finished requests and tasks as lines of the decision log and as metrics. */
+import type { DecisionLog } from '../diagnostics/decision-log.js';
+import type { SidecarMetrics } from '../diagnostics/sidecar-metrics.js';
+import type { RequestRecord } from '../ingress/ingress-request.js';
+import type { OwnerReport, TaskRecord } from '../owner/owner-report.js';
+
+/** Statuses from here on are failures, of the back end or of this node. */
+const FIRST_ERROR_STATUS = 400;
+
+/** Where records go. */
+export interface RecordSinks {
+  readonly log: DecisionLog;
+  readonly metrics: SidecarMetrics;
+}
+
+/** A client has its final answer, or has left; one that was answered at its first offer has no line. */
+export function recordRequest({ log, metrics }: RecordSinks, record: RequestRecord): void {
+  metrics.requestFinished(record);
+  const { status, offers, durationMs, allowedMs, ...rest } = record;
+  const isPlain = status > 0 && status < FIRST_ERROR_STATUS && offers.length < 2;
+  if (!isPlain) {
+    log.decision('request', {
+      ...rest,
+      status,
+      offers,
+      durationMs: Math.round(durationMs),
+      allowedMs: Math.round(allowedMs),
+    });
+  }
+}
+
+/** A task has left this owner; one that found an answer has no line. */
+export function recordTask(
+  { log, metrics }: RecordSinks,
+  record: TaskRecord,
+  { inFlight, queued, slots, meanServiceMs }: OwnerReport,
+): void {
+  metrics.taskFinished(record);
+  if (!record.result.startsWith('answer')) {
+    log.decision('task', {
+      ...record,
+      inFlight,
+      queued,
+      slots,
+      meanServiceMs: meanServiceMs && Math.round(meanServiceMs),
+    });
+  }
+}
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -1,34 +1,36 @@
 /** A node beside one back end: ingress, owner, directory, configuration and lifecycle together. */
 import type { DecisionLog } from '../diagnostics/decision-log.js';
-import type { SidecarMetrics } from '../diagnostics/sidecar-metrics.js';
+import type { SidecarGauges, SidecarMetrics } from '../diagnostics/sidecar-metrics.js';
 import { DirectorySync, NODE_KIND } from '../directory/directory-sync.js';
 import { OwnerDirectory } from '../directory/owner-directory.js';
 import { OwnerEntry, type OwnerRecord } from '../directory/owner-entry.js';
 import { createSpillAllowance } from '../directory/spillAllowance.js';
-import type { RequestRecord } from '../ingress/ingress-request.js';
 import { IngressServer } from '../ingress/ingress-server.js';
 import { createReturnTimes } from '../ingress/returnTimes.js';
 import { SharedRetryBudget } from '../ingress/shared-retry-budget.js';
 import type { Clock } from '../model/clock.js';
 import { LocalOwner } from '../owner/local-owner.js';
-import type { OwnerReport, TaskRecord } from '../owner/owner-report.js';
+import type { OwnerReport } from '../owner/owner-report.js';
 import { PeerCaller } from '../peer/peerCaller.js';
 import type { PeerReport, PeerSender } from '../peer/peerMessages.js';
 import { createPeerReads, type PeerReads } from '../peer/peerReads.js';
 import { PeerServer } from '../peer/peerServer.js';
 import { RemoteOwner } from '../peer/remoteOwner.js';
 import type { BackEnd } from '../registry/back-end-registry.js';
-import { type ZonePart, zonePartOf } from '../relay/zoneReaders.js';
+import type { ZonePart } from '../relay/zoneReaders.js';
 import { createZoneRelay, type ZoneRelay } from '../relay/zoneRelay.js';
 import type { RouteMatcher } from '../routing/route-matcher.js';
 import { ConfigurationFollower } from '../source/configuration-follower.js';
 import { ObservedStore } from '../source/observed-store.js';
 import { createSupplier } from '../source/supplier.js';
+import { recordRequest, recordTask } from './decisionRecords.js';
 import { createLifecycle, type Lifecycle, LifecycleEvent, LifecycleState } from './lifecycle.js';
 import type { Outside } from './outside.js';
 import { finishWork } from './planned-stop.js';
 import type { SidecarSettings } from './sidecar-settings.js';
-import { SmallServer } from './small-server.js';
+import { metricsHandler, readinessHandler, registrationHandler } from './sidecarCalls.js';
+import { type SmallHandler, SmallServer } from './small-server.js';
+import { createZoneMembership } from './zoneMembership.js';
 
 /** The directory's watch: its longest wait, and what comes within so long is taken together. */
 const DIRECTORY_WAIT_MS = 15_000;
@@ -46,10 +48,6 @@
 /** While stopping: longest time for removing the own record, in milliseconds. */
 const REMOVE_TIMEOUT_MS = 100;
 
-/** Path and media type of the metrics (Prometheus text format, version 0.0.4). */
-const METRICS_PATH = '/metrics';
-const METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
-
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** What a node believes at one moment. */
@@ -77,6 +75,7 @@
   private readonly caller: PeerCaller;
   private readonly reads: PeerReads;
   private readonly relay: ZoneRelay;
+  private readonly zonePart: () => ZonePart;
   private readonly metricsServer: SmallServer;
   private readonly lifecycle: Lifecycle;
   /** Steady time in milliseconds since which the configuration is in force. */
@@ -116,7 +115,7 @@
       healthPath: (service) => this.configuration.routes?.service(service)?.healthPath,
       drainMs: () => this.settings.drainMs,
       onBackEnd: (backEnd, cause) => this.onBackEnd(backEnd, cause),
-      onTask: (record) => this.onTask(record),
+      onTask: (record) => recordTask({ log, metrics }, record, this.owner.report),
     });
     this.caller = new PeerCaller(
       () => this.sender(),
@@ -124,6 +123,11 @@
     );
     this.directory = new OwnerDirectory(settings.zone, (record) => this.entryOf(record));
     this.directory.put(this.record());
+    this.zonePart = createZoneMembership({
+      clock,
+      directory: this.directory,
+      own: () => this.record(),
+    });
     this.sync = new DirectorySync({
       clock,
       store: this.relay.store,
@@ -172,7 +176,7 @@
       routes: () => this.configuration.routes,
       callerService: () => this.settings.service,
       own: () => this.record(),
-      onFinished: (record) => this.onFinished(record),
+      onFinished: (record) => recordRequest({ log, metrics }, record),
     });
     this.peers = new PeerServer({
       clock,
@@ -183,11 +187,13 @@
       read: (question) => this.relay.answer(question),
       onPeer: (sender, report) => this.onPeer(sender, report),
     });
-    this.metricsServer = new SmallServer((call) => this.onMetricsCall(call.path));
-    this.readiness = new SmallServer((call) => this.onReadinessCall(call.method, call.path));
-    this.registrations = new SmallServer((call) =>
-      this.onRegistration(call.method, call.path, call.body),
-    );
+    const serve = (handler: SmallHandler) =>
+      new SmallServer(handler, (path, error) =>
+        log.event('unexpected', { path, error: String(error) }),
+      );
+    this.metricsServer = serve(metricsHandler(metrics, () => this.gauges()));
+    this.readiness = serve(readinessHandler(outside, () => this.isReady));
+    this.registrations = serve(registrationHandler(outside, this.owner, log));
   }
 
   /** What the node believes now, for metrics and tests. */
@@ -228,9 +234,13 @@
     this.sync.start();
     this.startConfiguration();
     this.owner.start();
+    const { zone, service, drainMs, graceMs, configurationApplyMs } = this.settings;
     this.log.event('started', {
-      zone: this.settings.zone,
-      service: this.settings.service,
+      zone,
+      service,
+      drainMs,
+      graceMs,
+      configurationApplyMs,
       startupMs: Math.round(this.clock.now()),
     });
   }
@@ -288,16 +298,6 @@
     }, HEAD_START_TICK_MS);
   }
 
-  /** This node's part in reading the store for its zone. */
-  private zonePart(): ZonePart {
-    const isAway = ({ absence }: OwnerEntry) => absence === 'silent' || absence === 'stopping';
-    const nodes = this.directory
-      .all()
-      .filter((entry) => entry.isLocal || !isAway(entry))
-      .map(({ record }) => record);
-    return zonePartOf(this.record(), nodes);
-  }
-
   private record(): OwnerRecord {
     const { node, zone, service, listen, region, labels } = this.settings;
     return {
@@ -375,40 +375,9 @@
     this.log.event('store', { use, connected, detail, version: this.configuration.version });
   }
 
-  private onFinished(record: RequestRecord): void {
-    this.metrics.requestFinished(record);
-    const isPlain = record.status < 400 && record.status > 0 && record.offers.length < 2;
-    if (!isPlain) {
-      const { durationMs, allowedMs, ...rest } = record;
-      this.log.decision('request', {
-        ...rest,
-        durationMs: Math.round(durationMs),
-        allowedMs: Math.round(allowedMs),
-      });
-    }
-  }
-
-  /** A task that found no answer at this owner. */
-  private onTask(record: TaskRecord): void {
-    this.metrics.taskFinished(record);
-    if (!record.result.startsWith('answer')) {
-      const { inFlight, queued, slots, meanServiceMs } = this.owner.report;
-      this.log.decision('task', {
-        ...record,
-        inFlight,
-        queued,
-        slots,
-        meanServiceMs: meanServiceMs && Math.round(meanServiceMs),
-      });
-    }
-  }
-
-  private async onMetricsCall(path: string) {
+  private gauges(): SidecarGauges {
     const { version, owner, inFlight, ownersPresent, ownersAbsent, storeConnected } = this.status;
-    if (path.split('?')[0] !== METRICS_PATH) {
-      return { status: 404, contentType: 'text/plain', body: 'see /metrics\n' };
-    }
-    const body = await this.metrics.scrape({
+    return {
       requests_in_flight: inFlight,
       owner_running: owner.inFlight,
       owner_queued: owner.queued,
@@ -421,31 +390,12 @@
       configuration_age_seconds: (this.clock.now() - this.inForceSince) / MILLISECONDS_PER_SECOND,
       store_connected: Number(storeConnected),
       log_lines_dropped: this.log.dropped,
-    });
-    return { status: 200, contentType: METRICS_TYPE, body };
+    };
   }
 
-  private onReadinessCall(method: string, path: string) {
+  private get isReady(): boolean {
     const isServing = this.lifecycle.state === LifecycleState.Serving;
-    const isReady = isServing && this.configuration.routes !== undefined && this.sync.isListed;
-    const isKnown = this.outside.isReadinessCall(method, path);
-    const status = isKnown ? (isReady ? 200 : 503) : 404;
-    return { status, contentType: 'application/json', body: `{"ready":${isReady}}` };
-  }
-
-  private onRegistration(method: string, path: string, body: Buffer) {
-    const registration = this.outside.decodeRegistration(method, path, body);
-    switch (registration.kind) {
-      case 'heartbeat':
-        this.owner.heartbeat(registration.beat);
-        return { status: 200, contentType: 'application/json', body: '{}' };
-      case 'deregister':
-        this.owner.deregister(registration.instance);
-        return { status: 200, contentType: 'application/json', body: '{}' };
-      default:
-        this.log.event('registration-unreadable', { path, reason: registration.reason });
-        return { status: 400, contentType: 'application/json', body: '{}' };
-    }
+    return isServing && this.configuration.routes !== undefined && this.sync.isListed;
   }
 }
 
--- /dev/null
+++ b/src/sidecar/sidecarCalls.ts
@@ -0,0 +1,57 @@
+/** What a sidecar answers to the small calls from outside: metrics, readiness, registrations. */
+import type { DecisionLog } from '../diagnostics/decision-log.js';
+import type { SidecarGauges, SidecarMetrics } from '../diagnostics/sidecar-metrics.js';
+import type { LocalOwner } from '../owner/local-owner.js';
+import type { Outside } from './outside.js';
+import type { SmallAnswer, SmallHandler } from './small-server.js';
+
+/** Path and media type of the metrics (Prometheus text format, version 0.0.4). */
+const METRICS_PATH = '/metrics';
+const METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
+
+const JSON_TYPE = 'application/json';
+
+/** `gauges` reads the values of the moment. */
+export function metricsHandler(metrics: SidecarMetrics, gauges: () => SidecarGauges): SmallHandler {
+  return async ({ path }) => {
+    if (path.split('?')[0] !== METRICS_PATH) {
+      return { status: 404, contentType: 'text/plain', body: 'see /metrics\n' };
+    }
+    return { status: 200, contentType: METRICS_TYPE, body: await metrics.scrape(gauges()) };
+  };
+}
+
+export function readinessHandler(outside: Outside, isReady: () => boolean): SmallHandler {
+  return ({ method, path }) => {
+    const ready = isReady();
+    const isKnown = outside.isReadinessCall(method, path);
+    const status = isKnown ? (ready ? 200 : 503) : 404;
+    return { status, contentType: JSON_TYPE, body: `{"ready":${ready}}` };
+  };
+}
+
+/** Calls of the back end beside the node; what they tell is in force before they are answered. */
+export function registrationHandler(
+  outside: Outside,
+  owner: LocalOwner,
+  log: DecisionLog,
+): SmallHandler {
+  return ({ method, path, body }) => {
+    const registration = outside.decodeRegistration(method, path, body);
+    switch (registration.kind) {
+      case 'heartbeat':
+        owner.heartbeat(registration.beat);
+        return answerOf(200);
+      case 'deregister':
+        owner.deregister(registration.instance);
+        return answerOf(200);
+      default:
+        log.event('registration-unreadable', { path, reason: registration.reason });
+        return answerOf(400);
+    }
+  };
+}
+
+function answerOf(status: number): SmallAnswer {
+  return { status, contentType: JSON_TYPE, body: '{}' };
+}
--- a/src/sidecar/small-server.ts
+++ b/src/sidecar/small-server.ts
@@ -27,7 +27,10 @@
 export class SmallServer {
   private readonly server: http.Server;
 
-  constructor(private readonly handler: SmallHandler) {
+  constructor(
+    private readonly handler: SmallHandler,
+    private readonly onError: (path: string, error: unknown) => void,
+  ) {
     this.server = http.createServer((request, response) => void this.serve(request, response));
   }
 
@@ -61,7 +64,8 @@
         path: request.url ?? '/',
         body,
       });
-    } catch {
+    } catch (error) {
+      this.onError(request.url ?? '/', error);
       return { status: 500, contentType: 'text/plain', body: 'failed\n' };
     }
   }
