Soak: the store over HTTP with its troubles, lapsed records and changes of the configuration

Each of the six real sidecars has a way of its own to the store, which is down, silent, slow, turns some away, loses answers, forgets its history or loses the nodes' records; configurations change meanwhile. Two more checks at the end: every node has the newest configuration in force and its record in the store.

--- a/lab/sidecarSoak.ts
+++ b/lab/sidecarSoak.ts
@@ -1,17 +1,29 @@
 /**
  * A randomized soak of real sidecar processes: faults from outside (signals to the processes,
- * misbehaving back ends) while clients call, and the history checked at the end. The store is a
- * copy in each process, so troubles of the store are not part of it.
+ * misbehaving back ends, a store in trouble) while clients call and the configuration changes, and
+ * the history checked at the end.
  */
 import { mkdtempSync, rmSync } from 'node:fs';
 import http from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { readFleet } from '../src/cli/fleetStatus.js';
+import { NODE_KIND } from '../src/directory/directory-sync.js';
 import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
 import { ApplicationStandIn, type Behaviour } from './application-stand-in.js';
+import { CONFIGURATION_KIND, CONFIGURATION_NAME } from './labOutside.js';
+import { MemoryStore, StoreView } from './memory-store.js';
 import { pickOne, seededRandom } from './random.js';
 import { type Sidecar, startSidecars } from './sidecarProcesses.js';
-import { checkSoak, type SoakBreach, type SoakRequest, type SoakRun } from './sidecarSoakCheck.js';
+import {
+  checkFleet,
+  checkSoak,
+  type SoakBreach,
+  type SoakFleet,
+  type SoakRequest,
+  type SoakRun,
+} from './sidecarSoakCheck.js';
+import { openStoreWay, type StoreWay } from './storeServer.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 const HOST = 'mesh.example';
@@ -30,6 +42,10 @@
 const SETTLE_MS = 6_000;
 const LONGEST_PAUSE_MS = 1_500;
 const SLOWER = 6;
+/** Part of the nodes that some troubles of the store strike, and how much longer these last. */
+const SOME_SHARE = 0.4;
+const LONGER = 2;
+const SLOW_STORE_MS = 300;
 const BODY_BYTES = [0, 300, 60_000, 2_000_000];
 const BEHAVIOURS: readonly Behaviour[] = [
   'reset',
@@ -65,6 +81,14 @@
   Misbehave = 'back end misbehaves',
   Slow = 'back end is slow',
   KillAll = 'all killed at once',
+  StoreDown = 'store down',
+  StoreSilent = 'store silent',
+  StoreTurnsAway = 'store turns some away',
+  StoreSlow = 'store slow',
+  StoreLosesAnswers = 'store loses answers',
+  StoreForgets = 'store forgets its history',
+  RecordsLapse = 'records lapse',
+  Configuration = 'configuration changes',
 }
 
 /** Runs the soak; it ends by itself. */
@@ -82,22 +106,24 @@
   for (const application of applications) {
     application.serviceMs = SERVICE_MS;
   }
-  const configuration = configurationOf();
+  const store = new MemoryStore();
+  store.put(CONFIGURATION_KIND, CONFIGURATION_NAME, configurationOf(1));
+  const ways = await Promise.all(applications.map(() => openStoreWay(store)));
   const sidecars = await startSidecars({
     applications,
     zones: ZONES,
     folder,
-    store: configuration,
+    store: (index) => (ways[index] as StoreWay).address,
     nodeFlags: [],
   });
   const heartbeats = setInterval(() => beatAll(sidecars), HEARTBEAT_MS);
   try {
-    return await new Soak(plan, sidecars, say).run();
+    return await new Soak(plan, sidecars, { store, ways }, say).run();
   } finally {
     clearInterval(heartbeats);
     await Promise.all(sidecars.map(({ process }) => process.kill()));
-    for (const application of applications) {
-      application.close();
+    for (const closable of [...applications, ...ways]) {
+      closable.close();
     }
     rmSync(folder, { recursive: true });
   }
@@ -109,16 +135,24 @@
   }
 }
 
+/** The store and each sidecar's way to it. */
+interface SoakStore {
+  readonly store: MemoryStore;
+  readonly ways: readonly StoreWay[];
+}
+
 class Soak {
   private readonly requests: SoakRequest[] = [];
   private readonly faults = new Map<string, number>();
   private readonly random: () => number;
   private isOver = false;
   private afterFaults = false;
+  private version = 1;
 
   constructor(
     private readonly plan: SidecarSoakPlan,
     private readonly sidecars: readonly Sidecar[],
+    private readonly platform: SoakStore,
     private readonly say: (text: string) => void,
   ) {
     this.random = seededRandom(plan.seed);
@@ -139,7 +173,20 @@
     await pause(RECOVERY_MS);
     this.isOver = true;
     await Promise.all(clients);
-    return this.result();
+    return this.result(await this.fleet());
+  }
+
+  /** What every node has in force, by the records that the store still holds. */
+  private async fleet(): Promise<SoakFleet> {
+    const result = await readFleet(new StoreView(this.platform.store));
+    const nodes = result.kind === 'known' ? result.nodes : [];
+    return {
+      newest: this.version,
+      nodes: this.sidecars.map(({ name }) => ({
+        name,
+        version: nodes.find(({ node }) => node === name)?.version,
+      })),
+    };
   }
 
   private async strike(fault: Fault): Promise<void> {
@@ -177,6 +224,64 @@
         await Promise.all(this.sidecars.map((each) => each.restart()));
         return;
       default:
+        await this.strikeStore(fault, forMs);
+    }
+  }
+
+  private async strikeStore(fault: Fault, forMs: number): Promise<void> {
+    const { store, ways } = this.platform;
+    const some = ways.filter(() => this.random() < SOME_SHARE);
+    switch (fault) {
+      case Fault.StoreDown:
+        return this.hold(ways, forMs, (way, isOn) => {
+          way.view.failure = isOn ? 'unavailable' : undefined;
+        });
+      case Fault.StoreTurnsAway:
+        return this.hold(some, forMs * LONGER, (way, isOn) => {
+          way.view.failure = isOn ? 'throttled' : undefined;
+        });
+      case Fault.StoreSilent:
+        return this.hold(some, forMs * LONGER, (way, isOn) => {
+          way.isSilent = isOn;
+        });
+      case Fault.StoreSlow:
+        return this.hold(ways, forMs, (way, isOn) => {
+          way.delayMs = isOn ? SLOW_STORE_MS : 0;
+        });
+      case Fault.StoreLosesAnswers:
+        for (const { view } of some) {
+          view.answersToLose += 1;
+        }
+        return;
+      case Fault.StoreForgets:
+        store.compact();
+        return;
+      case Fault.RecordsLapse:
+        for (const { name } of this.sidecars) {
+          store.delete(NODE_KIND, name);
+        }
+        return;
+      case Fault.Configuration:
+        this.version += 1;
+        store.put(CONFIGURATION_KIND, CONFIGURATION_NAME, configurationOf(this.version));
+        return;
+      default:
+    }
+  }
+
+  /** Puts a trouble on ways to the store, wakes the calls that wait, and takes it off again. */
+  private async hold(
+    ways: readonly StoreWay[],
+    forMs: number,
+    set: (way: StoreWay, isOn: boolean) => void,
+  ): Promise<void> {
+    for (const way of ways) {
+      set(way, true);
+    }
+    this.platform.store.wake();
+    await pause(forMs);
+    for (const way of ways) {
+      set(way, false);
     }
   }
 
@@ -201,7 +306,7 @@
     }
   }
 
-  private result(): SidecarSoakResult {
+  private result(fleet: SoakFleet): SidecarSoakResult {
     const runs: SoakRun[] = this.sidecars.flatMap(({ application }) =>
       application.runs.map(({ requestId, body, method }) => ({
         id: requestId,
@@ -219,12 +324,12 @@
       requests: this.requests.length,
       runs: runs.length,
       statuses,
-      breaches: checkSoak(this.requests, runs, MAX_ATTEMPTS),
+      breaches: [...checkSoak(this.requests, runs, MAX_ATTEMPTS), ...checkFleet(fleet)],
     };
   }
 }
 
-function configurationOf() {
+function configurationOf(version: number) {
   const routes = SERVICES.flatMap((service) =>
     ['safe', 'unsafe'].map((kind) => ({
       name: `${service}-${kind}`,
@@ -237,7 +342,7 @@
       split: [{ service, weight: 1 }],
     })),
   );
-  return { version: 1, routes, services: SERVICES.map((name) => ({ name })) };
+  return { version, routes, services: SERVICES.map((name) => ({ name })) };
 }
 
 interface Call {
--- a/lab/sidecarSoakCheck.test.ts
+++ b/lab/sidecarSoakCheck.test.ts
@@ -1,5 +1,11 @@
 import { describe, expect, it } from 'vitest';
-import { checkSoak, type SoakRequest, SoakRule, type SoakRun } from './sidecarSoakCheck.js';
+import {
+  checkFleet,
+  checkSoak,
+  type SoakRequest,
+  SoakRule,
+  type SoakRun,
+} from './sidecarSoakCheck.js';
 
 const MAX_ATTEMPTS = 2;
 
@@ -42,3 +48,18 @@
     expect(rules([asked], runs)).toEqual([rule]);
   });
 });
+
+describe('checkFleet', () => {
+  it('names a node that is behind, and one that is not known', () => {
+    const nodes = [
+      { name: 'a', version: 3 },
+      { name: 'b', version: 2 },
+      { name: 'c', version: undefined },
+    ];
+    expect(checkFleet({ newest: 3, nodes }).map(({ rule }) => rule)).toEqual([
+      SoakRule.Config,
+      SoakRule.Lapsed,
+    ]);
+    expect(checkFleet({ newest: 3, nodes: nodes.slice(0, 1) })).toEqual([]);
+  });
+});
--- a/lab/sidecarSoakCheck.ts
+++ b/lab/sidecarSoakCheck.ts
@@ -14,6 +14,10 @@
   Attempts = 'attempts',
   /** Too little was served after the last fault. */
   Recover = 'recover',
+  /** A node does not have the newest configuration in force, long after the last fault. */
+  Config = 'config',
+  /** A node that lives has no record in the store, long after the last fault. */
+  Lapsed = 'lapsed',
 }
 
 /** One request as its caller saw it. */
@@ -36,6 +40,13 @@
   readonly hasReadBody: boolean;
 }
 
+/** Every node after the last fault. */
+export interface SoakFleet {
+  readonly newest: number;
+  /** The version is undefined for a node without a record, or out of reach. */
+  readonly nodes: readonly { readonly name: string; readonly version: number | undefined }[];
+}
+
 export interface SoakBreach {
   readonly rule: SoakRule;
   readonly detail: string;
@@ -97,3 +108,14 @@
     ? []
     : [{ rule: SoakRule.Recover, detail: `${served} of ${late.length} served after the faults` }];
 }
+
+/** Checks that the nodes have come back to one configuration. */
+export function checkFleet({ newest, nodes }: SoakFleet): SoakBreach[] {
+  return nodes.flatMap<SoakBreach>(({ name, version }) => {
+    if (version === undefined) {
+      return [{ rule: SoakRule.Lapsed, detail: `${name} is not known` }];
+    }
+    const detail = `${name} has ${version}, the newest is ${newest}`;
+    return version === newest ? [] : [{ rule: SoakRule.Config, detail }];
+  });
+}
