--- a/lab/application-stand-in.ts
+++ b/lab/application-stand-in.ts
@@ -25,7 +25,9 @@
   readonly instance: string;
   readonly method: string;
   readonly target: string;
+  /** See `keptBodyBytes`. */
   readonly body: string;
+  readonly bodyBytes: number;
   readonly headers: http.IncomingHttpHeaders;
   readonly at: number;
   /** Set when the connection closed before the answer was sent. */
@@ -41,6 +43,8 @@
   /** Behaviours of the next requests; then {@link Behaviour} `serve`. */
   readonly behaviours: Behaviour[] = [];
   serviceMs = 5;
+  /** Bytes that are kept of each body: a soak would run out of memory with all of them. */
+  keptBodyBytes = Number.POSITIVE_INFINITY;
   draining = false;
   running = 0;
   mostRunning = 0;
@@ -134,6 +138,7 @@
         chunks.push(chunk as Buffer);
       }
     }
+    const whole = Buffer.concat(chunks);
     this.running += 1;
     this.mostRunning = Math.max(this.mostRunning, this.running);
     const run: Run = {
@@ -141,7 +146,8 @@
       instance: this.instance,
       method: request.method ?? '',
       target: request.url ?? '',
-      body: Buffer.concat(chunks).toString(),
+      body: whole.subarray(0, this.keptBodyBytes).toString(),
+      bodyBytes: whole.length,
       headers: request.headers,
       at: performance.now(),
       cutAt: undefined,
--- a/lab/sidecarSoak.ts
+++ b/lab/sidecarSoak.ts
@@ -105,6 +105,7 @@
   await Promise.all(applications.map((application) => application.start()));
   for (const application of applications) {
     application.serviceMs = SERVICE_MS;
+    application.keptBodyBytes = 0;
   }
   const store = new MemoryStore();
   store.put(CONFIGURATION_KIND, CONFIGURATION_NAME, configurationOf(1));
@@ -308,10 +309,10 @@
 
   private result(fleet: SoakFleet): SidecarSoakResult {
     const runs: SoakRun[] = this.sidecars.flatMap(({ application }) =>
-      application.runs.map(({ requestId, body, method }) => ({
+      application.runs.map(({ requestId, bodyBytes, method }) => ({
         id: requestId,
-        bodyBytes: body.length,
-        hasReadBody: body.length > 0 || method === 'GET',
+        bodyBytes,
+        hasReadBody: bodyBytes > 0 || method === 'GET',
       })),
     );
     const statuses: Record<string, number> = {};
