--- a/src/directory/directory-sync.ts
+++ b/src/directory/directory-sync.ts
@@ -3,7 +3,6 @@
  * follows those of the others, and asks absent owners whether they are back.
  */
 import type { Clock } from '../model/clock.js';
-import { rankNames } from '../model/rendezvous.js';
 import type { PeerCaller } from '../peer/peerCaller.js';
 import type { PeerReport, PeerSender } from '../peer/peerMessages.js';
 import { CollectionWatcher, type WatchTiming } from '../source/collection-watcher.js';
@@ -11,6 +10,7 @@
 import { createMissingOwners, type MissingOwners } from './missingOwners.js';
 import type { OwnerDirectory } from './owner-directory.js';
 import type { OwnerEntry, OwnerRecord } from './owner-entry.js';
+import { createOwnerProbes, type OwnerProbes } from './ownerProbes.js';
 
 /** Kind of the objects by which nodes find one another. */
 export const NODE_KIND = 'spindlepaddle-nodes';
@@ -18,22 +18,6 @@
 /** Pause between two looks for absent owners that are due, in milliseconds. */
 const PROBE_TICK_MS = 100;
 
-/** Waits between status calls to one absent owner, in milliseconds. */
-const FIRST_PROBE_WAIT_MS = 400;
-const LONGEST_PROBE_WAIT_MS = 4_000;
-
-/**
- * Absent owners of other zones that are asked in one look, at the most: ten a second. Without a
- * bound, a cut between two halves of n nodes makes each of them ask n / 2 others again and again.
- */
-const FAR_PROBES_PER_TICK = 1;
-
-/**
- * Nodes of other zones that are told at once when the back end becomes ready; of the own zone, all
- * are: they send it most of its work.
- */
-const FAR_ANNOUNCED = 8;
-
 /** A status call that takes longer, in milliseconds, has failed. */
 const STATUS_TIMEOUT_MS = 500;
 
@@ -68,13 +52,22 @@
   /** True once another node has told its owners, while the store has not. */
   private isTold = false;
   private isAsking = false;
+  private readonly probes: OwnerProbes;
   private readonly missing: MissingOwners;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: DirectorySyncOptions) {
+    const { clock, directory, caller, own } = options;
+    this.probes = createOwnerProbes({
+      clock,
+      directory,
+      own,
+      askStatus: (address) => caller.status(address, STATUS_TIMEOUT_MS),
+      onReport: (entry, report) => this.noteReport(entry, report),
+    });
     this.missing = createMissingOwners({
-      clock: options.clock,
-      isAlive: (node) => this.isAlive(node),
+      clock,
+      isAlive: (node) => this.probes.isAlive(node),
       forget: (node) => this.forget(node),
     });
     this.watcher = new CollectionWatcher<OwnerRecord>(
@@ -105,7 +98,7 @@
 
   start(): void {
     this.timer = setInterval(() => {
-      this.probeDue();
+      this.probes.askDue();
       this.missing.askDue();
     }, PROBE_TICK_MS);
     void this.watcher.run();
@@ -121,24 +114,9 @@
     }
   }
 
-  /**
-   * Tells other nodes that the back end here is ready: those of the own zone and a few of
-   * the others. The rest ask by themselves before long.
-   */
+  /** Tells other nodes that the back end here is ready. */
   announce(): void {
-    const { caller, directory, own } = this.options;
-    const others = directory.all().filter((entry) => !entry.isLocal);
-    const near = others.filter((entry) => directory.isNear(entry));
-    const far = others.filter((entry) => !directory.isNear(entry));
-    // Each node tells others, so that together they reach all.
-    const ranked = rankNames(
-      own().node,
-      far.map((entry) => entry.record.address),
-    );
-    const nearAddresses = near.map((entry) => entry.record.address);
-    for (const address of [...nearAddresses, ...ranked.slice(0, FAR_ANNOUNCED)]) {
-      void caller.status(address, STATUS_TIMEOUT_MS);
-    }
+    this.probes.announce();
   }
 
   /** A node that was heard of directly: it joins even if the store does not serve this node. */
@@ -250,16 +228,6 @@
     this.missing.add(object.name);
   }
 
-  private async isAlive(node: string): Promise<boolean> {
-    const { caller, directory } = this.options;
-    const entry = directory.all().find(({ record }) => record.node === node);
-    const report = entry && (await caller.status(entry.record.address, STATUS_TIMEOUT_MS));
-    if (entry && report) {
-      this.noteReport(entry, report);
-    }
-    return report !== undefined;
-  }
-
   private forget(node: string): void {
     this.options.directory.remove(node);
     this.options.onOwner(node, 'removed', 'store');
@@ -281,30 +249,6 @@
     directory.put({ ...object.spec, node: object.name });
   }
 
-  private probeDue(): void {
-    const { clock, directory } = this.options;
-    const now = clock.now();
-    const due = directory
-      .all()
-      .filter((entry) => entry.absence && !entry.isLocal && now >= entry.probeAt);
-    const near = due.filter((entry) => directory.isNear(entry));
-    const far = due
-      .filter((entry) => !directory.isNear(entry))
-      .sort((left, right) => left.probeAt - right.probeAt);
-    for (const entry of [...near, ...far.slice(0, FAR_PROBES_PER_TICK)]) {
-      entry.probeAt = now + probeWaitMs(entry.failedProbes);
-      entry.failedProbes += 1;
-      void this.probe(entry);
-    }
-  }
-
-  private async probe(entry: OwnerEntry): Promise<void> {
-    const report = await this.options.caller.status(entry.record.address, STATUS_TIMEOUT_MS);
-    if (report) {
-      this.noteReport(entry, report);
-    }
-  }
-
   private noteReport(entry: OwnerEntry, report: PeerReport): void {
     const before = entry.absence;
     entry.noteReport(report, this.options.clock.now());
@@ -315,10 +259,6 @@
   }
 }
 
-function probeWaitMs(failures: number): number {
-  return Math.min(FIRST_PROBE_WAIT_MS * 2 ** failures, LONGEST_PROBE_WAIT_MS);
-}
-
 function recordsOf(bytes: Buffer): OwnerRecord[] | undefined {
   try {
     const records: unknown = JSON.parse(bytes.toString('utf8'));
