--- a/src/relay/relayedStore.ts
+++ b/src/relay/relayedStore.ts
@@ -1,7 +1,8 @@
 /**
  * The store as a node of a zone sees it: a few nodes of each zone watch the store, the others watch
- * them. A node turns to the store itself as soon as its reader is silent or says that the store
- * does not answer it, and to the reader of another zone if the store does not answer itself. Writes, and lists that must be of now, always go to the store.
+ * them. A node turns to the store itself as soon as its reader is silent or says that the store does
+ * not answer it, and to the reader of another zone if the store does not answer itself either.
+ * Writes, and lists that must be of now, always go to the store.
  */
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Clock } from '../model/clock.js';
@@ -26,23 +27,25 @@
 const CATCH_UP_WAIT_MS = 1;
 
 /**
- * Nodes that start together for the first time see none or few of the others in their first lists,
- * and would take different ones for the readers of the zone. So the watches of a node whose own record
- * is not in the list begin this long after its start, in milliseconds: the directory's first, so that
- * the next one already knows whom to ask. They begin well inside the 3 s or more that the users give a
- * machine after its start.
+ * Nodes that start together for the first time see none of the others in their first lists. The
+ * watches of a node that knows no other of its zone begin this long after its start, in milliseconds:
+ * the directory's first, so that the next one already knows whom to ask. Both are well inside the 3 s
+ * or more that the users give a machine after its start.
  */
 const FIRST_WATCH_MS = 1_500;
 const LATER_WATCH_MS = 2_000;
 
+/** Pause between two looks whether the zone is known, in milliseconds. */
+const ZONE_TICK_MS = 50;
+
 /** What is needed of the node. */
 export interface RelayedStoreContext {
   readonly clock: Clock;
   /** The store itself. */
   readonly store: ObjectStore;
   readonly cache: StoreCache;
-  /** This node's own record among those by which nodes find one another. */
-  readonly record: { readonly kind: string; readonly name: string };
+  /** Kind of the records by which nodes find one another. */
+  readonly nodeKind: string;
   /** Milliseconds for which a follower's watch waits. */
   readonly paceMs: number;
   /** Milliseconds beyond the pace after which a reader counts as silent. */
@@ -69,14 +72,12 @@
 }
 
 export function createRelayedStore(context: RelayedStoreContext): RelayedStore {
-  const { clock, store, cache, record, paceMs, patienceMs, zonePart, ask } = context;
+  const { clock, store, cache, nodeKind, paceMs, patienceMs, zonePart, ask } = context;
   const startedAt = clock.now();
   const restingUntil = new Map<string, number>();
   /** Kinds whose reader no longer knows the changes since this node's revision. */
   const toList = new Set<string>();
   let reader: string | undefined;
-  /** True once a list has held this node's own record: it has been here before. */
-  let isRecorded = false;
 
   const isAsked = () => clock.now() - cache.askedAt < ASKED_LIFETIME_MS;
   const isReader = () => zonePart().role === ZoneRole.Reader || isAsked();
@@ -107,18 +108,15 @@
     if (result.ok) {
       cache.noteList(kind, result.value);
       cache.noteAnswered();
-      isRecorded ||=
-        kind === record.kind && result.value.items.some(({ name }) => name === record.name);
     }
     return result;
   };
 
   /** Gives the nodes that start together the time to find one another. */
   const zoneKnown = async (kind: string): Promise<void> => {
-    const from = kind === record.kind ? FIRST_WATCH_MS : LATER_WATCH_MS;
-    const waitMs = startedAt + from - clock.now();
-    if (!isRecorded && waitMs > 0) {
-      await delay(waitMs);
+    const until = startedAt + (kind === nodeKind ? FIRST_WATCH_MS : LATER_WATCH_MS);
+    while (zonePart().role === ZoneRole.Alone && clock.now() < until) {
+      await delay(ZONE_TICK_MS);
     }
   };
 
--- a/src/relay/zoneRelay.ts
+++ b/src/relay/zoneRelay.ts
@@ -61,7 +61,7 @@
     clock,
     store: context.store,
     cache,
-    record,
+    nodeKind: record.kind,
     paceMs: applyMs * PACE_SHARE,
     patienceMs: applyMs * PATIENCE_SHARE,
     zonePart: context.zonePart,
