Test of a list that lags waits for what it asserts

It counted two calls and then expected the configuration's watch to be cut off; the two may be the directory's. Now it waits until the node says that it has lost the store, and asserts the rest as before.

--- a/test/store-trouble.test.ts
+++ b/test/store-trouble.test.ts
@@ -70,9 +70,7 @@
     // A change whose history is gone at once: the watch ends with 410, and a list that lags follows.
     mesh.configure([...ROUTES, { name: 'added', service: 'desk' }]);
     mesh.store.compact();
-    const before = machine.view.calls;
-    await waitFor(() => machine.view.calls >= before + 2);
-    expect(machine.node.status.storeConnected).toBe(false);
+    await waitFor(() => !machine.node.status.storeConnected);
     expect(machine.node.status.version).toBeGreaterThanOrEqual(version);
     expect(machine.node.status.ownersPresent).toBe(2);
     expect(other.node.status.version).toBeGreaterThanOrEqual(version);
