--- a/src/peer/peerCodec.ts
+++ b/src/peer/peerCodec.ts
@@ -1,6 +1,7 @@
 /** How messages between nodes travel: each is a frame that holds a list, its kind first. */
+
+import { encodeFrame } from '../codec/frame.js';
 import type { NotRunReason, OwnerNotRun, OwnerUnknown } from '../owner/owner.js';
-import { encodeFrame } from './frame.js';
 import {
   type AnswerMessage,
   type AskMessage,
--- a/src/peer/peerConnection.ts
+++ b/src/peer/peerConnection.ts
@@ -1,8 +1,8 @@
 /** One TCP connection between two nodes: messages in both directions, one exchange at a time. */
 import type { Socket } from 'node:net';
 import { Readable } from 'node:stream';
+import { FrameReader } from '../codec/frame.js';
 import type { BytesBody, MessageBody } from '../owner/message-body.js';
-import { FrameReader } from './frame.js';
 import { decodeMessage, encodeMessage } from './peerCodec.js';
 import { CHUNK_BYTES, type ChunkMessage, MessageKind, type PeerMessage } from './peerMessages.js';
 
--- a/src/peer/peerMessages.test.ts
+++ b/src/peer/peerMessages.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { FrameReader } from './frame.js';
+import { FrameReader } from '../codec/frame.js';
 import { decodeMessage, encodeMessage } from './peerCodec.js';
 import { MessageKind, type PeerMessage } from './peerMessages.js';
 
--- a/src/peer/peerMessages.ts
+++ b/src/peer/peerMessages.ts
@@ -8,7 +8,7 @@
  */
 import type { OwnerNotRun, OwnerTask, OwnerUnknown } from '../owner/owner.js';
 import type { OwnerReport } from '../owner/owner-report.js';
-import type { StoreQuestion } from '../relay/storeCache.js';
+import type { StoreQuestion } from '../source/object-store.js';
 
 /** What a message is. Numbers, since they travel with every message. */
 export enum MessageKind {
--- a/src/peer/peerReads.ts
+++ b/src/peer/peerReads.ts
@@ -1,5 +1,5 @@
 /** Reads of the store by way of other nodes, on connections that are kept. */
-import type { StoreQuestion } from '../relay/storeCache.js';
+import type { StoreQuestion } from '../source/object-store.js';
 import { createPeerConnections, type PeerConnections } from './peerConnections.js';
 import { MessageKind, type PeerSender } from './peerMessages.js';
 
--- a/src/peer/peerServer.ts
+++ b/src/peer/peerServer.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '../model/clock.js';
 import { Cancellation } from '../owner/cancellation.js';
 import type { Owner, OwnerAnswer, OwnerOutcome, OwnerTask } from '../owner/owner.js';
-import type { StoreQuestion } from '../relay/storeCache.js';
+import type { StoreQuestion } from '../source/object-store.js';
 import { listenOn } from './listenOn.js';
 import {
   type BodyReceiver,
--- a/src/policy/request-normalizer.ts
+++ b/src/policy/request-normalizer.ts
@@ -5,7 +5,7 @@
  */
 import type { IncomingMessage } from 'node:http';
 import { type Either, Left, Right } from 'purify-ts';
-import type { PolicyRequest } from '../policy/placement-policy.js';
+import type { PolicyRequest } from './placement-policy.js';
 
 /** A request in the only form that matching and policies see. */
 export interface NormalizedRequest extends PolicyRequest {
--- a/src/relay/relayedStore.ts
+++ b/src/relay/relayedStore.ts
@@ -12,9 +12,10 @@
   type StoreChanges,
   type StoredObject,
   type StoreListing,
+  type StoreQuestion,
   type StoreResult,
 } from '../source/object-store.js';
-import type { StoreCache, StoreQuestion } from './storeCache.js';
+import type { StoreCache } from './storeCache.js';
 import { type ZoneNode, type ZonePart, ZoneRole } from './zoneReaders.js';
 
 /** A reader that did not answer is not asked again for so long, in milliseconds. */
--- a/src/relay/storeCache.ts
+++ b/src/relay/storeCache.ts
@@ -9,21 +9,13 @@
   StoredObject,
   StoreEvent,
   StoreListing,
+  StoreQuestion,
   StoreResult,
 } from '../source/object-store.js';
 
 /** Removed objects that are remembered for each kind; an older revision has to list anew. */
 const MAX_REMOVED = 1_024;
 
-/** A question for the changes of a kind after a revision, or for all its objects. */
-export interface StoreQuestion {
-  readonly kind: string;
-  /** Left out for a list. */
-  readonly revision: number | undefined;
-  /** Milliseconds that the answer may wait for a change. */
-  readonly waitMs: number;
-}
-
 /** What is needed of the node. */
 export interface StoreCacheContext {
   readonly clock: Clock;
--- a/src/relay/storeResultCodec.ts
+++ b/src/relay/storeResultCodec.ts
@@ -1,6 +1,6 @@
 /** How a reader's answer travels to its followers: CBOR, deflated where that is worth it. */
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
-import { decodeValue, encodeValue } from '../peer/frame.js';
+import { decodeValue, encodeValue } from '../codec/frame.js';
 import type { StoreChanges, StoreResult } from '../source/object-store.js';
 
 /**
--- a/src/relay/zoneRelay.ts
+++ b/src/relay/zoneRelay.ts
@@ -1,9 +1,9 @@
 /** One node's part in reading the store for its zone, put together. */
 import type { Clock } from '../model/clock.js';
-import type { ObjectStore } from '../source/object-store.js';
+import type { ObjectStore, StoreQuestion } from '../source/object-store.js';
 import { startReachProof } from './reachProof.js';
 import { createRelayedStore, type RelayedStore } from './relayedStore.js';
-import { createStoreCache, type StoreQuestion } from './storeCache.js';
+import { createStoreCache } from './storeCache.js';
 import { packStoreResult, unpackStoreResult } from './storeResultCodec.js';
 import type { ZonePart } from './zoneReaders.js';
 
--- a/src/source/object-store.ts
+++ b/src/source/object-store.ts
@@ -45,6 +45,15 @@
   | { readonly ok: true; readonly value: Value }
   | { readonly ok: false; readonly failure: StoreFailure; readonly detail: string };
 
+/** A question for the changes of a kind after a revision, or for all its objects. */
+export interface StoreQuestion {
+  readonly kind: string;
+  /** Left out for a list. */
+  readonly revision: number | undefined;
+  /** Milliseconds that the answer may wait for a change. */
+  readonly waitMs: number;
+}
+
 /** How old an answer may be. */
 export enum Reading {
   /** As of now. */
