--- a/src/relay/relayedStore.ts
+++ b/src/relay/relayedStore.ts
@@ -24,6 +24,18 @@
 /** A node goes on reading for others so long after it was last asked, in milliseconds. */
 const ASKED_LIFETIME_MS = 5_000;
 
+/**
+ * A reader that knows the list gives it at once. After a loss of power it is about to start itself, so
+ * a node that starts does not wait for it longer than this, in milliseconds: the store serves it too.
+ */
+const LIST_PATIENCE_MS = 150;
+
+/**
+ * A follower's watch of the directory waits so many times longer than that of a configuration: an
+ * owner that is known late breaks no promise, and each watch costs both nodes processor time.
+ */
+const DIRECTORY_PACES = 4;
+
 /** Wait of a watch that only brings up to date, in milliseconds: the store takes no zero. */
 const CATCH_UP_WAIT_MS = 1;
 
@@ -123,7 +135,9 @@
 
   /** Undefined when the reader cannot speak for the store now. */
   const askReader = async (from: ZoneNode, question: StoreQuestion) => {
-    const result = await ask(from.address, question, question.waitMs + patienceMs);
+    const isList = question.revision === undefined;
+    const timeoutMs = isList ? LIST_PATIENCE_MS : question.waitMs + patienceMs;
+    const result = await ask(from.address, question, timeoutMs);
     if (result?.ok || result?.failure === 'history-gone') {
       noteReader(from.node, 'answered');
       return result;
@@ -211,7 +225,8 @@
       if (!from) {
         return watchAlone<Spec>(kind, revision, waitMs);
       }
-      const answer = await askReader(from, { kind, revision, waitMs: Math.min(waitMs, paceMs) });
+      const longestMs = kind === nodeKind ? paceMs * DIRECTORY_PACES : paceMs;
+      const answer = await askReader(from, { kind, revision, waitMs: Math.min(waitMs, longestMs) });
       return answer
         ? taken<Spec>(kind, revision, answer)
         : watchAlone<Spec>(kind, revision, CATCH_UP_WAIT_MS);
