--- a/lab/sidecarSoak.ts
+++ b/lab/sidecarSoak.ts
@@ -8,7 +8,6 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { readFleet } from '../src/cli/fleetStatus.js';
-import { NODE_KIND } from '../src/directory/directory-sync.js';
 import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
 import { ApplicationStandIn, type Behaviour } from './application-stand-in.js';
 import { CONFIGURATION_KIND, CONFIGURATION_NAME } from './labOutside.js';
@@ -23,6 +22,7 @@
   type SoakRequest,
   type SoakRun,
 } from './sidecarSoakCheck.js';
+import { StoreFault, type StoreWays, strikeStore } from './storeFaults.js';
 import { openStoreWay, type StoreWay } from './storeServer.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -42,10 +42,6 @@
 const SETTLE_MS = 6_000;
 const LONGEST_PAUSE_MS = 1_500;
 const SLOWER = 6;
-/** Part of the nodes that some troubles of the store strike, and how much longer these last. */
-const SOME_SHARE = 0.4;
-const LONGER = 2;
-const SLOW_STORE_MS = 300;
 const BODY_BYTES = [0, 300, 60_000, 2_000_000];
 const BEHAVIOURS: readonly Behaviour[] = [
   'reset',
@@ -81,16 +77,15 @@
   Misbehave = 'back end misbehaves',
   Slow = 'back end is slow',
   KillAll = 'all killed at once',
-  StoreDown = 'store down',
-  StoreSilent = 'store silent',
-  StoreTurnsAway = 'store turns some away',
-  StoreSlow = 'store slow',
-  StoreLosesAnswers = 'store loses answers',
-  StoreForgets = 'store forgets its history',
-  RecordsLapse = 'records lapse',
   Configuration = 'configuration changes',
 }
 
+/** Everything that may strike. */
+const FAULTS: readonly (Fault | StoreFault)[] = [
+  ...Object.values(Fault),
+  ...Object.values(StoreFault),
+];
+
 /** Runs the soak; it ends by itself. */
 export async function sidecarSoak(
   plan: SidecarSoakPlan,
@@ -136,12 +131,6 @@
   }
 }
 
-/** The store and each sidecar's way to it. */
-interface SoakStore {
-  readonly store: MemoryStore;
-  readonly ways: readonly StoreWay[];
-}
-
 class Soak {
   private readonly requests: SoakRequest[] = [];
   private readonly faults = new Map<string, number>();
@@ -153,7 +142,7 @@
   constructor(
     private readonly plan: SidecarSoakPlan,
     private readonly sidecars: readonly Sidecar[],
-    private readonly platform: SoakStore,
+    private readonly platform: StoreWays,
     private readonly say: (text: string) => void,
   ) {
     this.random = seededRandom(plan.seed);
@@ -164,7 +153,7 @@
     const clients = Array.from({ length: CLIENTS }, (_, index) => this.callAlways(index));
     const until = performance.now() + this.plan.seconds * MILLISECONDS_PER_SECOND;
     while (performance.now() < until) {
-      const fault = pickOne(Object.values(Fault), this.random);
+      const fault = pickOne(FAULTS, this.random);
       this.faults.set(fault, (this.faults.get(fault) ?? 0) + 1);
       await this.strike(fault);
       await pause(this.random() * LONGEST_PAUSE_MS);
@@ -190,7 +179,7 @@
     };
   }
 
-  private async strike(fault: Fault): Promise<void> {
+  private async strike(fault: Fault | StoreFault): Promise<void> {
     const sidecar = pickOne(this.sidecars, this.random);
     this.say(`soak: ${fault} at ${sidecar.name}`);
     const forMs = this.random() * LONGEST_PAUSE_MS;
@@ -224,65 +213,16 @@
         await Promise.all(this.sidecars.map(({ process }) => process.kill()));
         await Promise.all(this.sidecars.map((each) => each.restart()));
         return;
-      default:
-        await this.strikeStore(fault, forMs);
-    }
-  }
-
-  private async strikeStore(fault: Fault, forMs: number): Promise<void> {
-    const { store, ways } = this.platform;
-    const some = ways.filter(() => this.random() < SOME_SHARE);
-    switch (fault) {
-      case Fault.StoreDown:
-        return this.hold(ways, forMs, (way, isOn) => {
-          way.view.failure = isOn ? 'unavailable' : undefined;
-        });
-      case Fault.StoreTurnsAway:
-        return this.hold(some, forMs * LONGER, (way, isOn) => {
-          way.view.failure = isOn ? 'throttled' : undefined;
-        });
-      case Fault.StoreSilent:
-        return this.hold(some, forMs * LONGER, (way, isOn) => {
-          way.isSilent = isOn;
-        });
-      case Fault.StoreSlow:
-        return this.hold(ways, forMs, (way, isOn) => {
-          way.delayMs = isOn ? SLOW_STORE_MS : 0;
-        });
-      case Fault.StoreLosesAnswers:
-        for (const { view } of some) {
-          view.answersToLose += 1;
-        }
-        return;
-      case Fault.StoreForgets:
-        store.compact();
-        return;
-      case Fault.RecordsLapse:
-        for (const { name } of this.sidecars) {
-          store.delete(NODE_KIND, name);
-        }
-        return;
       case Fault.Configuration:
         this.version += 1;
-        store.put(CONFIGURATION_KIND, CONFIGURATION_NAME, configurationOf(this.version));
+        this.platform.store.put(
+          CONFIGURATION_KIND,
+          CONFIGURATION_NAME,
+          configurationOf(this.version),
+        );
         return;
       default:
-    }
-  }
-
-  /** Puts a trouble on ways to the store, wakes the calls that wait, and takes it off again. */
-  private async hold(
-    ways: readonly StoreWay[],
-    forMs: number,
-    set: (way: StoreWay, isOn: boolean) => void,
-  ): Promise<void> {
-    for (const way of ways) {
-      set(way, true);
-    }
-    this.platform.store.wake();
-    await pause(forMs);
-    for (const way of ways) {
-      set(way, false);
+        await strikeStore(this.platform, fault, forMs, this.random);
     }
   }
 
