The nodes of a zone whose links carry most read the store for the others

Cause: readers were ranked by hash alone; of 21 nodes of a zone two have links of 70 Mbit/s and 1.35 cores, the others 3.5 Mbit/s and 0.27. A reader takes every version of a storm whole and passes each on; a thin one falls behind without end. Change: the settings' link goes into a node's record; readers are ranked by link, alike links by hash as before. Deployments whose links are all alike keep their readers.

--- a/src/directory/owner-entry.ts
+++ b/src/directory/owner-entry.ts
@@ -10,6 +10,8 @@
   readonly zone: string;
   /** Service of the back end that runs beside the node. */
   readonly service: string;
+  /** Megabits a second of the node's link, where its settings tell. */
+  readonly linkMbps?: number;
   /** For placement policies, where the settings tell them. */
   readonly region?: string;
   readonly labels?: Readonly<Record<string, string>>;
--- a/src/relay/zoneReaders.test.ts
+++ b/src/relay/zoneReaders.test.ts
@@ -58,6 +58,29 @@
     }
   });
 
+  it('are the nodes whose links carry most, and the next ones when they are gone', () => {
+    const wide = ['node-3', 'node-17'];
+    const nodes = zoneOf(21).map((each) => ({
+      ...each,
+      linkMbps: wide.includes(each.node) ? 70 : 3.5,
+    }));
+    expect(readersOf(nodes).sort()).toEqual(['node-17', 'node-3']);
+    const follower = zonePartOf(nodes[0] as ZoneNode, nodes);
+    expect(
+      follower.readers
+        .slice(0, 2)
+        .map(({ node }) => node)
+        .sort(),
+    ).toEqual(wide.sort());
+    const left = nodes.filter(({ node }) => !wide.includes(node));
+    expect(readersOf(left)).toHaveLength(2);
+  });
+
+  it('are chosen by hash alone among links that are about alike, and of unknown links', () => {
+    const alike = zoneOf(21).map((each, index) => ({ ...each, linkMbps: index % 2 ? 900 : 1_000 }));
+    expect(readersOf(alike)).toEqual(readersOf(zoneOf(21)));
+  });
+
   it('of other zones are one each, for a node that the store turns away', () => {
     const nodes = ['a', 'b', 'c'].flatMap((zone) =>
       zoneOf(6).map((node) => ({ ...node, zone, node: `${zone}-${node.node}` })),
--- a/src/relay/zoneReaders.ts
+++ b/src/relay/zoneReaders.ts
@@ -1,7 +1,8 @@
 /**
- * Which nodes of a zone read the store for the others. All nodes rank their zone's nodes by
- * rendezvous hashing, so they agree without asking one another; where two views differ for a while,
- * a node that is asked reads, whatever its own rank.
+ * Which nodes of a zone read the store for the others: those whose links carry most, since a reader
+ * takes each version in whole and gives it to many. All nodes rank their zone's nodes by link and,
+ * among links that are about alike, by rendezvous hashing, so they agree without asking one another;
+ * where two views differ for a while, a node that is asked reads, whatever its own rank.
  */
 import { rankNames } from '../model/rendezvous.js';
 
@@ -71,5 +72,11 @@
 /** Nodes by rank; all nodes agree on that for the role of a reader. */
 function ranking(nodes: readonly ZoneNode[], role = 'reader'): ZoneNode[] {
   const byName = new Map(nodes.map((node) => [node.node, node]));
-  return rankNames(role, [...byName.keys()]).flatMap((name) => byName.get(name) ?? []);
+  const ranked = rankNames(role, [...byName.keys()]).flatMap((name) => byName.get(name) ?? []);
+  return ranked.sort((left, right) => linkClass(right) - linkClass(left));
+}
+
+/** Links within the same power of four count as alike; an unknown one comes last. */
+function linkClass({ linkMbps }: ZoneNode): number {
+  return linkMbps === undefined ? Number.NEGATIVE_INFINITY : Math.floor(Math.log2(linkMbps) / 2);
 }
--- a/src/sidecar/sidecar-settings.ts
+++ b/src/sidecar/sidecar-settings.ts
@@ -12,6 +12,8 @@
   /** Region and labels of this machine, for placement policies. */
   region: z.string().min(1).optional(),
   labels: z.record(z.string(), z.string()).optional(),
+  /** Megabits a second that the machine's link carries: readers of a zone are those with most. */
+  linkMbps: z.number().positive().optional(),
   /** Service of the back end on this machine. */
   service: z.string().min(1),
   backEndAddress: address,
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -209,12 +209,14 @@
   return { owner, directory, sync, configuration, ingress, peers, reads, relay, record };
 }
 
-function recordOf({ node, zone, service, listen, region, labels }: SidecarSettings): OwnerRecord {
+function recordOf(settings: SidecarSettings): OwnerRecord {
+  const { node, zone, service, listen, linkMbps, region, labels } = settings;
   return {
     node,
     address: listen.peers,
     zone,
     service,
+    ...(linkMbps === undefined ? {} : { linkMbps }),
     ...(region === undefined ? {} : { region }),
     ...(labels === undefined ? {} : { labels }),
   };
