Who has fallen behind reads the newest version alone, not every step since

Cause: a watch gives every version since the last one, each whole. In a storm of one each 0.23 s a reader that takes 0.8 s for a version gets four, then more: it never catches up. Excluded: reading always by name (a call and a whole more for each single change).

--- a/src/source/collection-watcher.ts
+++ b/src/source/collection-watcher.ts
@@ -14,8 +14,13 @@
   onConnected(connected: boolean, detail: string): void;
 }
 
-/** Time limits in milliseconds. */
+/** What is followed, and its time limits in milliseconds. */
 export interface WatchTiming {
+  /**
+   * Name of the only object of the kind, if it has just one. A watch gives every step between two
+   * versions, each whole; who has fallen behind reads the newest version alone instead.
+   */
+  readonly only?: string;
   /** Longest wait of one watch. */
   readonly waitMs: number;
   /** Pause after a watch that brought changes, so that quick changes come together. */
@@ -36,6 +41,10 @@
   /** Undefined before the first answer, or the first failure: either is told. */
   private connected: boolean | undefined;
   private backoffMs = FIRST_BACKOFF_MS;
+  /** Revision of the newest version of the only object. */
+  private onlyRevision = 0;
+  /** True from a watch that brought several versions of it until a read that finds no newer one. */
+  private isBehind = false;
   private wake: () => void = () => {};
   private refreshWanted = false;
 
@@ -55,7 +64,7 @@
   /** Runs until {@link stop}. */
   async run(): Promise<void> {
     while (!this.stopped) {
-      const failure = this.revision === undefined ? await this.list() : await this.watch();
+      const failure = await this.readNext();
       if (failure === 'history-gone') {
         this.revision = undefined;
       }
@@ -82,6 +91,14 @@
     return failure === undefined;
   }
 
+  private readNext(): Promise<StoreFailure | undefined> {
+    if (this.revision === undefined) {
+      return this.list();
+    }
+    const { only } = this.timing;
+    return this.isBehind && only !== undefined ? this.readOnly(only) : this.watch();
+  }
+
   private async list(): Promise<StoreFailure | undefined> {
     // The first list may lag: the watch from its revision brings what came since.
     const reading = this.newest === 0 ? Reading.Lately : Reading.Now;
@@ -98,10 +115,35 @@
     this.note(true, 'list');
     this.revision = result.value.revision;
     this.newest = result.value.revision;
+    for (const { revision } of result.value.items) {
+      this.onlyRevision = Math.max(this.onlyRevision, revision);
+    }
     this.handler.onList(result.value.items);
     return undefined;
   }
 
+  /** One read in place of all the steps since: in a storm each of them would come whole. */
+  private async readOnly(name: string): Promise<StoreFailure | undefined> {
+    const result = await this.store.get<Spec>(this.kind, name);
+    if (this.stopped) {
+      return undefined;
+    }
+    if (!result.ok && result.failure !== 'not-found') {
+      return result.failure;
+    }
+    this.note(true, 'get');
+    if (!result.ok || result.value.revision <= this.onlyRevision) {
+      this.isBehind = false;
+      return undefined;
+    }
+    this.onlyRevision = result.value.revision;
+    this.newest = Math.max(this.newest, this.onlyRevision);
+    this.revision = this.newest;
+    this.handler.onChange(result.value, false);
+    await this.pause(this.timing.settleMs());
+    return undefined;
+  }
+
   private async watch(): Promise<StoreFailure | undefined> {
     const from = this.revision ?? 0;
     const result = await this.store.watch<Spec>(this.kind, from, this.timing.waitMs);
@@ -114,10 +156,18 @@
     this.note(true, 'watch');
     this.newest = Math.max(this.newest, result.value.revision);
     this.revision = this.newest;
-    for (const event of result.value.events) {
-      this.handler.onChange(event.object, event.gone);
-    }
-    if (result.value.events.length > 0) {
+    const { events } = result.value;
+    const { only } = this.timing;
+    const last = events.findLastIndex(({ object }) => object.name === only);
+    this.isBehind = last > 0;
+    events.forEach(({ object, gone }, index) => {
+      // Steps that are out of date already are not worth being taken one by one.
+      if (object.name !== only || index === last) {
+        this.onlyRevision = Math.max(this.onlyRevision, object.revision);
+        this.handler.onChange(object, gone);
+      }
+    });
+    if (events.length > 0) {
       await this.pause(this.timing.settleMs());
     }
     return undefined;
--- a/src/source/configuration-follower.ts
+++ b/src/source/configuration-follower.ts
@@ -82,7 +82,7 @@
         },
         onConnected: options.onConnected,
       },
-      { waitMs: WAIT_MS, settleMs: options.settleMs },
+      { only: options.name, waitMs: WAIT_MS, settleMs: options.settleMs },
     );
   }
 
--- a/src/source/source.test.ts
+++ b/src/source/source.test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 import { CollectionWatcher } from './collection-watcher.js';
 import { type ConfigurationCandidate, ConfigurationHolder } from './configuration-holder.js';
 import type { ObjectStore, StoreFailure, StoreResult } from './object-store.js';
@@ -63,6 +63,7 @@
   get(): Promise<never> {
     throw new Error('not used');
   }
+
   create(): Promise<never> {
     throw new Error('not used');
   }
@@ -103,6 +104,47 @@
   }
 }
 
+it('who has fallen behind reads the newest version alone, until there is no newer one', async () => {
+  const calls: string[] = [];
+  const seen: number[] = [];
+  const objectAt = (revision: number) => ({ name: 'main', revision, spec: {} as never });
+  const changes = (...revisions: number[]) => ({
+    ok: true as const,
+    value: {
+      events: revisions.map((revision) => ({ object: objectAt(revision), gone: false })),
+      revision: revisions.at(-1) ?? 0,
+    },
+  });
+  const watches = [changes(5), changes(6, 7, 8)];
+  const reads = [12, 12];
+  const store = {
+    list: async () => ({ ok: true as const, value: { items: [objectAt(4)], revision: 4 } }),
+    watch: (_kind: string, revision: number) => {
+      calls.push(`watch ${revision}`);
+      return watches.length > 0 ? Promise.resolve(watches.shift()) : new Promise(() => {});
+    },
+    get: async () => {
+      calls.push('get');
+      return { ok: true as const, value: objectAt(reads.shift() as number) };
+    },
+  } as unknown as ObjectStore;
+  const watcher = new CollectionWatcher<never>(
+    store,
+    'kind',
+    {
+      onList: () => {},
+      onChange: ({ revision }) => seen.push(revision),
+      onConnected: () => {},
+    },
+    { only: 'main', waitMs: 1_000, settleMs: () => 1 },
+  );
+  void watcher.run();
+  await vi.waitFor(() => expect(calls).toHaveLength(5));
+  watcher.stop();
+  expect(calls).toEqual(['watch 4', 'watch 5', 'get', 'get', 'watch 12']);
+  expect(seen).toEqual([5, 8, 12]);
+});
+
 /** Runs a watcher until the script is at its end. */
 async function follow(script: ConstructorParameters<typeof ScriptedStore>[0]) {
   const store = new ScriptedStore([...script]);
