A version costs what it changes: unchanged routes are neither rendered nor made ready again

Cause: each version rendered all of its routes as text to find those that it shares with the one before. Change: the text is kept with the route's object, which versions share since the store's objects share their structure; a ready route without policies is kept.

--- a/src/routing/mesh-configuration.ts
+++ b/src/routing/mesh-configuration.ts
@@ -93,6 +93,7 @@
  */
 export function createConfigurationCheck(): ConfigurationCheck {
   let known = new Map<string, MeshRoute>();
+  const memory = createRouteMemory();
   return (candidate) => {
     const frame = frameSchema.safeParse(candidate);
     if (!frame.success) {
@@ -100,11 +101,17 @@
     }
     const checked = new Map<string, MeshRoute>();
     const findings: Finding[] = [];
-    const routes = frame.data.routes.flatMap((route, index) => {
-      const text = JSON.stringify(route) ?? '';
-      const result = checkRoute(route, index, known.get(text));
-      result.ifRight((good) => checked.set(text, good)).ifLeft((bad) => findings.push(...bad));
-      return result.map((good) => [good]).orDefault([]);
+    const routes: MeshRoute[] = [];
+    frame.data.routes.forEach((route, index) => {
+      const text = memory.textOf(route);
+      const good = known.get(text);
+      const result = good ? Right(good) : checkRoute(route, index);
+      result
+        .ifRight((right) => {
+          checked.set(text, right);
+          routes.push(right);
+        })
+        .ifLeft((bad) => findings.push(...bad));
     });
     const configuration = { ...frame.data, routes };
     findings.push(...(findings.length > 0 ? [] : danglingReferences(configuration)));
@@ -116,14 +123,20 @@
   };
 }
 
-function checkRoute(
-  route: unknown,
-  index: number,
-  known: MeshRoute | undefined,
-): Either<Finding[], MeshRoute> {
-  if (known) {
-    return Right(known);
-  }
+/** Renders a route as text, once for each object: versions share the routes that have not changed. */
+function createRouteMemory(): { textOf(route: unknown): string } {
+  const texts = new WeakMap<object, string>();
+  return {
+    textOf: (route) => {
+      const key = typeof route === 'object' && route !== null ? route : {};
+      const text = texts.get(key) ?? JSON.stringify(route) ?? '';
+      texts.set(key, text);
+      return text;
+    },
+  };
+}
+
+function checkRoute(route: unknown, index: number): Either<Finding[], MeshRoute> {
   const result = routeSchema.safeParse(route);
   return result.success ? Right(result.data) : Left(findingsOf(result.error, ['routes', index]));
 }
--- a/src/routing/route-matcher.ts
+++ b/src/routing/route-matcher.ts
@@ -29,8 +29,11 @@
       const host = route.host.toLowerCase();
       const prefixes = this.hosts.get(host) ?? new Map<string, MatchedRoute>();
       const known = previous?.hosts.get(host)?.get(route.pathPrefix);
-      const split = known?.route === route ? known.split : new TrafficSplit(route.split);
-      prefixes.set(route.pathPrefix, readyRoute(route, split, complements));
+      const isKnown = known?.route === route;
+      const split = isKnown ? known.split : new TrafficSplit(route.split);
+      const isPlain = route.policies.length === 0 && !route.credential;
+      const ready = isKnown && isPlain ? known : readyRoute(route, split, complements);
+      prefixes.set(route.pathPrefix, ready);
       this.hosts.set(host, prefixes);
     }
     for (const service of configuration.services) {
--- a/src/routing/routing.test.ts
+++ b/src/routing/routing.test.ts
@@ -54,6 +54,22 @@
     expect(after.match('a.example', '/b/1')).toBeUndefined();
   });
 
+  it('reads a route that two versions share only once', () => {
+    const check = createConfigurationCheck();
+    let reads = 0;
+    const shared = {
+      ...route('a', '/a/'),
+      toJSON: () => {
+        reads += 1;
+        return route('a', '/a/');
+      },
+    };
+    for (let version = 1; version <= 5; version += 1) {
+      check(candidate([shared, route('b', `/${version}/`)])).unsafeCoerce();
+    }
+    expect(reads).toBe(1);
+  });
+
   it('names the place of a bad route among good ones, and forgets nothing good over it', () => {
     const check = createConfigurationCheck();
     const first = check(candidate([route('a', '/a/')])).unsafeCoerce();
