An owner that has a request and falls silent is waited for while another is asked

Cause: a ping unanswered for 250 to 1,000 ms gave the request up as lost. Excluded: a longer limit (a dead machine's requests would be served too late). Change: silence after the commit is told to the dispatch, which asks another owner inside the budget and the route's attempts and takes the first answer; with nobody left to ask it waits until the deadline. The others are cancelled.

--- a/src/ingress/dispatch.test.ts
+++ b/src/ingress/dispatch.test.ts
@@ -1,10 +1,10 @@
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 import { ownerTask } from '../../test/fixtures.js';
 import { OwnerDirectory } from '../directory/owner-directory.js';
 import { OwnerEntry } from '../directory/owner-entry.js';
 import { createSpillAllowance, LARGE_BODY_BYTES } from '../directory/spillAllowance.js';
 import { EMPTY_BODY } from '../owner/message-body.js';
-import { type Owner, type OwnerOutcome, turnedAway } from '../owner/owner.js';
+import { type Owner, type OwnerOutcome, type OwnerTask, turnedAway } from '../owner/owner.js';
 import { Dispatch } from './dispatch.js';
 import { createReturnTimes } from './returnTimes.js';
 import { SharedRetryBudget } from './shared-retry-budget.js';
@@ -144,3 +144,89 @@
     expect(found).toMatchObject({ asked: 2, status: 200 });
   });
 });
+
+/** A task at owners that are answered for one by one. */
+function heldDispatch(options: { owners: number; maxAttempts?: number; slack?: number }) {
+  const offered: { task: OwnerTask; settle: (outcome: OwnerOutcome) => void }[] = [];
+  const owner: Owner = {
+    run: (task) =>
+      new Promise((settle) => {
+        offered.push({ task, settle });
+        task.cancellation.onCancel(() => settle({ kind: 'unknown', reason: 'cancelled' }));
+      }),
+  };
+  const directory = new OwnerDirectory('near', (record) => new OwnerEntry(record, owner));
+  for (let index = 0; index < options.owners; index += 1) {
+    const address = `10.0.0.1:${index}`;
+    directory.put({ node: `node-${index}`, address, zone: 'near', service: 'desk' });
+  }
+  const task = ownerTask({ repeatable: true });
+  const bound = { ratio: 0, windowMs: 10_000, slack: options.slack ?? 64 };
+  const context = {
+    clock: { now: () => 0 },
+    directory,
+    budget: new SharedRetryBudget(
+      () => bound,
+      () => 1,
+    ),
+    spill: createSpillAllowance(),
+    returns: createReturnTimes(),
+  };
+  const result = new Dispatch(context, task, options.maxAttempts ?? 2, 0).run();
+  return { offered, task, directory, status: result.then((ended) => ended.result.status) };
+}
+
+describe('an owner that has the request and falls silent', () => {
+  it('is not given up while another one is asked: the first answer counts', async () => {
+    const { offered, status, directory } = heldDispatch({ owners: 3 });
+    offered[0]?.task.onProgress('silent');
+    await vi.waitFor(() => expect(offered).toHaveLength(2));
+    offered[0]?.settle(answer(200));
+    expect(await status).toBe(200);
+    expect(offered[1]?.task.cancellation.cancelled).toBe(true);
+    await vi.waitFor(() =>
+      expect(directory.all().map(({ outstanding }) => outstanding)).toEqual([0, 0, 0]),
+    );
+  });
+
+  it('is cancelled when the other one answers', async () => {
+    const { offered, status } = heldDispatch({ owners: 2 });
+    offered[0]?.task.onProgress('silent');
+    await vi.waitFor(() => expect(offered).toHaveLength(2));
+    offered[1]?.settle(answer(200));
+    expect(await status).toBe(200);
+    expect(offered[0]?.task.cancellation.cancelled).toBe(true);
+  });
+
+  it.each([
+    ['no other owner', { owners: 1 }],
+    ['no attempt left', { owners: 2, maxAttempts: 1 }],
+    ['no budget left', { owners: 2, slack: 0 }],
+  ])('is waited for when there is %s', async (_reason, options) => {
+    const { offered, status } = heldDispatch(options);
+    offered[0]?.task.onProgress('silent');
+    await new Promise((resolve) => setTimeout(resolve, 10));
+    expect(offered).toHaveLength(1);
+    offered[0]?.settle(answer(200));
+    expect(await status).toBe(200);
+  });
+
+  it('does not bring a third owner in while the second works on the request', async () => {
+    const { offered, status } = heldDispatch({ owners: 3, maxAttempts: 3 });
+    offered[0]?.task.onProgress('silent');
+    await vi.waitFor(() => expect(offered).toHaveLength(2));
+    offered[0]?.settle(lost);
+    await new Promise((resolve) => setTimeout(resolve, 10));
+    expect(offered).toHaveLength(2);
+    offered[1]?.settle(answer(200));
+    expect(await status).toBe(200);
+  });
+
+  it('ends with the deadline, as one that may have run the request', async () => {
+    const { offered, status, task } = heldDispatch({ owners: 1 });
+    offered[0]?.task.onProgress('silent');
+    await new Promise((resolve) => setTimeout(resolve, 10));
+    task.cancellation.cancel();
+    expect(await status).toBe(504);
+  });
+});
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -8,6 +8,7 @@
 import { LARGE_BODY_BYTES, type SpillAllowance } from '../directory/spillAllowance.js';
 import type { Clock } from '../model/clock.js';
 import type { OwnerAnswer, OwnerNotRun, OwnerOutcome, OwnerTask } from '../owner/owner.js';
+import { type Attempt, SILENT, startAttempt } from './attempt.js';
 import type { ClientRefusal } from './client-answer.js';
 import type { ReturnTimes } from './returnTimes.js';
 import type { SharedRetryBudget } from './shared-retry-budget.js';
@@ -46,6 +47,10 @@
 
 /** One per request. */
 export class Dispatch {
+  /** Attempts that have not ended. */
+  private readonly running = new Set<Attempt>();
+  /** Those among them whose owner has fallen silent. */
+  private readonly silent = new Set<Attempt>();
   private readonly tried = new Set<OwnerEntry>();
   private readonly offers: OfferRecord[] = [];
   /** Back ends that the request has, or may have, been sent to. */
@@ -79,16 +84,15 @@
       this.context.spill.earn();
     }
     for (;;) {
-      const refusal = this.obstacle();
-      if (refusal) {
-        return this.end(refusal);
+      if (this.running.size === this.silent.size) {
+        const refusal = this.offerNext();
+        // With nobody left to ask, an owner that has fallen silent may still answer.
+        if (refusal && this.running.size === 0) {
+          return this.end(refusal);
+        }
       }
-      const entry = this.chooseOwner();
-      if (!entry) {
-        return this.end(this.noOwner());
-      }
-      const outcome = await this.offer(entry);
-      if (outcome.kind === 'answer') {
+      const outcome = await this.firstOutcome();
+      if (outcome !== SILENT && outcome.kind === 'answer') {
         this.context.returns.noteServed(this.task.service, this.context.clock.now());
         return this.end(outcome);
       }
@@ -96,9 +100,42 @@
   }
 
   private end(result: OwnerAnswer | ClientRefusal): DispatchResult {
+    for (const attempt of this.running) {
+      attempt.cancel();
+    }
     return { result, offers: this.offers };
   }
 
+  /** Offers the request to one more owner, or says why that cannot be. */
+  private offerNext(): ClientRefusal | undefined {
+    const refusal = this.obstacle();
+    if (refusal) {
+      return refusal;
+    }
+    const entry = this.chooseOwner();
+    if (!entry) {
+      return this.noOwner();
+    }
+    this.offer(entry);
+    return undefined;
+  }
+
+  /** What happens first: an attempt ends, or the owner of the newest falls silent. */
+  private async firstOutcome(): Promise<OwnerOutcome | typeof SILENT> {
+    const ends = [...this.running].map(async (attempt) => ({
+      attempt,
+      outcome: await attempt.outcome,
+    }));
+    const newest = [...this.running].find((attempt) => !this.silent.has(attempt));
+    const first = await Promise.race(newest ? [...ends, newest.silence] : ends);
+    if (first !== SILENT) {
+      this.noteOutcome(first.attempt, first.outcome);
+      return first.outcome;
+    }
+    this.noteSilence(newest as Attempt);
+    return SILENT;
+  }
+
   /** Why no further offer may be made, if so. */
   private obstacle(): ClientRefusal | undefined {
     const now = this.context.clock.now();
@@ -142,32 +179,44 @@
     return this.bodyBytes >= LARGE_BODY_BYTES;
   }
 
-  private async offer(entry: OwnerEntry): Promise<OwnerOutcome> {
-    const { clock } = this.context;
-    const startedAt = clock.now();
+  private offer(entry: OwnerEntry): void {
     this.tried.add(entry);
-    entry.outstanding += 1;
-    const outcome = await entry.owner.run({ ...this.task, mayWait: this.mayWaitAt(entry) });
-    entry.outstanding -= 1;
-    const now = clock.now();
+    const task = { ...this.task, mayWait: this.mayWaitAt(entry) };
+    this.running.add(startAttempt(entry, task, this.context.clock));
+  }
+
+  /** The owner has the task: it counts as arrived, and may have run. */
+  private noteSilence(attempt: Attempt): void {
+    this.silent.add(attempt);
+    this.arrivals += 1;
+    this.mayHaveRun = true;
+    this.record(attempt, SILENT);
+  }
+
+  private noteOutcome(attempt: Attempt, outcome: OwnerOutcome): void {
+    const { entry } = attempt;
+    this.running.delete(attempt);
+    const isCounted = this.silent.delete(attempt);
     if (outcome.kind === 'not-run') {
       this.lastNotRun = outcome;
-      this.arrivals += outcome.arrived ? 1 : 0;
+      this.arrivals += outcome.arrived && !isCounted ? 1 : 0;
+      const now = this.context.clock.now();
       entry.noteTurnedAway(outcome.reason, this.task.priority, outcome.retryAfterMs, now);
     } else {
-      this.arrivals += 1;
+      this.arrivals += isCounted ? 0 : 1;
       this.mayHaveRun = true;
     }
+    const detail = outcome.kind === 'answer' ? outcome.status : outcome.reason;
+    this.record(attempt, `${outcome.kind} ${detail}`);
+  }
+
+  private record({ entry, startedAt }: Attempt, result: string): void {
     this.offers.push({
       owner: entry.record.node,
       zone: entry.record.zone,
-      result:
-        outcome.kind === 'answer'
-          ? `answer ${outcome.status}`
-          : `${outcome.kind} ${outcome.reason}`,
-      tookMs: Math.round(now - startedAt),
+      result,
+      tookMs: Math.round(this.context.clock.now() - startedAt),
     });
-    return outcome;
   }
 
   /** No owner is left to ask: the request has not run unless an earlier offer may have. */
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -37,12 +37,15 @@
   readonly heldBody: BytesBody | undefined;
   /** Gives the body. Called once at the most, after the task has been admitted. */
   loadBody(): Promise<MessageBody>;
-  /** Called when an owner has queued or admitted the task. */
+  /** Called when an owner has queued or admitted the task, or is not heard of any longer. */
   onProgress(stage: OwnerStage): void;
 }
 
-/** How far a task has come at an owner. */
-export type OwnerStage = 'queued' | 'admitted';
+/**
+ * How far a task has come at an owner. `silent`: the owner has the task and does not say that it is
+ * there; its answer may still come.
+ */
+export type OwnerStage = 'queued' | 'admitted' | 'silent';
 
 /** Why a task was certainly not run. */
 export type NotRunReason =
--- a/src/peer/remoteRun.ts
+++ b/src/peer/remoteRun.ts
@@ -257,12 +257,20 @@
     }
   }
 
+  /**
+   * A task that the owner may run is not given up: silence is no proof that the owner is gone, its
+   * link may be full. Who sent the task is told, and may ask another owner meanwhile.
+   */
   private onSilence(): void {
     const isHeardOf = this.peer.heardAt > this.awaitingSince;
     if (!isHeardOf) {
       this.context.onFailure('silent');
     }
-    this.settle(this.mayHaveRun ? LOST : turnedAway('peer-silent'));
+    if (this.mayHaveRun) {
+      this.task.onProgress('silent');
+      return;
+    }
+    this.settle(turnedAway('peer-silent'));
     this.connection.destroy();
   }
 
