A node that may be behind does not say that a route does not exist

Change: while another node has spoken of a newer version, or nothing was heard for 0.8 of the bound, a request without a route gets 503 and comes back in 250 ms. Excluded: holding the request until the version is there; it cannot be known to come. Three tests; the follower's and the mesh's fail without it (404 at once).

--- a/lab/relayFleet.ts
+++ b/lab/relayFleet.ts
@@ -95,6 +95,8 @@
     onReader: () => {},
   });
   const follower = new ConfigurationFollower({
+    clock,
+    provenAt: () => relay.store.answeredAt,
     store: relay.store,
     kind: CONFIGURATION_KIND,
     name: CONFIGURATION_NAME,
--- a/src/ingress/client-answer.ts
+++ b/src/ingress/client-answer.ts
@@ -6,6 +6,7 @@
 /** Why a node answers by itself. */
 export type RefusalCode =
   | 'no-configuration'
+  | 'configuration-behind'
   | 'no-route'
   | 'too-large'
   | 'head-too-large'
--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -19,7 +19,7 @@
 /** A request without a deadline or a time-out is given up after this time, in milliseconds. */
 const LONGEST_REQUEST_MS = 300_000;
 
-/** Told while no configuration is known, in milliseconds. */
+/** Told while no configuration is known, or a newer one may exist, in milliseconds. */
 const NO_CONFIGURATION_RETRY_AFTER_MS = 250;
 
 /** Told while the node stops, in milliseconds: others serve at once. */
@@ -48,6 +48,8 @@
   readonly clock: Clock;
   readonly names: HeaderNames;
   readonly routes: () => RouteMatcher | undefined;
+  /** True when there may be a newer configuration than the one in force here. */
+  readonly mayBeBehind: () => boolean;
   /** This node's own record. */
   readonly own: () => OwnerRecord;
   /** Service that runs on this machine. */
@@ -99,7 +101,7 @@
     this.version = routes.version;
     const matched = routes.match(this.request.headers.host ?? '', this.request.url ?? '/');
     if (!matched) {
-      this.refuse({ code: 'no-route', status: 404 }, mayClose());
+      this.refuse(this.noRoute(), mayClose());
       return;
     }
     if (headBytes(this.request) > routes.configuration.limits.maxHeaderBytes) {
@@ -127,6 +129,13 @@
     }
   }
 
+  /** A node that may be behind does not say that a route does not exist: it may be a new one. */
+  private noRoute(): ClientRefusal {
+    return this.options.mayBeBehind()
+      ? { code: 'configuration-behind', status: 503, retryAfterMs: NO_CONFIGURATION_RETRY_AFTER_MS }
+      : { code: 'no-route', status: 404 };
+  }
+
   private async bringToOwner(
     matched: MatchedRoute,
     body: MessageBody,
--- a/src/relay/relayedStore.ts
+++ b/src/relay/relayedStore.ts
@@ -82,6 +82,8 @@
   readonly isReader: boolean;
   /** True while others ask this node. */
   readonly isAsked: boolean;
+  /** Steady time in milliseconds at which the store itself last answered this node. */
+  readonly answeredAt: number;
 }
 
 export function createRelayedStore(context: RelayedStoreContext): RelayedStore {
@@ -196,6 +198,9 @@
     get isAsked() {
       return isAsked();
     },
+    get answeredAt() {
+      return cache.answeredAt;
+    },
     list: async <Spec>(
       kind: string,
       reading: Reading,
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -139,7 +139,9 @@
   });
 
   const configuration = new ConfigurationFollower({
+    clock,
     store: relay.store,
+    provenAt: () => relay.store.answeredAt,
     kind: outside.configurationKind,
     name: outside.configurationName,
     applyMs: configurationApplyMs,
@@ -170,6 +172,7 @@
     spill: createSpillAllowance(),
     returns: createReturnTimes(),
     routes: () => configuration.routes,
+    mayBeBehind: () => configuration.mayBeBehind,
     callerService: () => settings().service,
     own: record,
     onFinished: (request) => recordRequest({ log, metrics }, request),
--- a/src/source/collection-watcher.ts
+++ b/src/source/collection-watcher.ts
@@ -12,6 +12,8 @@
   onChange(object: StoredObject<Spec>, gone: boolean): void;
   /** Called when the store begins or ceases to answer. */
   onConnected(connected: boolean, detail: string): void;
+  /** What was given so far is all that there is now. */
+  onCurrent?(): void;
 }
 
 /** What is followed, and its time limits in milliseconds. */
@@ -176,6 +178,7 @@
   private note(connected: boolean, detail: string): void {
     if (connected) {
       this.backoffMs = FIRST_BACKOFF_MS;
+      this.handler.onCurrent?.();
     }
     if (connected !== this.connected) {
       this.connected = connected;
--- a/src/source/configuration-follower.ts
+++ b/src/source/configuration-follower.ts
@@ -3,6 +3,7 @@
  * node when the store does not answer this one.
  */
 import { setTimeout as delay } from 'node:timers/promises';
+import type { Clock } from '../model/clock.js';
 import type { Finding } from '../model/finding.js';
 import type { Shortage } from '../routing/completeConfiguration.js';
 import type { RouteMatcher } from '../routing/route-matcher.js';
@@ -31,8 +32,15 @@
 /** Findings that one log line names. */
 const MAX_FINDINGS = 5;
 
+/**
+ * Part of the bound after which a node that has heard nothing may be behind: a follower's reader
+ * answers after 0.3 of it at the latest, and speaks for a store that it reached 0.5 ago.
+ */
+const CURRENT_SHARE = 0.8;
+
 /** What the follower needs of its node. */
 export interface ConfigurationFollowerOptions {
+  readonly clock: Clock;
   readonly store: ObjectStore;
   /** Kind and name of the configuration object. */
   readonly kind: string;
@@ -46,6 +54,8 @@
   readonly decodeBytes: (bytes: Buffer) => ConfigurationCandidate | undefined;
   /** Asks another node for its configuration. */
   readonly askPeer: (address: string) => Promise<Buffer | undefined>;
+  /** Steady time in milliseconds at which the store was last shown to be within reach. */
+  readonly provenAt: () => number;
   readonly onConnected: (connected: boolean, detail: string) => void;
   readonly onInForce: (routes: RouteMatcher, origin: string) => void;
   readonly onHeldOff: (version: number, origin: string, findings: readonly Finding[]) => void;
@@ -60,6 +70,10 @@
   private readonly holder = new ConfigurationHolder();
   private readonly watcher: CollectionWatcher<unknown>;
   private fetchingVersion = 0;
+  /** Newest version that any node has spoken of. */
+  private heardVersion = 0;
+  /** Steady time in milliseconds at which the version held was the newest. */
+  private currentAt = Number.NEGATIVE_INFINITY;
   private isStopped = false;
 
   /** Newest version that was found short. */
@@ -81,6 +95,9 @@
           }
         },
         onConnected: options.onConnected,
+        onCurrent: () => {
+          this.currentAt = options.clock.now();
+        },
       },
       { only: options.name, waitMs: WAIT_MS, settleMs: options.settleMs },
     );
@@ -99,6 +116,16 @@
     return this.watcher.isConnected;
   }
 
+  /**
+   * True when there may be a newer version that this node does not hold yet: another node has spoken
+   * of it, or nothing was heard for a while. Then the lack of a route proves nothing.
+   */
+  get mayBeBehind(): boolean {
+    const { clock, applyMs, provenAt } = this.options;
+    const currentAt = Math.max(this.currentAt, provenAt());
+    return this.heardVersion > this.version || clock.now() - currentAt > applyMs * CURRENT_SHARE;
+  }
+
   /** The configuration in force as bytes for another node. */
   bytes(): Buffer | undefined {
     return this.holder.bytes();
@@ -115,6 +142,7 @@
 
   /** Another node holds this version: if it is newer, the store is asked first, then that node. */
   noteVersion(address: string, version: number): void {
+    this.heardVersion = Math.max(this.heardVersion, version);
     if (version > this.version && version > this.fetchingVersion) {
       this.fetchingVersion = version;
       void this.fetch(address, version).finally(() => {
--- a/test/configuration-follower.test.ts
+++ b/test/configuration-follower.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, expect, it } from 'vitest';
 import { MemoryStore, StoreView } from '../lab/memory-store.js';
 import { waitFor } from '../lab/sidecar-mesh.js';
+import { steadyClock } from '../src/model/clock.js';
 import { compilePolicy } from '../src/policy/placement-policy.js';
 import { ConfigurationFollower } from '../src/source/configuration-follower.js';
 import type { ConfigurationCandidate } from '../src/source/configuration-holder.js';
@@ -23,6 +24,8 @@
 
 function follow(view: StoreView, askedPeers: string[]): ConfigurationFollower {
   follower = new ConfigurationFollower({
+    clock: steadyClock,
+    provenAt: () => Number.NEGATIVE_INFINITY,
     store: view,
     kind: 'config',
     name: 'main',
@@ -66,6 +69,29 @@
   expect(view.calls).toBe(2);
 });
 
+it('may be behind from the moment at which it hears of a newer version until it holds that', async () => {
+  const store = new MemoryStore();
+  store.put('config', 'main', { version: 1 });
+  const node = follow(new StoreView(store), []);
+  expect(node.mayBeBehind).toBe(true);
+  await waitFor(() => node.version === 1);
+  expect(node.mayBeBehind).toBe(false);
+  node.noteVersion('10.0.0.2:1', 2);
+  expect(node.mayBeBehind).toBe(true);
+  store.put('config', 'main', { version: 2 });
+  await waitFor(() => node.version === 2);
+  expect(node.mayBeBehind).toBe(false);
+});
+
+it('may be behind when it has heard nothing for most of the bound', async () => {
+  const store = new MemoryStore();
+  store.put('config', 'main', { version: 1 });
+  const node = follow(new StoreView(store), []);
+  await waitFor(() => node.version === 1);
+  await new Promise((resolve) => setTimeout(resolve, APPLY_MS * 0.85));
+  expect(node.mayBeBehind).toBe(true);
+});
+
 it('takes a version from another node within the bound when its watch stays silent', async () => {
   const store = new MemoryStore();
   store.put('config', 'main', { version: 1 });
--- a/test/store-trouble.test.ts
+++ b/test/store-trouble.test.ts
@@ -55,6 +55,25 @@
   });
 });
 
+describe('a route that a node lacks', () => {
+  it('is refused for a moment while the node may be behind, and told as none when it is not', async () => {
+    const machine = await mesh.add('desk');
+    mesh.configure(ROUTES);
+    await mesh.settled();
+    const ask = () => call(machine.node.addresses.clients, '/added/1');
+    expect((await ask()).status).toBe(404);
+    machine.view.failure = 'unavailable';
+    mesh.store.wake();
+    await waitFor(async () => (await ask()).status === 503);
+    expect(Number((await ask()).headers['retry-after'])).toBeGreaterThan(0);
+    expect((await call(machine.node.addresses.clients, '/read/1')).status).toBe(200);
+    machine.view.failure = undefined;
+    await waitFor(async () => (await ask()).status === 404);
+    mesh.configure([...ROUTES, { name: 'added', service: 'desk' }]);
+    await waitFor(async () => (await ask()).status === 200);
+  });
+});
+
 describe('a list that lags', () => {
   it('takes nothing back that the node has seen', async () => {
     const machine = await mesh.add('desk');
