Bytes by kind: what a node sends, takes from the store and passes on, as metrics and a line each 5 s

Cause: which traffic fills a thin link could be worked out, not seen. Metrics spindlepaddle_peer_sent_bytes_total, _store_received_bytes_total, _relay_answer_bytes_total; the load line also has the longest wait for another node's first word and processor time.

--- a/src/diagnostics/sidecar-metrics.ts
+++ b/src/diagnostics/sidecar-metrics.ts
@@ -50,6 +50,24 @@
     labelNames: ['operation', 'result'],
     registers: [this.registry],
   });
+  private readonly peerBytes = new Counter({
+    name: 'spindlepaddle_peer_sent_bytes_total',
+    help: 'Bytes sent to other nodes by kind of message',
+    labelNames: ['message'],
+    registers: [this.registry],
+  });
+  private readonly storeBytes = new Counter({
+    name: 'spindlepaddle_store_received_bytes_total',
+    help: 'Bytes received from the store by kind of object',
+    labelNames: ['kind'],
+    registers: [this.registry],
+  });
+  private readonly relayBytes = new Counter({
+    name: 'spindlepaddle_relay_answer_bytes_total',
+    help: 'Bytes of answers to nodes that read the store by way of this one, by kind of object',
+    labelNames: ['kind'],
+    registers: [this.registry],
+  });
   private readonly stages = new Histogram({
     name: 'spindlepaddle_stage_seconds',
     help: 'Time by route and stage: total at the ingress, queue and back end at the owner',
@@ -82,6 +100,18 @@
     this.storeCalls.inc({ operation, result });
   }
 
+  peerSent(message: string, bytes: number): void {
+    this.peerBytes.inc({ message }, bytes);
+  }
+
+  storeReceived(kind: string, bytes: number): void {
+    this.storeBytes.inc({ kind }, bytes);
+  }
+
+  relayAnswered(kind: string, bytes: number): void {
+    this.relayBytes.inc({ kind }, bytes);
+  }
+
   /** The text of a scrape. */
   scrape(values: SidecarGauges): Promise<string> {
     for (const [name, value] of Object.entries(values)) {
--- a/src/peer/peerCaller.ts
+++ b/src/peer/peerCaller.ts
@@ -1,6 +1,6 @@
 /** Short calls to other nodes: their status, their configuration and the owners they know. */
 import net from 'node:net';
-import { createPeerConnection } from './peerConnection.js';
+import { createPeerConnection, type SentObserver } from './peerConnection.js';
 import {
   MessageKind,
   PeerQuestion,
@@ -14,6 +14,7 @@
   constructor(
     private readonly sender: () => PeerSender,
     private readonly report: () => PeerReport,
+    private readonly onSent?: SentObserver,
   ) {}
 
   /** Tells another node one's own status and asks for its; undefined when it does not answer. */
@@ -46,6 +47,7 @@
           host: address.slice(0, separator),
           port: Number(address.slice(separator + 1)),
         }),
+        this.onSent,
       );
       const timer = setTimeout(() => connection.destroy(), timeoutMs);
       connection.listen({
--- a/src/peer/peerConnection.ts
+++ b/src/peer/peerConnection.ts
@@ -28,10 +28,16 @@
   destroy(): void;
 }
 
+/** Hears of every message that is sent, with its size in bytes. */
+export type SentObserver = (kind: MessageKind, bytes: number) => void;
+
 const NO_LISTENER: PeerListener = { onMessage: () => {}, onClose: () => {} };
 
 /** Takes a socket over, connected or connecting. */
-export function createPeerConnection(socket: Socket): PeerConnection {
+export function createPeerConnection(
+  socket: Socket,
+  onSent: SentObserver = () => {},
+): PeerConnection {
   const reader = new FrameReader();
   let listener = NO_LISTENER;
   let isClosed = false;
@@ -55,8 +61,14 @@
       listener.onMessage(message);
     }
   });
-  const send = (message: PeerMessage): boolean =>
-    !socket.destroyed && socket.write(encodeMessage(message));
+  const send = (message: PeerMessage): boolean => {
+    if (socket.destroyed) {
+      return false;
+    }
+    const frame = encodeMessage(message);
+    onSent(message.kind, frame.length);
+    return socket.write(frame);
+  };
   return {
     get hasStood() {
       return hasStood;
--- a/src/peer/peerReads.ts
+++ b/src/peer/peerReads.ts
@@ -1,5 +1,6 @@
 /** Reads of the store by way of other nodes, on connections that are kept. */
 import type { StoreQuestion } from '../source/object-store.js';
+import type { SentObserver } from './peerConnection.js';
 import { createPeerConnections, type PeerConnections } from './peerConnections.js';
 import { MessageKind, type PeerSender } from './peerMessages.js';
 
@@ -11,10 +12,10 @@
   close(): void;
 }
 
-export function createPeerReads(sender: () => PeerSender): PeerReads {
+export function createPeerReads(sender: () => PeerSender, onSent?: SentObserver): PeerReads {
   const pools = new Map<string, PeerConnections>();
   const poolOf = (address: string): PeerConnections => {
-    const known = pools.get(address) ?? createPeerConnections(address);
+    const known = pools.get(address) ?? createPeerConnections(address, onSent);
     pools.set(address, known);
     return known;
   };
--- a/src/peer/peerServer.ts
+++ b/src/peer/peerServer.ts
@@ -11,6 +11,7 @@
   createPeerConnection,
   inlineBytes,
   type PeerConnection,
+  type SentObserver,
 } from './peerConnection.js';
 import {
   type AskMessage,
@@ -36,6 +37,7 @@
   readonly directory: () => Buffer | undefined;
   /** Answers a node that reads the store by way of this one. */
   readonly read: (question: StoreQuestion) => Promise<Buffer>;
+  readonly onSent?: SentObserver;
   /** Called with whatever another node says of itself. */
   readonly onPeer: (sender: PeerSender, report: PeerReport | undefined) => void;
 }
@@ -47,7 +49,7 @@
 
   constructor(private readonly context: PeerServerContext) {
     this.server = net.createServer((socket) => {
-      const connection = createPeerConnection(socket);
+      const connection = createPeerConnection(socket, this.context.onSent);
       this.connections.add(connection);
       socket.on('close', () => this.connections.delete(connection));
       serveConnection(connection, this.context);
--- a/src/peer/remoteOwner.ts
+++ b/src/peer/remoteOwner.ts
@@ -1,7 +1,8 @@
 /** An owner on another node, reached over the network. */
 import type { Owner, OwnerOutcome, OwnerTask } from '../owner/owner.js';
 import { createPeerConnections } from './peerConnections.js';
-import { type PeerState, type RemoteOwnerContext, RemoteRun } from './remoteRun.js';
+import type { PeerState, RemoteOwnerContext } from './peerState.js';
+import { RemoteRun } from './remoteRun.js';
 import { createSilenceLimit } from './silenceLimit.js';
 
 /** One for each other node. */
@@ -14,7 +15,7 @@
     private readonly context: RemoteOwnerContext,
   ) {
     this.peer = {
-      connections: createPeerConnections(address),
+      connections: createPeerConnections(address, context.onSent),
       silence: createSilenceLimit(),
       heardAt: Number.NEGATIVE_INFINITY,
     };
--- a/src/peer/remoteRun.ts
+++ b/src/peer/remoteRun.ts
@@ -1,5 +1,4 @@
 /** One task at an owner on another node, from its offer to its outcome. */
-import type { Clock } from '../model/clock.js';
 import type { MessageBody } from '../owner/message-body.js';
 import type { OwnerOutcome, OwnerTask, OwnerUnknown } from '../owner/owner.js';
 import { turnedAway } from '../owner/owner.js';
@@ -9,16 +8,8 @@
   inlineBytes,
   type PeerConnection,
 } from './peerConnection.js';
-import type { PeerConnections } from './peerConnections.js';
-import {
-  type AnswerMessage,
-  MessageKind,
-  type PeerMessage,
-  type PeerReport,
-  type PeerSender,
-  taskFieldsOf,
-} from './peerMessages.js';
-import type { SilenceLimit } from './silenceLimit.js';
+import { type AnswerMessage, MessageKind, type PeerMessage, taskFieldsOf } from './peerMessages.js';
+import type { PeerState, RemoteOwnerContext } from './peerState.js';
 
 /** An answer up to this size, in bytes, is read whole before any of it is passed on. */
 const MAX_HELD_ANSWER_BYTES = 256 * 1024;
@@ -33,23 +24,6 @@
 /** The next ping of a long exchange waits this many times longer than the last one did. */
 const PING_GROWTH = 2;
 
-/** What a remote owner needs of its node. */
-export interface RemoteOwnerContext {
-  readonly clock: Clock;
-  readonly sender: () => PeerSender;
-  readonly onReport: (report: PeerReport) => void;
-  /** The node did not answer in time, or its connection failed. */
-  readonly onFailure: (cause: 'silent' | 'unreachable') => void;
-}
-
-/** What the exchanges with one node share. */
-export interface PeerState {
-  readonly connections: PeerConnections;
-  readonly silence: SilenceLimit;
-  /** Steady time in milliseconds of the last message from the node. */
-  heardAt: number;
-}
-
 /** How far an exchange has come. */
 enum Stage {
   /** Offered; the owner has said nothing yet. */
@@ -158,6 +132,7 @@
     this.peer.heardAt = now;
     if (this.stage === Stage.Offered || this.isPinged) {
       this.peer.silence.note(now - this.awaitingSince);
+      this.context.onReply?.(now - this.awaitingSince);
     }
     if (this.isPinged) {
       this.isPinged = false;
--- a/src/relay/zoneRelay.ts
+++ b/src/relay/zoneRelay.ts
@@ -39,6 +39,8 @@
     timeoutMs: number,
   ) => Promise<Buffer | undefined>;
   readonly onReader: (reader: string | undefined, cause: string) => void;
+  /** An answer to a follower has been made, of so many bytes. */
+  readonly onAnswer?: (kind: string, bytes: number) => void;
 }
 
 /** The store as this node reads it, and its answers to those that read by way of this node. */
@@ -103,11 +105,13 @@
       const { kind, revision, base } = question;
       const hasNews = result.ok && result.value.events.length > 0;
       const held = base === undefined ? undefined : cache.objectAt(kind, base);
-      return hasNews
+      const bytes = hasNews
         ? packed(`${kind} ${revision} ${result.value.revision} ${held?.revision}`, () =>
             packStoreResult(result, held),
           )
         : packStoreResult(result);
+      context.onAnswer?.(kind, bytes.length);
+      return bytes;
     },
     stop: () => proof.stop(),
   };
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -148,7 +148,9 @@
 
   /** Closes everything at once. */
   close(): void {
-    const { owner, directory, sync, configuration, ingress, peers, reads, relay } = this.parts;
+    const { owner, directory, sync, configuration, ingress, peers, reads, relay, load } =
+      this.parts;
+    load.stop();
     owner.close();
     ingress.close();
     peers.close();
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -1,5 +1,6 @@
 /** The parts of a sidecar, put together: to be read from top to bottom. */
 import type { DecisionLog } from '../diagnostics/decision-log.js';
+import { type LoadLine, startLoadLine } from '../diagnostics/loadLine.js';
 import type { SidecarMetrics } from '../diagnostics/sidecar-metrics.js';
 import { DirectorySync, NODE_KIND } from '../directory/directory-sync.js';
 import { OwnerDirectory } from '../directory/owner-directory.js';
@@ -11,7 +12,7 @@
 import type { Clock } from '../model/clock.js';
 import { LocalOwner } from '../owner/local-owner.js';
 import { PeerCaller } from '../peer/peerCaller.js';
-import type { PeerReport, PeerSender } from '../peer/peerMessages.js';
+import { MessageKind, type PeerReport, type PeerSender } from '../peer/peerMessages.js';
 import { createPeerReads, type PeerReads } from '../peer/peerReads.js';
 import { PeerServer } from '../peer/peerServer.js';
 import { RemoteOwner } from '../peer/remoteOwner.js';
@@ -54,6 +55,7 @@
   readonly peers: PeerServer;
   readonly reads: PeerReads;
   readonly relay: ZoneRelay;
+  readonly load: LoadLine;
   /** This node's own record, as the other nodes get it. */
   readonly record: () => OwnerRecord;
 }
@@ -63,6 +65,17 @@
   const { names } = outside;
   const { node, zone, configurationApplyMs } = settings();
 
+  const load = startLoadLine(log);
+  const onSent = (kind: MessageKind, bytes: number) => {
+    load.noteSent(MessageKind[kind], bytes);
+    metrics.peerSent(MessageKind[kind], bytes);
+  };
+
+  outside.store.onReceived = (kind, bytes) => {
+    load.noteReceived(kind, bytes);
+    metrics.storeReceived(kind, bytes);
+  };
+
   const record = () => recordOf(settings());
   const sender = (): PeerSender => ({
     address: settings().listen.peers,
@@ -90,6 +103,8 @@
     const remote = new RemoteOwner(known.address, {
       clock,
       sender,
+      onSent,
+      onReply: (tookMs) => load.noteReply(tookMs),
       onReport: (told) => {
         entry.noteReport(told, clock.now());
         configuration.noteVersion(known.address, told.version);
@@ -107,7 +122,7 @@
   const directory = new OwnerDirectory(zone, entryOf);
   directory.put(record());
 
-  const reads = createPeerReads(sender);
+  const reads = createPeerReads(sender, onSent);
   const relay = createZoneRelay({
     clock,
     store: new ObservedStore(
@@ -120,9 +135,13 @@
     zonePart: createZoneMembership({ clock, directory, own: record }),
     readPeer: (address, question, timeoutMs) => reads.read(address, question, timeoutMs),
     onReader: (reader, cause) => log.event('zone-reader', { reader, cause }),
+    onAnswer: (kind, bytes) => {
+      load.noteRelayed(kind, bytes);
+      metrics.relayAnswered(kind, bytes);
+    },
   });
 
-  const caller = new PeerCaller(sender, report);
+  const caller = new PeerCaller(sender, report, onSent);
   const sync = new DirectorySync({
     clock,
     store: relay.store,
@@ -182,6 +201,7 @@
     clock,
     owner,
     report,
+    onSent,
     configuration: () => configuration.bytes(),
     directory: () => sync.bytes(),
     read: (question) => relay.answer(question),
@@ -209,7 +229,7 @@
     }
   };
 
-  return { owner, directory, sync, configuration, ingress, peers, reads, relay, record };
+  return { owner, directory, sync, configuration, ingress, peers, reads, relay, load, record };
 }
 
 function recordOf(settings: SidecarSettings): OwnerRecord {
--- a/src/source/object-store.ts
+++ b/src/source/object-store.ts
@@ -69,6 +69,8 @@
 
 /** Calls never reject. */
 export interface ObjectStore {
+  /** Set by its user: hears the size in bytes of each answer, with the kind of object it is about. */
+  onReceived?: (kind: string, bytes: number) => void;
   list<Spec>(kind: string, reading: Reading): Promise<StoreResult<StoreListing<Spec>>>;
   /** One object as it is now. */
   get<Spec>(kind: string, name: string): Promise<StoreResult<StoredObject<Spec>>>;
