Connections that go silent for good are found out while new ones work

A watch of the store was then waited for up to 13.5 s, although the probes on another connection succeed: a version would be late everywhere at once. A node kept offering tasks on the other old connections to a peer, 250 ms each. Change: the probe (a list that is empty, at a tenth of a call) also tells the store's revision; one that two looks in a row see and no watch tells of ends the watches, within two paces (0.6 of config-apply). A silent peer's idle connections are closed with it, and a back end's when a kept one has brought nothing until the deadline. Excluded: shorter watches (a call each 2.5 s and reader more), TCP keep-alive (the runtime gives up after ten unanswered probes, 11 s).

--- a/lab/memory-store.ts
+++ b/lab/memory-store.ts
@@ -206,9 +206,9 @@
     });
   }
 
-  async probe(): Promise<StoreResult<undefined>> {
+  async probe(): Promise<StoreResult<number>> {
     this.probes += 1;
-    return this.failure ? failed(this.failure) : { ok: true, value: undefined };
+    return this.failure ? failed(this.failure) : { ok: true, value: this.store.revision };
   }
 
   abandonWatches(): void {
--- a/lab/storeServer.ts
+++ b/lab/storeServer.ts
@@ -100,9 +100,11 @@
   query: URLSearchParams,
 ): Promise<Answer | undefined> {
   if (name !== undefined) {
-    return query.has('stale')
-      ? told(await view.probe(), () => ({ metadata: { name, revision: 0 } }))
-      : told(await view.get(kind, name), wireObject);
+    return told(await view.get(kind, name), wireObject);
+  }
+  if (query.has('after')) {
+    // Lists are short here: a page that goes on after some name has nothing in it.
+    return told(await view.probe(), (revision) => ({ items: [], more: false, at: revision }));
   }
   if (query.has('watch')) {
     const waitMs = Number(query.get('wait-ms'));
--- a/src/owner/back-end-agent.test.ts
+++ b/src/owner/back-end-agent.test.ts
@@ -31,3 +31,23 @@
   connections.close();
   server.close();
 });
+
+test('idle connections are closed at once when one that was kept has been silent', async () => {
+  const connections = new BackEndConnections();
+  const server = http.createServer((_request, response) => response.end('ok'));
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as net.AddressInfo;
+  const ask = () =>
+    new Promise<boolean>((resolve) => {
+      const request = http.get({ host: '127.0.0.1', port, agent: connections.agentFor(true) });
+      request.on('response', (response) =>
+        response.resume().on('end', () => setImmediate(resolve, request.reusedSocket)),
+      );
+    });
+  expect(await ask()).toBe(false);
+  expect(await ask()).toBe(true);
+  connections.closeIdle();
+  expect(await ask()).toBe(false);
+  connections.close();
+  server.close();
+});
--- a/src/owner/back-end-agent.ts
+++ b/src/owner/back-end-agent.ts
@@ -50,6 +50,16 @@
     return repeatable ? this.kept : this.fresh;
   }
 
+  /**
+   * Closes kept connections that are idle, after one that was kept brought no answer: connections may
+   * go silent for good, without a reset, while new ones work.
+   */
+  closeIdle(): void {
+    for (const socket of Object.values(this.kept.freeSockets).flatMap((sockets) => sockets ?? [])) {
+      socket.destroy();
+    }
+  }
+
   /** Closes what is idle. */
   close(): void {
     this.kept.destroy();
--- a/src/owner/back-end-call.ts
+++ b/src/owner/back-end-call.ts
@@ -37,6 +37,8 @@
   readonly outcome: OwnerOutcome;
   /** True when nothing listens at the back end's address. */
   readonly unreachable: boolean;
+  /** True when a connection that was kept from earlier requests brought nothing until the end. */
+  readonly keptWasSilent?: boolean;
 }
 
 /** Sends the task; resolves once, never rejects. */
@@ -52,6 +54,7 @@
   /** True from the moment the first byte may leave for the back end. */
   private sent = false;
   private settled = false;
+  private hasAnswer = false;
   private request: http.ClientRequest | undefined;
   private forget: () => void = () => {};
   private resolve: (result: BackEndCallResult) => void = () => {};
@@ -77,7 +80,9 @@
       this.forget = this.task.cancellation.onCancel(() => {
         request.destroy();
         if (this.sent) {
-          this.unknown('cancelled');
+          const keptWasSilent = request.reusedSocket && !this.hasAnswer;
+          const outcome = { kind: 'unknown', reason: 'cancelled' } as const;
+          this.settle({ outcome, unreachable: false, keptWasSilent });
         } else {
           this.notRun('cancelled', false);
         }
@@ -144,6 +149,7 @@
   ): Promise<void> {
     const { names } = this.options;
     const { headers } = response;
+    this.hasAnswer = true;
     if (headers[names.requestId.toLowerCase()] !== this.task.requestId) {
       request.destroy();
       this.unknown('foreign-answer');
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -19,6 +19,9 @@
 /** After a late or foreign answer, connections are not kept for this long, in milliseconds. */
 const DISTRUST_MS = 10_000;
 
+/** A task that is cancelled so shortly before its deadline, in milliseconds, was waited for to its end. */
+const DEADLINE_SLACK_MS = 50;
+
 /** What the local owner is told at its start. */
 export interface LocalOwnerOptions extends BackEndPresenceOptions {
   readonly onBackEnd: (backEnd: BackEnd | undefined, cause: string) => void;
@@ -217,7 +220,7 @@
   private async send(task: OwnerTask, body: MessageBody): Promise<OwnerOutcome> {
     const { clock, names } = this.options;
     const backEnd = this.presence.backEnd as BackEnd;
-    const { outcome, unreachable } = await callBackEnd(task, body, {
+    const { outcome, unreachable, keptWasSilent } = await callBackEnd(task, body, {
       backEnd,
       names,
       agent: this.agentFor(task),
@@ -226,6 +229,9 @@
     if (unreachable) {
       this.presence.noteUnreachable(backEnd);
     }
+    if (keptWasSilent && clock.now() >= task.deadlineAt - DEADLINE_SLACK_MS) {
+      this.connections.closeIdle();
+    }
     if (outcome.kind === 'unknown' && outcome.reason === 'foreign-answer') {
       this.distrustUntil = clock.now() + DISTRUST_MS;
     }
--- a/src/peer/remoteOwner.test.ts
+++ b/src/peer/remoteOwner.test.ts
@@ -189,6 +189,26 @@
     expect(outcome).toEqual({ kind: 'unknown', reason: 'cancelled' });
   });
 
+  it('gives up the connections it has kept when one of them was silent', async () => {
+    const silent = new Set<PeerConnection>();
+    const { owner, connections } = await peer((message, connection) => {
+      if (!silent.has(connection)) {
+        serve(message, connection);
+        known.add(connection);
+      }
+    });
+    const known = new Set<PeerConnection>();
+    await Promise.all([owner.run(task(false)), owner.run(task(false)), owner.run(task(false))]);
+    expect(connections()).toBe(3);
+    for (const connection of known) {
+      silent.add(connection);
+    }
+    const first = await owner.run(task(false));
+    expect(first).toMatchObject({ kind: 'not-run', reason: 'peer-silent' });
+    expect(await owner.run(task(false))).toMatchObject({ kind: 'answer' });
+    expect(connections()).toBe(4);
+  });
+
   it('has not run what was for a node that nothing listens at', async () => {
     const { owner } = await peer(serve);
     await owner.run(task(true));
--- a/src/peer/remoteRun.ts
+++ b/src/peer/remoteRun.ts
@@ -240,6 +240,8 @@
     const isHeardOf = this.peer.heardAt > this.awaitingSince;
     if (!isHeardOf) {
       this.context.onFailure('silent');
+      // Connections may go silent for good while new ones work: those that are kept are as old.
+      this.peer.connections.close();
     }
     if (this.mayHaveRun) {
       this.task.onProgress('silent');
--- a/src/relay/reachProof.ts
+++ b/src/relay/reachProof.ts
@@ -1,6 +1,8 @@
 /**
  * Shows again and again that the store is within reach of a node that reads for others. Its watches
  * may wait for long: were their answers the only proof, they would have to be made over and over.
+ * A watch whose connection has gone silent while new ones work is found out as well: the store's
+ * revision goes on, and no watch tells of it.
  */
 import type { Clock } from '../model/clock.js';
 import type { ObjectStore } from '../source/object-store.js';
@@ -14,8 +16,8 @@
   readonly clock: Clock;
   readonly store: ObjectStore;
   readonly cache: StoreCache;
-  /** An object that is small, whether or not it exists. */
-  readonly object: { readonly kind: string; readonly name: string };
+  /** A kind of small objects. */
+  readonly kind: string;
   /** Milliseconds after an answer of the store until it is asked again. */
   readonly paceMs: number;
   readonly isWanted: () => boolean;
@@ -26,16 +28,42 @@
   stop(): void;
 }
 
+/**
+ * True when a revision of the store that was seen at an earlier look is still not told by any watch.
+ * It may be of a kind that nobody here watches, so the answer is true only once for it.
+ */
+export function createUntoldRevision(): (seen: number, told: number) => boolean {
+  let untold: number | undefined;
+  let excused = 0;
+  return (seen, told) => {
+    if (seen <= Math.max(told, excused)) {
+      untold = undefined;
+      return false;
+    }
+    if (untold === undefined || untold <= told) {
+      untold = seen;
+      return false;
+    }
+    excused = seen;
+    untold = undefined;
+    return true;
+  };
+}
+
 export function startReachProof(context: ReachProofContext): ReachProof {
-  const { clock, store, cache, object, paceMs, isWanted } = context;
+  const { clock, store, cache, kind, paceMs, isWanted } = context;
   let isAsking = false;
   let isReached = true;
+  const staysUntold = createUntoldRevision();
   const ask = async (): Promise<void> => {
     isAsking = true;
-    const result = await store.probe(object.kind, object.name);
+    const result = await store.probe(kind);
     isAsking = false;
     if (result.ok) {
       cache.noteAnswered();
+      if (staysUntold(result.value, cache.newestRevision)) {
+        store.abandonWatches();
+      }
     } else if (isReached) {
       // A watch that was lost on the way would be waited for to its end.
       store.abandonWatches();
--- a/src/relay/relayedStore.ts
+++ b/src/relay/relayedStore.ts
@@ -247,7 +247,7 @@
     create: (kind, name, spec) => store.create(kind, name, spec),
     replace: (kind, object) => store.replace(kind, object),
     remove: (kind, name, revision) => store.remove(kind, name, revision),
-    probe: (kind, name) => store.probe(kind, name),
+    probe: (kind) => store.probe(kind),
     abandonWatches: () => store.abandonWatches(),
     close: () => store.close(),
   };
--- a/src/relay/storeCache.ts
+++ b/src/relay/storeCache.ts
@@ -37,6 +37,8 @@
   readonly askedAt: number;
   /** True while the store itself has answered this node lately. */
   readonly isFresh: boolean;
+  /** Newest revision of the store that any list or watch has told. */
+  readonly newestRevision: number;
   /** Steady time in milliseconds at which the store itself last answered. */
   readonly answeredAt: number;
   /** Returns the list with what it shares with what was known. */
@@ -105,6 +107,9 @@
     get answeredAt() {
       return answeredAt;
     },
+    get newestRevision() {
+      return Math.max(0, ...[...kinds.values()].map(({ revision }) => revision));
+    },
     get isFresh() {
       return freshLeftMs() > 0;
     },
--- a/src/relay/zoneRelay.ts
+++ b/src/relay/zoneRelay.ts
@@ -86,7 +86,7 @@
     clock,
     store: context.store,
     cache,
-    object: record,
+    kind: record.kind,
     paceMs: applyMs * PACE_SHARE,
     isWanted: () => !store.isFollowing,
   });
--- a/src/source/object-store.ts
+++ b/src/source/object-store.ts
@@ -85,8 +85,11 @@
   replace<Spec>(kind: string, object: StoredObject<Spec>): Promise<StoreResult<StoredObject<Spec>>>;
   /** Deletes an object if its revision is still the given one. */
   remove(kind: string, name: string, revision: number): Promise<StoreResult<undefined>>;
-  /** The cheapest call that shows whether the store is within reach; the object need not exist. */
-  probe(kind: string, name: string): Promise<StoreResult<undefined>>;
+  /**
+   * The cheapest call that shows whether the store is within reach. Gives the store's revision as it
+   * was lately: no object of any kind has changed later than that unless something newer exists.
+   */
+  probe(kind: string): Promise<StoreResult<number>>;
   /** Ends the watches that wait: the store was found out of reach, and may have forgotten them. */
   abandonWatches(): void;
   close(): void;
--- a/src/source/observed-store.ts
+++ b/src/source/observed-store.ts
@@ -51,8 +51,8 @@
     return this.observe('remove', this.store.remove(kind, name, revision));
   }
 
-  probe(kind: string, name: string): Promise<StoreResult<undefined>> {
-    return this.observe('probe', this.store.probe(kind, name));
+  probe(kind: string): Promise<StoreResult<number>> {
+    return this.observe('probe', this.store.probe(kind));
   }
 
   abandonWatches(): void {
