Large bodies go over thin links a few chunks at a time

Cause: a machine's link is one queue; an upload of 60 KB (the largest 360 KB) that is written at once holds every small message behind it up for 0.14 s (0.8 s) at 3.5 Mbit/s. Excluded: fewer bytes (bodies are the users'). Change: a body has chunks of 40 ms of the narrower of both links on its way, each acknowledged; links of 1,000 Mbit/s are not touched (5 MB). The code of bodies moves out of the connection.

--- a/src/peer/peerConnection.test.ts
+++ b/src/peer/bodyReceiver.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
-import { createBodyReceiver, type PeerConnection } from './peerConnection.js';
+import { createBodyReceiver } from './bodyReceiver.js';
+import type { PeerConnection } from './peerConnection.js';
 import { type ChunkMessage, MessageKind } from './peerMessages.js';
 
 const CHUNK_BYTES = 64 * 1024;
--- /dev/null
+++ b/src/peer/bodySender.test.ts
@@ -0,0 +1,100 @@
+import { Readable } from 'node:stream';
+import { describe, expect, it, vi } from 'vitest';
+import { bulkWindowOf, createBodySender } from './bodySender.js';
+import type { ChunkMessage } from './peerMessages.js';
+
+function senderOf(linkMbps: number | undefined) {
+  const sent: ChunkMessage[] = [];
+  const sink = { send: (message: ChunkMessage) => sent.push(message), writable: async () => {} };
+  return { sent, sender: createBodySender(sink, bulkWindowOf(linkMbps)) };
+}
+
+function bytesOf(length: number) {
+  return { kind: 'bytes', bytes: Buffer.alloc(length, 'x') } as const;
+}
+
+/** Lets everything that waits for nothing but a turn go on. */
+function turns(): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, 5));
+}
+
+describe('the window of bodies', () => {
+  it('holds a link of 3.5 Mbit/s up for 40 ms, in two chunks', () => {
+    expect(bulkWindowOf(3.5)).toEqual({ chunkBytes: 8_750, chunks: 2 });
+  });
+
+  it('is that of the narrower link', () => {
+    expect(bulkWindowOf(1_000, 3.5)).toEqual(bulkWindowOf(3.5));
+  });
+
+  it('does not get in the way of a wide or an unknown link', () => {
+    for (const window of [bulkWindowOf(1_000), bulkWindowOf(undefined)]) {
+      expect(window.chunkBytes).toBe(64 * 1024);
+      expect(window.chunks).toBeGreaterThanOrEqual(64);
+    }
+  });
+});
+
+describe('a body that is sent in chunks', () => {
+  it('has no more than its window on its way, and goes on with each acknowledgement', async () => {
+    const { sent, sender } = senderOf(3.5);
+    const ended = sender.sendBody(bytesOf(60_000));
+    for (let acknowledged = 0; acknowledged < 5; acknowledged += 1) {
+      await turns();
+      expect(sent).toHaveLength(acknowledged + 2);
+      sender.onAcknowledged();
+    }
+    await ended;
+    expect(sent.map(({ isLast }) => isLast)).toEqual([
+      false,
+      false,
+      false,
+      false,
+      false,
+      false,
+      true,
+    ]);
+    expect(Buffer.concat(sent.map(({ bytes }) => bytes))).toEqual(Buffer.alloc(60_000, 'x'));
+  });
+
+  it('goes at once over a wide link', async () => {
+    const { sent, sender } = senderOf(1_000);
+    await sender.sendBody(bytesOf(360_000));
+    expect(sent).toHaveLength(6);
+  });
+
+  it('is passed on as it comes when its end is not known', async () => {
+    const { sent, sender } = senderOf(3.5);
+    const rest = new Readable({ read: () => {} });
+    const ended = sender.sendBody({ kind: 'stream', head: [Buffer.from('head')], rest });
+    rest.push('one');
+    await vi.waitFor(() => expect(sent).toHaveLength(2));
+    sender.onAcknowledged();
+    rest.push(null);
+    await ended;
+    expect(sent.map(({ bytes, isLast }) => [bytes.toString(), isLast])).toEqual([
+      ['head', false],
+      ['one', false],
+      ['', true],
+    ]);
+  });
+
+  it('is given up when the connection is lost', async () => {
+    const { sender } = senderOf(3.5);
+    const ended = sender.sendBody(bytesOf(60_000));
+    await turns();
+    sender.onClose();
+    await expect(ended).rejects.toThrow('lost');
+  });
+
+  it('leaves room for the next body once its last chunk is acknowledged', async () => {
+    const { sent, sender } = senderOf(3.5);
+    await sender.sendBody(bytesOf(10_000));
+    const second = sender.sendBody(bytesOf(100));
+    await turns();
+    expect(sent).toHaveLength(2);
+    sender.onAcknowledged();
+    await second;
+    expect(sent).toHaveLength(3);
+  });
+});
--- a/src/peer/peerCaller.ts
+++ b/src/peer/peerCaller.ts
@@ -47,7 +47,7 @@
           host: address.slice(0, separator),
           port: Number(address.slice(separator + 1)),
         }),
-        this.onSent,
+        { onSent: this.onSent },
       );
       const timer = setTimeout(() => connection.destroy(), timeoutMs);
       connection.listen({
--- a/src/peer/peerCodec.ts
+++ b/src/peer/peerCodec.ts
@@ -99,6 +99,7 @@
     case MessageKind.Pong:
     case MessageKind.Queued:
     case MessageKind.Admitted:
+    case MessageKind.ChunkReceived:
       return { kind };
     default:
       return undefined;
--- a/src/peer/peerConnections.ts
+++ b/src/peer/peerConnections.ts
@@ -1,6 +1,10 @@
 /** Kept connections to one other node: each carries one exchange at a time, the rest are idle. */
 import net from 'node:net';
-import { createPeerConnection, type PeerConnection, type SentObserver } from './peerConnection.js';
+import {
+  type ConnectionTraits,
+  createPeerConnection,
+  type PeerConnection,
+} from './peerConnection.js';
 
 /** An idle connection is closed after this time, in milliseconds. */
 const IDLE_LIMIT_MS = 30_000;
@@ -16,7 +20,10 @@
 }
 
 /** `address` is `host:port` of the node. */
-export function createPeerConnections(address: string, onSent?: SentObserver): PeerConnections {
+export function createPeerConnections(
+  address: string,
+  traits: ConnectionTraits = {},
+): PeerConnections {
   const separator = address.lastIndexOf(':');
   const host = address.slice(0, separator);
   const port = Number(address.slice(separator + 1));
@@ -35,7 +42,7 @@
         }
       }
       const socket = net.connect({ host, port });
-      const connection = createPeerConnection(socket, onSent);
+      const connection = createPeerConnection(socket, traits);
       socket.setTimeout(IDLE_LIMIT_MS, () => {
         if (idle.includes(connection)) {
           socket.destroy();
--- a/src/peer/peerMessages.ts
+++ b/src/peer/peerMessages.ts
@@ -22,6 +22,8 @@
   Ask = 4,
   /** Asks a node that reads the store for its zone. */
   Read = 5,
+  /** Either way: a chunk has been received. */
+  ChunkReceived = 6,
   /** Owner to ingress: the task waits. */
   Queued = 10,
   /** Owner to ingress: send the body. */
@@ -47,8 +49,11 @@
   Directory = 'directory',
 }
 
-/** Bodies up to this size, in bytes, travel inside the message; longer ones in chunks of this size. */
-export const CHUNK_BYTES = 64 * 1024;
+/**
+ * Bodies up to this size, in bytes, may travel inside a message; longer ones travel in chunks of this
+ * size at the most.
+ */
+export const MAX_CHUNK_BYTES = 64 * 1024;
 
 /** What travels of a task beside its method, target, fields and body. */
 export interface TaskFields {
@@ -143,7 +148,12 @@
 
 /** A message without a content of its own. */
 export interface PlainMessage {
-  readonly kind: MessageKind.Ping | MessageKind.Pong | MessageKind.Queued | MessageKind.Admitted;
+  readonly kind:
+    | MessageKind.Ping
+    | MessageKind.Pong
+    | MessageKind.Queued
+    | MessageKind.Admitted
+    | MessageKind.ChunkReceived;
 }
 
 export type PeerMessage =
--- a/src/peer/peerReads.ts
+++ b/src/peer/peerReads.ts
@@ -15,7 +15,7 @@
 export function createPeerReads(sender: () => PeerSender, onSent?: SentObserver): PeerReads {
   const pools = new Map<string, PeerConnections>();
   const poolOf = (address: string): PeerConnections => {
-    const known = pools.get(address) ?? createPeerConnections(address, onSent);
+    const known = pools.get(address) ?? createPeerConnections(address, { onSent });
     pools.set(address, known);
     return known;
   };
--- a/src/peer/peerServer.ts
+++ b/src/peer/peerServer.ts
@@ -4,14 +4,13 @@
 import { Cancellation } from '../owner/cancellation.js';
 import type { Owner, OwnerAnswer, OwnerOutcome, OwnerTask } from '../owner/owner.js';
 import type { StoreQuestion } from '../source/object-store.js';
+import { type BodyReceiver, createBodyReceiver } from './bodyReceiver.js';
 import { listenOn } from './listenOn.js';
 import {
-  type BodyReceiver,
-  createBodyReceiver,
+  type ConnectionTraits,
   createPeerConnection,
   inlineBytes,
   type PeerConnection,
-  type SentObserver,
 } from './peerConnection.js';
 import {
   type AskMessage,
@@ -37,7 +36,7 @@
   readonly directory: () => Buffer | undefined;
   /** Answers a node that reads the store by way of this one. */
   readonly read: (question: StoreQuestion) => Promise<Buffer>;
-  readonly onSent?: SentObserver;
+  readonly traits?: ConnectionTraits;
   /** Called with whatever another node says of itself. */
   readonly onPeer: (sender: PeerSender, report: PeerReport | undefined) => void;
 }
@@ -49,7 +48,7 @@
 
   constructor(private readonly context: PeerServerContext) {
     this.server = net.createServer((socket) => {
-      const connection = createPeerConnection(socket, this.context.onSent);
+      const connection = createPeerConnection(socket, this.context.traits);
       this.connections.add(connection);
       socket.on('close', () => this.connections.delete(connection));
       serveConnection(connection, this.context);
--- a/src/peer/peerState.ts
+++ b/src/peer/peerState.ts
@@ -1,6 +1,6 @@
 /** What the exchanges with one other node need of their own node, and what they share. */
 import type { Clock } from '../model/clock.js';
-import type { SentObserver } from './peerConnection.js';
+import type { ConnectionTraits } from './peerConnection.js';
 import type { PeerConnections } from './peerConnections.js';
 import type { PeerReport, PeerSender } from './peerMessages.js';
 import type { SilenceLimit } from './silenceLimit.js';
@@ -10,7 +10,7 @@
   readonly clock: Clock;
   readonly sender: () => PeerSender;
   readonly onReport: (report: PeerReport) => void;
-  readonly onSent?: SentObserver;
+  readonly traits?: ConnectionTraits;
   /** The node has said its first word on an offer, or answered a ping, after so many milliseconds. */
   readonly onReply?: (tookMs: number) => void;
   /** The node did not answer in time, or its connection failed. */
--- a/src/peer/remoteOwner.ts
+++ b/src/peer/remoteOwner.ts
@@ -15,7 +15,7 @@
     private readonly context: RemoteOwnerContext,
   ) {
     this.peer = {
-      connections: createPeerConnections(address, context.onSent),
+      connections: createPeerConnections(address, context.traits),
       silence: createSilenceLimit(),
       heardAt: Number.NEGATIVE_INFINITY,
     };
--- a/src/peer/remoteRun.ts
+++ b/src/peer/remoteRun.ts
@@ -2,12 +2,8 @@
 import type { MessageBody } from '../owner/message-body.js';
 import type { OwnerOutcome, OwnerTask, OwnerUnknown } from '../owner/owner.js';
 import { turnedAway } from '../owner/owner.js';
-import {
-  type BodyReceiver,
-  createBodyReceiver,
-  inlineBytes,
-  type PeerConnection,
-} from './peerConnection.js';
+import { type BodyReceiver, createBodyReceiver } from './bodyReceiver.js';
+import { inlineBytes, type PeerConnection } from './peerConnection.js';
 import { type AnswerMessage, MessageKind, type PeerMessage, taskFieldsOf } from './peerMessages.js';
 import type { PeerState, RemoteOwnerContext } from './peerState.js';
 
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -11,6 +11,7 @@
 import { SharedRetryBudget } from '../ingress/shared-retry-budget.js';
 import type { Clock } from '../model/clock.js';
 import { LocalOwner } from '../owner/local-owner.js';
+import { bulkWindowOf } from '../peer/bodySender.js';
 import { PeerCaller } from '../peer/peerCaller.js';
 import { MessageKind, type PeerReport, type PeerSender } from '../peer/peerMessages.js';
 import { createPeerReads, type PeerReads } from '../peer/peerReads.js';
@@ -103,7 +104,7 @@
     const remote = new RemoteOwner(known.address, {
       clock,
       sender,
-      onSent,
+      traits: { onSent, window: bulkWindowOf(settings().linkMbps, known.linkMbps) },
       onReply: (tookMs) => load.noteReply(tookMs),
       onReport: (told) => {
         entry.noteReport(told, clock.now());
@@ -201,7 +202,7 @@
     clock,
     owner,
     report,
-    onSent,
+    traits: { onSent, window: bulkWindowOf(settings().linkMbps) },
     configuration: () => configuration.bytes(),
     directory: () => sync.bytes(),
     read: (question) => relay.answer(question),
