A request looks for room in other zones once two owners of its own have had none

Cause: near owners come first, and a request makes eight offers. In a zone with eleven owners of a service all eight go to full owners of the zone; other zones are never asked. Change: after two busy ones the owners elsewhere come first; they give free slots only, as before.

--- a/src/directory/owner-directory.ts
+++ b/src/directory/owner-directory.ts
@@ -24,6 +24,8 @@
   readonly priority: number;
   /** True if an owner of the own zone is better than one elsewhere whose back end fails less. */
   readonly prefersZone: boolean;
+  /** True if owners elsewhere are asked first: several of the own zone have had no room. */
+  readonly looksElsewhere?: boolean;
   /** What placement policies say of an owner; left out where there are none. */
   readonly mayServe?: ((record: OwnerRecord) => boolean) | undefined;
 }
@@ -126,7 +128,7 @@
 
   /** Owners of a lower group are asked first: near ones, and those whose back ends do not fail. */
   private groupOf(entry: OwnerEntry, wish: OwnerWish, now: number): number {
-    const away = this.isNear(entry) ? 0 : 1;
+    const away = this.isNear(entry) === (wish.looksElsewhere ?? false) ? 1 : 0;
     const failing = entry.isFailing(now) ? 1 : 0;
     return wish.prefersZone ? 2 * away + failing : 2 * failing + away;
   }
--- a/src/ingress/dispatch.test.ts
+++ b/src/ingress/dispatch.test.ts
@@ -136,6 +136,14 @@
     expect(alone.mayWait).toEqual([true, true]);
   });
 
+  it('looks for room in other zones once two owners of its own have had none', async () => {
+    const away = turnedAway('busy', 50);
+    const zones = ['near', 'near', 'near', 'near', 'far', 'far'];
+    const found = await dispatch([away, away, answer(200), away, away, away], { zones });
+    expect(found.asked).toBe(3);
+    expect(found.mayWait).toEqual([true, true, false]);
+  });
+
   it('sends a large request to another zone when no owner of its own is up', async () => {
     const found = await dispatch([turnedAway('draining'), answer(200)], {
       zones: ['near', 'far'],
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -16,6 +16,12 @@
 /** Offers that one request may make in all, turned away or not. */
 const MAX_OFFERS = 8;
 
+/**
+ * Owners of the own zone that may be busy before the others are asked: in a zone of a dozen owners
+ * that are all full, each further one says the same, while other zones may have free slots.
+ */
+const BUSY_NEAR_OWNERS = 2;
+
 /** Told when an obstacle other than a lack of room was met, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 20;
 
@@ -55,6 +61,8 @@
   private readonly offers: OfferRecord[] = [];
   /** Back ends that the request has, or may have, been sent to. */
   private arrivals = 0;
+  /** Owners of the own zone that had no room. */
+  private busyNear = 0;
   /** True once a back end may have run the request. */
   private mayHaveRun = false;
   private lastNotRun: OwnerNotRun | undefined;
@@ -158,7 +166,8 @@
     const { directory, clock } = this.context;
     const { service, priority } = this.task;
     const { mayServe } = this;
-    const wish = { service, priority, prefersZone: this.isLarge, mayServe };
+    const looksElsewhere = !this.isLarge && this.busyNear >= BUSY_NEAR_OWNERS;
+    const wish = { service, priority, prefersZone: this.isLarge, looksElsewhere, mayServe };
     const entry = directory.choose(wish, this.tried, clock.now());
     const leavesZone = entry !== undefined && !directory.isNear(entry);
     if (leavesZone && this.isLarge && directory.hasNearOwner(wish)) {
@@ -198,6 +207,8 @@
     this.running.delete(attempt);
     const isCounted = this.silent.delete(attempt);
     if (outcome.kind === 'not-run') {
+      const isBusyNear = outcome.reason === 'busy' && this.context.directory.isNear(entry);
+      this.busyNear += isBusyNear ? 1 : 0;
       this.lastNotRun = outcome;
       this.arrivals += outcome.arrived && !isCounted ? 1 : 0;
       const now = this.context.clock.now();
