The choice of an owner counts the time that a body takes over the links

Change: a body's time on both links is added to the expected time. Nothing changes where links are wide (60 KB take 0.5 ms at 1,000 Mbit/s) or not known, nor for small bodies.

--- a/src/directory/owner-directory.test.ts
+++ b/src/directory/owner-directory.test.ts
@@ -124,4 +124,26 @@
     entry(directory, '2').noteReport(peerReport({ inFlight: 4 }), 0);
     expect(chosen(directory)).toBe('1');
   });
+
+  it('counts the time that a body takes over the links, thin ones alone', () => {
+    for (const [linkMbps, bodyBytes, node] of [
+      [3.5, 60_000, '1'],
+      [3.5, 300, '2'],
+      [1_000, 60_000, '2'],
+      [undefined, 60_000, '2'],
+    ] as const) {
+      const own = peerReport({ inFlight: 3, meanServiceMs: 200 });
+      const directory = new OwnerDirectory(
+        'near',
+        (each) => new OwnerEntry(each, NO_OWNER, each.node === '1' ? () => own : undefined),
+        () => 0,
+        linkMbps,
+      );
+      directory.put(record('1'));
+      directory.put(record('2', linkMbps === undefined ? {} : { linkMbps }));
+      entry(directory, '2').noteReport(peerReport({ inFlight: 0, meanServiceMs: 200 }), 0);
+      const offered = { ...wish(1), bodyBytes };
+      expect(directory.choose(offered, new Set(), 0)?.record.node).toBe(node);
+    }
+  });
 });
--- a/src/directory/owner-directory.ts
+++ b/src/directory/owner-directory.ts
@@ -18,12 +18,19 @@
 /** The typical service time is worked out again after this time, in milliseconds. */
 const TYPICAL_LIFETIME_MS = 200;
 
+const BITS_PER_BYTE = 8;
+
+/** Bits that a link of 1 Mbit/s carries in a millisecond. */
+const BITS_PER_MS = 1_000;
+
 /** What is asked of an owner. */
 export interface OwnerWish {
   readonly service: string;
   readonly priority: number;
   /** True if an owner of the own zone is better than one elsewhere whose back end fails less. */
   readonly prefersZone: boolean;
+  /** Size of the request's body, if it is worth considering. */
+  readonly bodyBytes?: number;
   /** True if owners elsewhere are asked first: several of the own zone have had no room. */
   readonly looksElsewhere?: boolean;
   /** What placement policies say of an owner; left out where there are none. */
@@ -46,6 +53,8 @@
     private readonly zone: string,
     private readonly createEntry: EntryFactory,
     private readonly random: () => number = Math.random,
+    /** Megabits a second of this node's link; undefined when it is not known. */
+    private readonly linkMbps?: number,
   ) {}
 
   /** Every known owner. */
@@ -116,7 +125,8 @@
       }
       const jitter = 1 + this.random() * SCORE_JITTER;
       const factor = entry.isLocal ? LOCAL_FACTOR : 1;
-      const score = entry.expectedMs(now, typicalMs) * jitter * factor;
+      const expectedMs = entry.expectedMs(now, typicalMs) * jitter * factor;
+      const score = expectedMs + this.transferMs(entry, wish.bodyBytes ?? 0);
       if (group < bestGroup || score < bestScore) {
         best = entry;
         bestGroup = group;
@@ -133,6 +143,15 @@
     return wish.prefersZone ? 2 * away + failing : 2 * failing + away;
   }
 
+  /** Milliseconds for which a body takes up the links between this node and an owner. */
+  private transferMs(entry: OwnerEntry, bodyBytes: number): number {
+    if (entry.isLocal) {
+      return 0;
+    }
+    const links = [this.linkMbps, entry.record.linkMbps].filter((mbps) => mbps !== undefined);
+    return links.reduce((sum, mbps) => sum + (bodyBytes * BITS_PER_BYTE) / (mbps * BITS_PER_MS), 0);
+  }
+
   /** Service time of a typical owner of a service, in milliseconds; worked out now and then. */
   private typicalMs(service: string, now: number): number {
     const known = this.typical.get(service);
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -22,6 +22,9 @@
  */
 const BUSY_NEAR_OWNERS = 2;
 
+/** A body whose length is not known, or above this, counts as one of so many bytes. */
+const LONGEST_COUNTED_BODY_BYTES = 1024 * 1024;
+
 /** Told when an obstacle other than a lack of room was met, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 20;
 
@@ -167,7 +170,9 @@
     const { service, priority } = this.task;
     const { mayServe } = this;
     const looksElsewhere = !this.isLarge && this.busyNear >= BUSY_NEAR_OWNERS;
-    const wish = { service, priority, prefersZone: this.isLarge, looksElsewhere, mayServe };
+    const prefersZone = this.isLarge;
+    const bodyBytes = Math.min(this.bodyBytes, LONGEST_COUNTED_BODY_BYTES);
+    const wish = { service, priority, prefersZone, looksElsewhere, bodyBytes, mayServe };
     const entry = directory.choose(wish, this.tried, clock.now());
     const leavesZone = entry !== undefined && !directory.isNear(entry);
     if (leavesZone && this.isLarge && directory.hasNearOwner(wish)) {
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -120,7 +120,7 @@
     const entry = new OwnerEntry(known, remote);
     return entry;
   };
-  const directory = new OwnerDirectory(zone, entryOf);
+  const directory = new OwnerDirectory(zone, entryOf, Math.random, settings().linkMbps);
   directory.put(record());
 
   const reads = createPeerReads(sender, onSent);
