--- a/src/owner/admission-control.test.ts
+++ b/src/owner/admission-control.test.ts
@@ -18,11 +18,11 @@
   const admission = new AdmissionControl();
   admission.setSlots(slots, 0);
   for (let index = 0; index < 200; index += 1) {
-    admission.started(request());
+    admission.started();
     admission.finished(request(), serviceMs, 0);
   }
   for (let index = 0; index < slots; index += 1) {
-    admission.started(request());
+    admission.started();
   }
   return admission;
 }
@@ -41,7 +41,7 @@
     const admission = new AdmissionControl();
     admission.setSlots(1, 0);
     expect(admission.decide(request(), 0)).toEqual({ kind: 'run' });
-    admission.started(request());
+    admission.started();
     expect(admission.decide(request(), 0).kind).not.toBe('run');
   });
 
@@ -61,38 +61,10 @@
     expect(admission.decide(request({ mayWait: false }), 0).kind).toBe('run');
   });
 
-  it('keeps a slot for short urgent tasks from long ones, where urgent ones need it', () => {
-    for (const [urgentTasks, lastSlotFor] of [
-      [1, 'run'],
-      [8, 'wait'],
-    ] as const) {
-      const admission = new AdmissionControl();
-      admission.setSlots(4, 0);
-      const long = request({ route: 'long', priority: 2, targetAt: 5_000, deadlineAt: 9_000 });
-      const urgent = request({ route: 'urgent', priority: 0 });
-      for (let round = 0; round < 100; round += 1) {
-        for (let index = 0; index < 9; index += 1) {
-          const task = index < urgentTasks ? urgent : long;
-          admission.started(task);
-          admission.finished(task, task === urgent ? 50 : 500, 0);
-        }
-      }
-      for (let index = 0; index < 3; index += 1) {
-        admission.started(long);
-      }
-      expect(admission.decide(long, 0).kind).toBe(lastSlotFor);
-      expect(admission.decide(urgent, 0).kind).toBe('run');
-      admission.started(urgent);
-      admission.finished(long, 500, 0);
-      // An urgent task runs: the slot that was kept is the one it has.
-      expect(admission.decide(long, 0).kind).toBe('run');
-    }
-  });
-
   it('counts on more urgent tasks to arrive while a less urgent one waits', () => {
     const admission = full(2, 100);
     for (let index = 0; index < 400; index += 1) {
-      admission.started(request());
+      admission.started();
       admission.finished(request({ priority: index % 2 }), 100, 0);
     }
     // One ahead of it on average costs 50 ms, and half of the time goes to what is more urgent.
@@ -109,7 +81,7 @@
     admission.enqueue(waiterOf(request({ priority: 1 }), fate, 'second'));
     for (let index = 0; index < 3; index += 1) {
       admission.finished(request(), 10, 20);
-      admission.started(request());
+      admission.started();
     }
     expect(fate).toEqual(['first runs', 'second runs', 'background runs']);
   });
@@ -145,7 +117,7 @@
         admission.setSlots(5, 0);
         let running = 0;
         const begin = () => {
-          admission.started(request());
+          admission.started();
           running += 1;
           expect(running).toBeLessThanOrEqual(5);
         };
--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -45,12 +45,6 @@
 /** Waiting tasks for each slot, at the most. */
 const MAX_WAITING_PER_SLOT = 8;
 
-/** A task that takes so many times longer than more urgent ones leaves a slot to them. */
-const LONG_TASK_FACTOR = 3;
-
-/** Slots that more urgent tasks need on average, from which on one is left to them. */
-const KEPT_SLOT_NEED = 0.5;
-
 /** Shortest time, in milliseconds, after which a client is told to come back. */
 const MIN_RETRY_AFTER_MS = 20;
 
@@ -61,8 +55,6 @@
   private readonly mix = createUrgencyMix();
   private overallMs = INITIAL_SERVICE_MS;
   private running = 0;
-  /** Tasks that run, by priority. */
-  private readonly runningBy = new Map<number, number>();
   private slots = 0;
 
   get inFlight(): number {
@@ -94,7 +86,7 @@
   /** Decides about a task; the caller adds a waiter after `wait`. */
   decide(request: AdmissionRequest, now: number): AdmissionDecision {
     const ahead = this.aheadOf(request.priority);
-    if (this.hasSlotFor(request) && ahead === 0) {
+    if (this.running < this.slots && ahead === 0) {
       return { kind: 'run' };
     }
     // Tasks that are more urgent go on arriving meanwhile and are served first.
@@ -108,37 +100,13 @@
   }
 
   /** A task begins to run. */
-  started({ priority }: Pick<AdmissionRequest, 'priority'>): void {
+  started(): void {
     this.running += 1;
-    this.runningBy.set(priority, (this.runningBy.get(priority) ?? 0) + 1);
-  }
-
-  /**
-   * Short urgent tasks, such as the calls that other back ends wait for, find a slot at once: what is
-   * less urgent and takes several times longer leaves one to them, where they need about that much.
-   */
-  private hasSlotFor({ priority, route }: AdmissionRequest): boolean {
-    if (this.running + 1 < this.slots) {
-      return true;
-    }
-    if (this.running >= this.slots) {
-      return false;
-    }
-    const urgentMs = this.mix.meanOfMoreUrgentMs(priority);
-    const needed = this.mix.moreUrgentThan(priority) * this.slots;
-    const isLong =
-      urgentMs !== undefined && this.expectedServiceMs(route) > urgentMs * LONG_TASK_FACTOR;
-    return !isLong || needed < KEPT_SLOT_NEED || this.runsMoreUrgentThan(priority);
-  }
-
-  private runsMoreUrgentThan(priority: number): boolean {
-    return [...this.runningBy].some(([running, count]) => running < priority && count > 0);
   }
 
   /** A task has ended; `serviceMs` is undefined when its time says nothing of the back end. */
   finished({ route, priority }: AdmittedTask, serviceMs: number | undefined, now: number): void {
     this.running -= 1;
-    this.runningBy.set(priority, (this.runningBy.get(priority) ?? 0) - 1);
     if (serviceMs !== undefined) {
       this.mix.note(priority, serviceMs);
       if (this.routeMs.size === 0) {
@@ -181,12 +149,11 @@
   }
 
   private fill(now: number): void {
-    for (;;) {
-      const next = this.waiting[0];
-      if (!next || !this.hasSlotFor(next.request)) {
+    while (this.running < this.slots) {
+      const next = this.waiting.shift();
+      if (!next) {
         return;
       }
-      this.waiting.shift();
       if (now > this.latestStartAt(next.request)) {
         next.turnAway(this.retryAfterMs());
       } else {
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -146,7 +146,7 @@
         return refused;
       }
     } else {
-      this.admission.started(task);
+      this.admission.started();
     }
     return this.runAdmitted(task, times);
   }
@@ -159,7 +159,7 @@
         request: task,
         since: now,
         admit: () => {
-          this.admission.started(task);
+          this.admission.started();
           release();
           resolve(undefined);
         },
--- a/src/owner/urgencyMix.ts
+++ b/src/owner/urgencyMix.ts
@@ -12,34 +12,25 @@
   note(priority: number, serviceMs: number): void;
   /** Share of the time that tasks more urgent than a priority take, from 0 to 0.8. */
   moreUrgentThan(priority: number): number;
-  /** Mean time of tasks more urgent than a priority, in milliseconds; undefined when there are none. */
-  meanOfMoreUrgentMs(priority: number): number | undefined;
 }
 
 export function createUrgencyMix(): UrgencyMix {
   const spent = new Map<number, number>();
-  const counts = new Map<number, number>();
-  const fade = (sums: Map<number, number>) => {
-    for (const [known, sum] of sums) {
-      sums.set(known, sum * (1 - WEIGHT));
-    }
-  };
-  const sumOfMoreUrgent = (sums: Map<number, number>, priority: number) =>
-    [...sums].reduce((sum, [known, part]) => sum + (known < priority ? part : 0), 0);
   return {
     note: (priority, serviceMs) => {
-      fade(spent);
-      fade(counts);
+      for (const [known, ms] of spent) {
+        spent.set(known, ms * (1 - WEIGHT));
+      }
       spent.set(priority, (spent.get(priority) ?? 0) + serviceMs * WEIGHT);
-      counts.set(priority, (counts.get(priority) ?? 0) + WEIGHT);
-    },
-    meanOfMoreUrgentMs: (priority) => {
-      const count = sumOfMoreUrgent(counts, priority);
-      return count === 0 ? undefined : sumOfMoreUrgent(spent, priority) / count;
     },
     moreUrgentThan: (priority) => {
-      const all = sumOfMoreUrgent(spent, Number.POSITIVE_INFINITY);
-      return all === 0 ? 0 : Math.min(MAX_SHARE, sumOfMoreUrgent(spent, priority) / all);
+      let all = 0;
+      let urgent = 0;
+      for (const [known, ms] of spent) {
+        all += ms;
+        urgent += known < priority ? ms : 0;
+      }
+      return all === 0 ? 0 : Math.min(MAX_SHARE, urgent / all);
     },
   };
 }
