A request that has asked eight full owners is told to come back at the pace of what is served

Cause: after eight offers a request ended attempts-spent with the last owner's own expected wait as Retry-After; only one that ran out of owners joined the line of returns. Change: it is busy like the others. One test fails without it; two name the code as well now.

--- a/src/ingress/dispatch.test.ts
+++ b/src/ingress/dispatch.test.ts
@@ -70,6 +70,7 @@
     asked,
     mayWait,
     status: result.status,
+    code: 'code' in result ? result.code : undefined,
     retryAfterMs: 'code' in result ? result.retryAfterMs : undefined,
   };
 }
@@ -83,7 +84,19 @@
 
   it('refuses with the expected wait when every owner is busy', async () => {
     const found = await dispatch([turnedAway('busy', 80), turnedAway('busy', 120)]);
-    expect(found).toEqual({ asked: 2, mayWait: [true, true], status: 503, retryAfterMs: 120 });
+    expect(found).toEqual({
+      asked: 2,
+      mayWait: [true, true],
+      status: 503,
+      code: 'busy',
+      retryAfterMs: 120,
+    });
+  });
+
+  it('sends clients back at the pace of what is served when it has asked enough full owners', async () => {
+    const away = turnedAway('busy', 50);
+    const found = await dispatch(Array.from({ length: 20 }, () => away));
+    expect(found).toMatchObject({ asked: 8, status: 503, code: 'busy', retryAfterMs: 50 });
   });
 
   it('repeats what may be repeated, once, and says 502 when that is lost too', async () => {
@@ -124,7 +137,13 @@
 
     it('refuses a large one with the time to come back: bytes between zones are dear', async () => {
       const found = await dispatch([away, answer(200)], { zones, bodyBytes: LARGE_BODY_BYTES });
-      expect(found).toEqual({ asked: 1, mayWait: [true], status: 503, retryAfterMs: 50 });
+      expect(found).toEqual({
+        asked: 1,
+        mayWait: [true],
+        status: 503,
+        code: 'busy',
+        retryAfterMs: 50,
+      });
     });
   });
 
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -13,7 +13,7 @@
 import type { ReturnTimes } from './returnTimes.js';
 import type { SharedRetryBudget } from './shared-retry-budget.js';
 
-/** Offers that one request may make in all, turned away or not. */
+/** Offers that one request may make in all, turned away or not: each costs both nodes a message. */
 const MAX_OFFERS = 8;
 
 /**
@@ -156,9 +156,13 @@
     if (this.mayHaveRun && !this.task.repeatable) {
       return this.giveUp('lost');
     }
-    if (this.arrivals >= this.maxAttempts || this.offers.length >= MAX_OFFERS) {
+    if (this.arrivals >= this.maxAttempts) {
       return this.giveUp('attempts-spent');
     }
+    if (this.offers.length >= MAX_OFFERS) {
+      const hasNoRoom = !this.mayHaveRun && this.lastNotRun?.reason === 'busy';
+      return hasNoRoom ? this.noRoom() : this.giveUp('attempts-spent');
+    }
     if (this.arrivals > 0 && !this.context.budget.withdraw(this.task.service, now)) {
       return this.giveUp('retry-budget-spent');
     }
@@ -244,17 +248,27 @@
       return { code: 'placement-denied', status: 503, retryAfterMs: NO_OWNER_RETRY_AFTER_MS };
     }
     const isBusy = this.lastNotRun?.reason === 'busy';
+    const isResting = Number.isFinite(this.restMs());
+    return isBusy || isResting
+      ? this.noRoom()
+      : { code: 'no-owner', status: 503, retryAfterMs: NO_OWNER_RETRY_AFTER_MS };
+  }
+
+  /** The owners that were asked are full: clients come back at the pace of what is served. */
+  private noRoom(): ClientRefusal {
+    const restMs = this.restMs();
+    const waitMs =
+      this.lastNotRun?.retryAfterMs ?? (Number.isFinite(restMs) ? restMs : NO_OWNER_RETRY_AFTER_MS);
     const now = this.context.clock.now();
-    const restMs = this.context.directory.restMs(this.task.service, now);
-    const isResting = Number.isFinite(restMs);
-    if (!isBusy && !isResting) {
-      return { code: 'no-owner', status: 503, retryAfterMs: NO_OWNER_RETRY_AFTER_MS };
-    }
-    const waitMs = this.lastNotRun?.retryAfterMs ?? (isResting ? restMs : NO_OWNER_RETRY_AFTER_MS);
     const retryAfterMs = this.context.returns.next(this.task.service, waitMs, now);
     return { code: 'busy', status: 503, retryAfterMs };
   }
 
+  /** Milliseconds until some owner may be asked again; infinite when none is up. */
+  private restMs(): number {
+    return this.context.directory.restMs(this.task.service, this.context.clock.now());
+  }
+
   /** True when owners of the service are up, and placement policies allow none of them. */
   private isDenied(): boolean {
     const { mayServe } = this;
