Offers after the fourth go on only while they are worth it

Change: an ingress learns for each service how many of the offers after the fourth are taken; below a tenth of them a request is refused after four, but for a tenth of the requests, which go on. The soak is told thin links, so that bodies go in many chunks; its traffic is a module of its own.

--- a/lab/sidecarSoak.ts
+++ b/lab/sidecarSoak.ts
@@ -4,11 +4,9 @@
  * the history checked at the end.
  */
 import { mkdtempSync, rmSync } from 'node:fs';
-import http from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { readFleet } from '../src/cli/fleetStatus.js';
-import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
 import { ApplicationStandIn, type Behaviour } from './application-stand-in.js';
 import { CONFIGURATION_KIND, CONFIGURATION_NAME } from './labOutside.js';
 import { MemoryStore, StoreView } from './memory-store.js';
@@ -22,19 +20,18 @@
   type SoakRequest,
   type SoakRun,
 } from './sidecarSoakCheck.js';
+import { configurationOf, MAX_ATTEMPTS, SERVICES, send } from './soakTraffic.js';
 import { StoreFault, type StoreWays, strikeStore } from './storeFaults.js';
 import { openStoreWay, type StoreWay } from './storeServer.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
-const HOST = 'mesh.example';
-const SERVICES = ['desk', 'vault'];
 const ZONES = ['zone-a', 'zone-b'];
 const NODES = 6;
 const SLOTS = 6;
+/** What the nodes are told of their links: large bodies then go in many small chunks. */
+const LINK_MBPS = 3.5;
 const SERVICE_MS = 30;
-const MAX_ATTEMPTS = 2;
 const CLIENTS = 24;
-const DEADLINE_MS = 2_500;
 const HEARTBEAT_MS = 500;
 /** Requests that follow the last fault. */
 const RECOVERY_MS = 4_000;
@@ -111,6 +108,7 @@
     folder,
     store: (index) => (ways[index] as StoreWay).address,
     nodeFlags: [],
+    settings: { linkMbps: LINK_MBPS },
   });
   const heartbeats = setInterval(() => beatAll(sidecars), HEARTBEAT_MS);
   try {
@@ -270,67 +268,6 @@
   }
 }
 
-function configurationOf(version: number) {
-  const routes = SERVICES.flatMap((service) =>
-    ['safe', 'unsafe'].map((kind) => ({
-      name: `${service}-${kind}`,
-      host: HOST,
-      pathPrefix: `/${service}-${kind}/`,
-      kind,
-      maxAttempts: MAX_ATTEMPTS,
-      timeoutMs: DEADLINE_MS,
-      targetLatencyMs: 500,
-      split: [{ service, weight: 1 }],
-    })),
-  );
-  return { version, routes, services: SERVICES.map((name) => ({ name })) };
-}
-
-interface Call {
-  readonly address: string;
-  readonly path: string;
-  readonly id: string;
-  readonly method: string;
-  readonly bodyBytes: number;
-}
-
-/** Sends one request on a connection of its own; status 0 when there is no whole answer. */
-function send(call: Call): Promise<{ status: number; answer: string }> {
-  const separator = call.address.lastIndexOf(':');
-  return new Promise((resolve) => {
-    const lost = () => resolve({ status: 0, answer: '' });
-    const request = http.request({
-      host: call.address.slice(0, separator),
-      port: Number(call.address.slice(separator + 1)),
-      path: call.path,
-      method: call.method,
-      agent: false,
-      headers: {
-        host: HOST,
-        [NAMES.requestId]: call.id,
-        [NAMES.deadline]: String(DEADLINE_MS),
-        ...(call.method === 'POST' ? { 'content-length': call.bodyBytes } : {}),
-      },
-    });
-    const timer = setTimeout(() => request.destroy(), DEADLINE_MS);
-    request.on('close', () => {
-      clearTimeout(timer);
-      lost();
-    });
-    request.on('error', lost);
-    request.on('response', (response) => {
-      const chunks: Buffer[] = [];
-      response.on('data', (chunk: Buffer) => chunks.push(chunk));
-      response.on('error', lost);
-      response.on('end', () => {
-        const answer = Buffer.concat(chunks).toString();
-        resolve({ status: response.complete ? (response.statusCode ?? 0) : 0, answer });
-      });
-    });
-    request.end(Buffer.alloc(call.bodyBytes, 'x'));
-  });
-}
-
 function pause(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
--- /dev/null
+++ b/lab/soakTraffic.ts
@@ -0,0 +1,73 @@
+/** What the clients of a soak ask for, and one request of theirs. */
+import http from 'node:http';
+import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
+
+const HOST = 'mesh.example';
+const DEADLINE_MS = 2_500;
+
+export const SERVICES = ['desk', 'vault'];
+/** Back ends that one request may be sent to. */
+export const MAX_ATTEMPTS = 2;
+
+/** A route for each service and kind of request. */
+export function configurationOf(version: number) {
+  const routes = SERVICES.flatMap((service) =>
+    ['safe', 'unsafe'].map((kind) => ({
+      name: `${service}-${kind}`,
+      host: HOST,
+      pathPrefix: `/${service}-${kind}/`,
+      kind,
+      maxAttempts: MAX_ATTEMPTS,
+      timeoutMs: DEADLINE_MS,
+      targetLatencyMs: 500,
+      split: [{ service, weight: 1 }],
+    })),
+  );
+  return { version, routes, services: SERVICES.map((name) => ({ name })) };
+}
+
+/** One request of a client. */
+export interface Call {
+  readonly address: string;
+  readonly path: string;
+  readonly id: string;
+  readonly method: string;
+  readonly bodyBytes: number;
+}
+
+/** Sends one request on a connection of its own; status 0 when there is no whole answer. */
+export function send(call: Call): Promise<{ status: number; answer: string }> {
+  const separator = call.address.lastIndexOf(':');
+  return new Promise((resolve) => {
+    const lost = () => resolve({ status: 0, answer: '' });
+    const request = http.request({
+      host: call.address.slice(0, separator),
+      port: Number(call.address.slice(separator + 1)),
+      path: call.path,
+      method: call.method,
+      agent: false,
+      headers: {
+        host: HOST,
+        [NAMES.requestId]: call.id,
+        [NAMES.deadline]: String(DEADLINE_MS),
+        ...(call.method === 'POST' ? { 'content-length': call.bodyBytes } : {}),
+      },
+    });
+    const timer = setTimeout(() => request.destroy(), DEADLINE_MS);
+    request.on('close', () => {
+      clearTimeout(timer);
+      lost();
+    });
+    request.on('error', lost);
+    request.on('response', (response) => {
+      const chunks: Buffer[] = [];
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('error', lost);
+      response.on('end', () => {
+        const answer = Buffer.concat(chunks).toString();
+        resolve({ status: response.complete ? (response.statusCode ?? 0) : 0, answer });
+      });
+    });
+    request.end(Buffer.alloc(call.bodyBytes, 'x'));
+  });
+}
--- a/src/ingress/attempt.ts
+++ b/src/ingress/attempt.ts
@@ -9,6 +9,8 @@
 
 export interface Attempt {
   readonly entry: OwnerEntry;
+  /** Offers that the request had made before. */
+  readonly earlier: number;
   /** Steady time in milliseconds. */
   readonly startedAt: number;
   /** Never rejects. */
@@ -19,8 +21,16 @@
   cancel(): void;
 }
 
+/** What an attempt is made of. */
+export interface AttemptContext {
+  readonly entry: OwnerEntry;
+  readonly task: OwnerTask;
+  readonly clock: Clock;
+  readonly earlier: number;
+}
+
 /** Offers the task to an owner. */
-export function startAttempt(entry: OwnerEntry, task: OwnerTask, clock: Clock): Attempt {
+export function startAttempt({ entry, task, clock, earlier }: AttemptContext): Attempt {
   const cancellation = new Cancellation();
   const release = task.cancellation.onCancel(() => cancellation.cancel());
   let fallSilent: (silent: typeof SILENT) => void = () => {};
@@ -43,5 +53,5 @@
       entry.outstanding -= 1;
       release();
     });
-  return { entry, startedAt, outcome, silence, cancel: () => cancellation.cancel() };
+  return { entry, earlier, startedAt, outcome, silence, cancel: () => cancellation.cancel() };
 }
--- a/src/ingress/dispatch.test.ts
+++ b/src/ingress/dispatch.test.ts
@@ -6,6 +6,7 @@
 import { EMPTY_BODY } from '../owner/message-body.js';
 import { type Owner, type OwnerOutcome, type OwnerTask, turnedAway } from '../owner/owner.js';
 import { Dispatch } from './dispatch.js';
+import { createOfferLimit } from './offerLimit.js';
 import { createReturnTimes } from './returnTimes.js';
 import { SharedRetryBudget } from './shared-retry-budget.js';
 
@@ -56,7 +57,8 @@
     // A zone that is short of room has used its allowance up.
   }
   const returns = createReturnTimes();
-  const context = { clock: { now: () => 0 }, directory, budget, spill, returns };
+  const offerLimit = createOfferLimit();
+  const context = { clock: { now: () => 0 }, directory, budget, spill, returns, offerLimit };
   if (options.slack === 0) {
     budget.withdraw('desk', 0);
   }
@@ -198,6 +200,7 @@
     ),
     spill: createSpillAllowance(),
     returns: createReturnTimes(),
+    offerLimit: createOfferLimit(),
   };
   const result = new Dispatch(context, task, options.maxAttempts ?? 2, 0).run();
   return { offered, task, directory, status: result.then((ended) => ended.result.status) };
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -10,12 +10,10 @@
 import type { OwnerAnswer, OwnerNotRun, OwnerOutcome, OwnerTask } from '../owner/owner.js';
 import { type Attempt, SILENT, startAttempt } from './attempt.js';
 import type { ClientRefusal } from './client-answer.js';
+import type { OfferLimit } from './offerLimit.js';
 import type { ReturnTimes } from './returnTimes.js';
 import type { SharedRetryBudget } from './shared-retry-budget.js';
 
-/** Offers that one request may make in all, turned away or not: each costs both nodes a message. */
-const MAX_OFFERS = 8;
-
 /**
  * Owners of the own zone that may be busy before the others are asked: in a zone of a dozen owners
  * that are all full, each further one says the same, while other zones may have free slots.
@@ -52,6 +50,7 @@
   readonly budget: SharedRetryBudget;
   readonly spill: SpillAllowance;
   readonly returns: ReturnTimes;
+  readonly offerLimit: OfferLimit;
 }
 
 /** One per request. */
@@ -159,7 +158,7 @@
     if (this.arrivals >= this.maxAttempts) {
       return this.giveUp('attempts-spent');
     }
-    if (this.offers.length >= MAX_OFFERS) {
+    if (!this.context.offerLimit.allows(this.task.service, this.tried.size)) {
       const hasNoRoom = !this.mayHaveRun && this.lastNotRun?.reason === 'busy';
       return hasNoRoom ? this.noRoom() : this.giveUp('attempts-spent');
     }
@@ -198,9 +197,10 @@
   }
 
   private offer(entry: OwnerEntry): void {
+    const earlier = this.tried.size;
     this.tried.add(entry);
     const task = { ...this.task, mayWait: this.mayWaitAt(entry) };
-    this.running.add(startAttempt(entry, task, this.context.clock));
+    this.running.add(startAttempt({ entry, task, clock: this.context.clock, earlier }));
   }
 
   /** The owner has the task: it counts as arrived, and may have run. */
@@ -215,6 +215,10 @@
     const { entry } = attempt;
     this.running.delete(attempt);
     const isCounted = this.silent.delete(attempt);
+    if (outcome.kind === 'answer' || (outcome.kind === 'not-run' && outcome.reason === 'busy')) {
+      const isTaken = outcome.kind === 'answer';
+      this.context.offerLimit.note(this.task.service, attempt.earlier, isTaken);
+    }
     if (outcome.kind === 'not-run') {
       const isBusyNear = outcome.reason === 'busy' && this.context.directory.isNear(entry);
       this.busyNear += isBusyNear ? 1 : 0;
--- /dev/null
+++ b/src/ingress/offerLimit.test.ts
@@ -0,0 +1,55 @@
+import { describe, expect, it } from 'vitest';
+import { createOfferLimit } from './offerLimit.js';
+
+const NEVER = () => 0.99;
+
+/** Offers that a request may make while none is taken. */
+function offersOf(limit: ReturnType<typeof createOfferLimit>, service = 'desk'): number {
+  let made = 0;
+  while (limit.allows(service, made)) {
+    made += 1;
+  }
+  return made;
+}
+
+describe('the limit of offers', () => {
+  it('is eight while later offers are taken', () => {
+    const limit = createOfferLimit(NEVER);
+    expect(offersOf(limit)).toBe(8);
+    for (let index = 0; index < 200; index += 1) {
+      limit.note('desk', 5, index % 4 === 0);
+    }
+    expect(offersOf(limit)).toBe(8);
+  });
+
+  it('falls to four where later offers are in vain, for that service alone', () => {
+    const limit = createOfferLimit(NEVER);
+    for (let index = 0; index < 100; index += 1) {
+      limit.note('desk', 5, false);
+    }
+    expect(offersOf(limit)).toBe(4);
+    expect(offersOf(limit, 'vault')).toBe(8);
+  });
+
+  it('rises again once some requests that go on all the same find room', () => {
+    let probes = true;
+    const limit = createOfferLimit(() => (probes ? 0 : 0.99));
+    for (let index = 0; index < 100; index += 1) {
+      limit.note('desk', 5, false);
+    }
+    expect(offersOf(limit)).toBe(8);
+    for (let index = 0; index < 4; index += 1) {
+      limit.note('desk', 4, true);
+    }
+    probes = false;
+    expect(offersOf(limit)).toBe(8);
+  });
+
+  it('learns nothing from the first offers', () => {
+    const limit = createOfferLimit(NEVER);
+    for (let index = 0; index < 500; index += 1) {
+      limit.note('desk', index % 4, false);
+    }
+    expect(offersOf(limit)).toBe(8);
+  });
+});
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -7,6 +7,7 @@
 import { OwnerEntry, type OwnerRecord } from '../directory/owner-entry.js';
 import { createSpillAllowance } from '../directory/spillAllowance.js';
 import { IngressServer } from '../ingress/ingress-server.js';
+import { createOfferLimit } from '../ingress/offerLimit.js';
 import { createReturnTimes } from '../ingress/returnTimes.js';
 import { SharedRetryBudget } from '../ingress/shared-retry-budget.js';
 import type { Clock } from '../model/clock.js';
@@ -191,6 +192,7 @@
     ),
     spill: createSpillAllowance(),
     returns: createReturnTimes(),
+    offerLimit: createOfferLimit(),
     routes: () => configuration.routes,
     mayBeBehind: () => configuration.mayBeBehind,
     callerService: () => settings().service,
