--- a/src/diagnostics/loadLine.test.ts
+++ b/src/diagnostics/loadLine.test.ts
@@ -33,6 +33,11 @@
   vi.advanceTimersByTime(5_000);
   load.stop();
   vi.advanceTimersByTime(20_000);
+  expect(load.totals).toEqual({
+    sent: { Offer: 150, Pong: 4 },
+    received: { config: 7 },
+    relayed: { config: 9 },
+  });
   expect(lines).toHaveLength(2);
   expect(lines[0]).toMatchObject({
     event: 'load',
--- a/src/diagnostics/loadLine.ts
+++ b/src/diagnostics/loadLine.ts
@@ -1,6 +1,6 @@
 /**
- * What a node has spent and sent lately, in one log line every few seconds: where a link or a
- * processor is full, these lines tell with what.
+ * What a node spends and sends: where a link or a processor is full, this tells with what. As sums
+ * since the start for metrics, and in one log line every few seconds.
  */
 import type { DecisionLog } from './decision-log.js';
 
@@ -11,13 +11,21 @@
 
 type Sums = Record<string, number>;
 
+/** Bytes since the start. */
+export interface TrafficTotals {
+  /** Sent to other nodes, by kind of message. */
+  readonly sent: Readonly<Sums>;
+  /** Received from the store, by kind of object. */
+  readonly received: Readonly<Sums>;
+  /** Answers to nodes that read by way of this one, by kind of object. */
+  readonly relayed: Readonly<Sums>;
+}
+
 /** Adds up; runs until stopped. */
 export interface LoadLine {
-  /** Bytes sent to other nodes, by kind of message. */
+  readonly totals: TrafficTotals;
   noteSent(message: string, bytes: number): void;
-  /** Bytes received from the store, by kind of object. */
   noteReceived(kind: string, bytes: number): void;
-  /** Bytes of answers to nodes that read by way of this one, by kind of object. */
   noteRelayed(kind: string, bytes: number): void;
   /** Another node has said its first word on an offer, or answered a ping, after so many milliseconds. */
   noteReply(tookMs: number): void;
@@ -25,37 +33,44 @@
 }
 
 export function startLoadLine(log: DecisionLog): LoadLine {
-  let sent: Sums = {};
-  let received: Sums = {};
-  let relayed: Sums = {};
+  const totals = { sent: {} as Sums, received: {} as Sums, relayed: {} as Sums };
+  let told: TrafficTotals = structuredClone(totals);
   let longestReplyMs = 0;
   let cpu = process.cpuUsage();
-  const add = (sums: Sums, name: string, bytes: number) => {
-    sums[name] = (sums[name] ?? 0) + bytes;
-  };
   const timer = setInterval(() => {
     const spent = process.cpuUsage(cpu);
     log.event('load', {
-      sent,
-      received,
-      relayed,
+      sent: since(told.sent, totals.sent),
+      received: since(told.received, totals.received),
+      relayed: since(told.relayed, totals.relayed),
       longestReplyMs: Math.round(longestReplyMs),
       cpuMs: Math.round((spent.user + spent.system) / MICROSECONDS_PER_MILLISECOND),
     });
-    sent = {};
-    received = {};
-    relayed = {};
+    told = structuredClone(totals);
     longestReplyMs = 0;
     cpu = process.cpuUsage();
   }, LINE_INTERVAL_MS);
   timer.unref();
   return {
-    noteSent: (message, bytes) => add(sent, message, bytes),
-    noteReceived: (kind, bytes) => add(received, kind, bytes),
-    noteRelayed: (kind, bytes) => add(relayed, kind, bytes),
+    totals,
+    noteSent: (message, bytes) => add(totals.sent, message, bytes),
+    noteReceived: (kind, bytes) => add(totals.received, kind, bytes),
+    noteRelayed: (kind, bytes) => add(totals.relayed, kind, bytes),
     noteReply: (tookMs) => {
       longestReplyMs = Math.max(longestReplyMs, tookMs);
     },
     stop: () => clearInterval(timer),
   };
 }
+
+function add(sums: Sums, name: string, bytes: number): void {
+  sums[name] = (sums[name] ?? 0) + bytes;
+}
+
+/** What has been added meanwhile. */
+function since(before: Readonly<Sums>, after: Readonly<Sums>): Sums {
+  const added = Object.entries(after).map(
+    ([name, sum]) => [name, sum - (before[name] ?? 0)] as const,
+  );
+  return Object.fromEntries(added.filter(([, bytes]) => bytes > 0));
+}
--- a/src/diagnostics/sidecar-metrics.ts
+++ b/src/diagnostics/sidecar-metrics.ts
@@ -2,6 +2,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { RequestRecord } from '../ingress/ingress-request.js';
 import type { TaskRecord } from '../owner/owner-report.js';
+import type { TrafficTotals } from './loadLine.js';
 
 const DURATION_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
 
@@ -100,20 +101,11 @@
     this.storeCalls.inc({ operation, result });
   }
 
-  peerSent(message: string, bytes: number): void {
-    this.peerBytes.inc({ message }, bytes);
-  }
-
-  storeReceived(kind: string, bytes: number): void {
-    this.storeBytes.inc({ kind }, bytes);
-  }
-
-  relayAnswered(kind: string, bytes: number): void {
-    this.relayBytes.inc({ kind }, bytes);
-  }
-
-  /** The text of a scrape. */
-  scrape(values: SidecarGauges): Promise<string> {
+  /** The text of a scrape; `totals` are bytes since the start. */
+  scrape(values: SidecarGauges, totals: TrafficTotals): Promise<string> {
+    setTotals(this.peerBytes, totals.sent);
+    setTotals(this.storeBytes, totals.received);
+    setTotals(this.relayBytes, totals.relayed);
     for (const [name, value] of Object.entries(values)) {
       this.gauge(name).set(value);
     }
@@ -138,3 +130,11 @@
     return created;
   }
 }
+
+/** Counted elsewhere, where each message costs an addition only; told here when they are asked for. */
+function setTotals(counter: Counter, totals: Readonly<Record<string, number>>): void {
+  counter.reset();
+  for (const [label, bytes] of Object.entries(totals)) {
+    counter.labels(label).inc(bytes);
+  }
+}
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -67,7 +67,9 @@
       new SmallServer(handler, (path, error) =>
         log.event('unexpected', { path, error: String(error) }),
       );
-    this.metricsServer = serve(metricsHandler(metrics, () => this.gauges()));
+    this.metricsServer = serve(
+      metricsHandler(metrics, () => this.gauges(), this.parts.load.totals),
+    );
     this.readiness = serve(readinessHandler(outside, () => this.isReady));
     this.registrations = serve(registrationHandler(outside, this.parts.owner, log));
   }
--- a/src/sidecar/sidecarCalls.ts
+++ b/src/sidecar/sidecarCalls.ts
@@ -1,5 +1,6 @@
 /** What a sidecar answers to the small calls from outside: metrics, readiness, registrations. */
 import type { DecisionLog } from '../diagnostics/decision-log.js';
+import type { TrafficTotals } from '../diagnostics/loadLine.js';
 import type { SidecarGauges, SidecarMetrics } from '../diagnostics/sidecar-metrics.js';
 import type { LocalOwner } from '../owner/local-owner.js';
 import type { Outside } from './outside.js';
@@ -11,13 +12,17 @@
 
 const JSON_TYPE = 'application/json';
 
-/** `gauges` reads the values of the moment. */
-export function metricsHandler(metrics: SidecarMetrics, gauges: () => SidecarGauges): SmallHandler {
+/** `gauges` reads the values of the moment, `totals` bytes since the start. */
+export function metricsHandler(
+  metrics: SidecarMetrics,
+  gauges: () => SidecarGauges,
+  totals: TrafficTotals,
+): SmallHandler {
   return async ({ path }) => {
     if (path.split('?')[0] !== METRICS_PATH) {
       return { status: 404, contentType: 'text/plain', body: 'see /metrics\n' };
     }
-    return { status: 200, contentType: METRICS_TYPE, body: await metrics.scrape(gauges()) };
+    return { status: 200, contentType: METRICS_TYPE, body: await metrics.scrape(gauges(), totals) };
   };
 }
 
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -70,12 +70,10 @@
   const load = startLoadLine(log);
   const onSent = (kind: MessageKind, bytes: number) => {
     load.noteSent(MessageKind[kind], bytes);
-    metrics.peerSent(MessageKind[kind], bytes);
   };
 
   outside.store.onReceived = (kind, bytes) => {
     load.noteReceived(kind, bytes);
-    metrics.storeReceived(kind, bytes);
   };
 
   const record = () => recordOf(settings());
@@ -139,7 +137,6 @@
     onReader: (reader, cause) => log.event('zone-reader', { reader, cause }),
     onAnswer: (kind, bytes) => {
       load.noteRelayed(kind, bytes);
-      metrics.relayAnswered(kind, bytes);
     },
   });
 
