Lab: ports that nobody else is given, and a demo that waits until every node knows every owner

EADDRINUSE: a port was taken from the kernel's own range, found free and let go; another test's connection had it before the sidecar listened.

--- a/lab/demoMesh.ts
+++ b/lab/demoMesh.ts
@@ -92,8 +92,15 @@
           await new Promise((resolve) => setTimeout(resolve, POLL_MS));
         }
       }
-      // A back end is known to the others once its node has told them.
-      await new Promise((resolve) => setTimeout(resolve, HEARTBEAT_MS));
+      // Nodes that start together for the first time learn of one another a little later.
+      for (const { listen, name } of sidecars) {
+        while ((await ownersPresent(listen.metrics)) !== sidecars.length) {
+          if (performance.now() > until) {
+            throw new Error(`${name} does not know every owner`);
+          }
+          await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+        }
+      }
     },
     send: ({ listen }, method, path) => {
       requests += 1;
@@ -110,6 +117,15 @@
   return mesh;
 }
 
+/** Owners that a node would offer work to, by its metrics. */
+async function ownersPresent(metricsAddress: string): Promise<number> {
+  const text = await fetch(`http://${metricsAddress}/metrics`).then(
+    (response) => response.text(),
+    () => '',
+  );
+  return Number(/^spindlepaddle_owners_present (\d+)/m.exec(text)?.[1]);
+}
+
 async function get(address: string, path: string): Promise<number> {
   const { status } = await send(address, 'GET', path, 'probe');
   return status;
--- a/lab/sidecarProcesses.ts
+++ b/lab/sidecarProcesses.ts
@@ -1,8 +1,8 @@
 /** Real sidecar processes beside back ends of this process, all of them at known addresses. */
 import { writeFileSync } from 'node:fs';
-import net, { type AddressInfo } from 'node:net';
 import { join } from 'node:path';
 import type { ApplicationStandIn } from './application-stand-in.js';
+import { freePort } from './freePort.js';
 import { ProcessHandle } from './process-handle.js';
 import type { SidecarPlan, StoreContents } from './sidecarMain.js';
 
@@ -15,6 +15,7 @@
   readonly peers: string;
   readonly readiness: string;
   readonly registrations: string;
+  readonly metrics: string;
 }
 
 /** One sidecar, which may be ended and started again. */
@@ -89,17 +90,12 @@
 }
 
 async function freeAddresses(): Promise<SidecarAddresses> {
-  const servers = Array.from({ length: 4 }, () => net.createServer());
-  const ports = await Promise.all(servers.map(listenAnywhere));
-  for (const server of servers) {
-    server.close();
-  }
-  const [clients, peers, readiness, registrations] = ports.map((port) => `127.0.0.1:${port}`);
-  return { clients, peers, readiness, registrations } as SidecarAddresses;
-}
-
-function listenAnywhere(server: net.Server): Promise<number> {
-  return new Promise((resolve) =>
-    server.listen(0, '127.0.0.1', () => resolve((server.address() as AddressInfo).port)),
-  );
+  const address = async () => `127.0.0.1:${await freePort()}`;
+  return {
+    clients: await address(),
+    peers: await address(),
+    readiness: await address(),
+    registrations: await address(),
+    metrics: await address(),
+  };
 }
