--- a/lab/sidecarProcesses.ts
+++ b/lab/sidecarProcesses.ts
@@ -52,7 +52,7 @@
     zone: zones[index % zones.length] as string,
     service: application.service,
   }));
-  return Promise.all(
+  const starts = await Promise.allSettled(
     records.map(async (record, index) => {
       const application = applications[index] as ApplicationStandIn;
       const listen = listens[index] as SidecarAddresses;
@@ -87,6 +87,18 @@
       return sidecar;
     }),
   );
+  return allOrNone(starts);
+}
+
+/** Where one has not started, the others are ended: nobody else knows of them. */
+async function allOrNone(starts: readonly PromiseSettledResult<Sidecar>[]): Promise<Sidecar[]> {
+  const sidecars = starts.flatMap((start) => (start.status === 'fulfilled' ? [start.value] : []));
+  const failed = starts.find((start) => start.status === 'rejected');
+  if (failed) {
+    await Promise.all(sidecars.map(({ process }) => process.kill()));
+    throw failed.reason;
+  }
+  return sidecars;
 }
 
 async function freeAddresses(): Promise<SidecarAddresses> {
