--- a/lab/relayFleet.ts
+++ b/lab/relayFleet.ts
@@ -93,6 +93,8 @@
       return bytes;
     },
     onReader: () => {},
+    onReach: () => {},
+    onUntold: () => {},
   });
   const follower = new ConfigurationFollower({
     clock,
--- a/lab/storeServer.ts
+++ b/lab/storeServer.ts
@@ -16,6 +16,9 @@
   rejected: 422,
 };
 
+/** An idle connection is kept so long, in milliseconds: stores keep them for minutes. */
+const IDLE_LIMIT_MS = 60_000;
+
 /** One node's way to the store. */
 export interface StoreWay {
   readonly address: string;
@@ -47,6 +50,7 @@
         response.end(JSON.stringify(result.body));
       });
   });
+  server.keepAliveTimeout = IDLE_LIMIT_MS;
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const way: StoreWay = {
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
--- a/src/directory/directory-sync.ts
+++ b/src/directory/directory-sync.ts
@@ -5,7 +5,11 @@
 import type { Clock } from '../model/clock.js';
 import type { PeerCaller } from '../peer/peerCaller.js';
 import type { PeerReport, PeerSender } from '../peer/peerMessages.js';
-import { CollectionWatcher, type WatchTiming } from '../source/collection-watcher.js';
+import {
+  type CollectionHandler,
+  CollectionWatcher,
+  type WatchTiming,
+} from '../source/collection-watcher.js';
 import type { ObjectStore, StoredObject } from '../source/object-store.js';
 import { createMissingOwners, type MissingOwners } from './missingOwners.js';
 import type { OwnerDirectory } from './owner-directory.js';
@@ -35,7 +39,7 @@
   readonly caller: PeerCaller;
   readonly own: () => OwnerRecord;
   readonly timing: WatchTiming;
-  readonly onConnected: (connected: boolean, detail: string) => void;
+  readonly onConnected: CollectionHandler<unknown>['onConnected'];
   readonly onOwner: (node: string, change: string, detail: string) => void;
   readonly onReport: (address: string, report: PeerReport) => void;
   readonly random?: () => number;
--- a/src/relay/reachProof.test.ts
+++ b/src/relay/reachProof.test.ts
@@ -48,6 +48,8 @@
       kind: 'nodes',
       paceMs: PACE_MS,
       isWanted: () => true,
+      onReach: () => {},
+      onUntold: () => {},
     });
     return { proof, cache, abandoned: () => abandoned };
   }
--- a/src/relay/reachProof.ts
+++ b/src/relay/reachProof.ts
@@ -21,6 +21,10 @@
   /** Milliseconds after an answer of the store until it is asked again. */
   readonly paceMs: number;
   readonly isWanted: () => boolean;
+  /** The store has ceased to answer this node's proofs, or answers again; what was seen of that. */
+  readonly onReach: (isReached: boolean, detail: string) => void;
+  /** A watch of the store is taken for dead: it has not told of this revision. */
+  readonly onUntold: (revision: number) => void;
 }
 
 /** Asks the store while others rely on this node; runs until stopped. */
@@ -51,7 +55,7 @@
 }
 
 export function startReachProof(context: ReachProofContext): ReachProof {
-  const { clock, store, cache, kind, paceMs, isWanted } = context;
+  const { clock, store, cache, kind, paceMs, isWanted, onReach, onUntold } = context;
   let isAsking = false;
   let isReached = true;
   const staysUntold = createUntoldRevision();
@@ -62,13 +66,17 @@
     if (result.ok) {
       cache.noteAnswered();
       if (staysUntold(result.value, cache.newestRevision)) {
+        onUntold(result.value);
         store.abandonWatches();
       }
     } else if (isReached) {
       // A watch that was lost on the way would be waited for to its end.
       store.abandonWatches();
     }
-    isReached = result.ok;
+    if (result.ok !== isReached) {
+      isReached = result.ok;
+      onReach(isReached, result.ok ? 'answered' : `${result.failure}: ${result.detail}`);
+    }
   };
   const timer = setInterval(() => {
     const isDue = clock.now() - cache.answeredAt >= paceMs;
--- a/src/relay/zoneRelay.ts
+++ b/src/relay/zoneRelay.ts
@@ -39,6 +39,8 @@
     timeoutMs: number,
   ) => Promise<Buffer | undefined>;
   readonly onReader: (reader: string | undefined, cause: string) => void;
+  readonly onReach: (isReached: boolean, detail: string) => void;
+  readonly onUntold: (revision: number) => void;
   /** An answer to a follower has been made, of so many bytes. */
   readonly onAnswer?: (kind: string, bytes: number) => void;
 }
@@ -89,6 +91,8 @@
     kind: record.kind,
     paceMs: applyMs * PACE_SHARE,
     isWanted: () => !store.isFollowing,
+    onReach: context.onReach,
+    onUntold: context.onUntold,
   });
   // Followers that wait for the same change get the same bytes: packing is the dear part.
   const packed = createPackedAnswers();
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -82,8 +82,8 @@
     version: configuration.version,
   });
   const report = (): PeerReport => ({ ...owner.report, version: configuration.version });
-  const onStore = (use: string) => (connected: boolean, detail: string) =>
-    log.event('store', { use, connected, detail, version: configuration.version });
+  const onStore = (use: string) => (connected: boolean, detail: string, cause?: string) =>
+    log.event('store', { use, connected, detail, cause, version: configuration.version });
 
   const owner = new LocalOwner({
     clock,
@@ -135,6 +135,8 @@
     zonePart: createZoneMembership({ clock, directory, own: record }),
     readPeer: (address, question, timeoutMs) => reads.read(address, question, timeoutMs),
     onReader: (reader, cause) => log.event('zone-reader', { reader, cause }),
+    onReach: (isReached, detail) => log.event('store-reach', { isReached, detail }),
+    onUntold: (revision) => log.event('watch-silent', { revision }),
     onAnswer: (kind, bytes) => {
       load.noteRelayed(kind, bytes);
     },
--- a/src/source/collection-watcher.ts
+++ b/src/source/collection-watcher.ts
@@ -3,15 +3,18 @@
  * new list; failures lead to jittered back-off, so that a herd of nodes does not
  * storm the store.
  */
-import { type ObjectStore, Reading, type StoredObject, type StoreFailure } from './object-store.js';
+import { type ObjectStore, Reading, type StoredObject, type StoreError } from './object-store.js';
 
 /** Receives what a watcher learns, in order. */
 export interface CollectionHandler<Spec> {
   /** Everything that there is now. */
   onList(objects: readonly StoredObject<Spec>[]): void;
   onChange(object: StoredObject<Spec>, gone: boolean): void;
-  /** Called when the store begins or ceases to answer. */
-  onConnected(connected: boolean, detail: string): void;
+  /**
+   * Called when the store begins or ceases to answer. `detail` is the call that was answered, or the
+   * failure; `cause` says in words what was seen of that.
+   */
+  onConnected(connected: boolean, detail: string, cause?: string): void;
   /** What was given so far is all that there is now. */
   onCurrent?(): void;
 }
@@ -34,6 +37,9 @@
 const LONGEST_BACKOFF_MS = 1_000;
 const BACKOFF_FACTOR = 2;
 
+/** A list that is older than what has been seen. */
+const LAGGING: StoreError = { ok: false, failure: 'unavailable', detail: 'the list lags' };
+
 /** Follows one kind until stopped. */
 export class CollectionWatcher<Spec> {
   private revision: number | undefined;
@@ -67,11 +73,10 @@
   async run(): Promise<void> {
     while (!this.stopped) {
       const failure = await this.readNext();
-      if (failure === 'history-gone') {
+      if (failure?.failure === 'history-gone') {
         this.revision = undefined;
-      }
-      if (failure && failure !== 'history-gone') {
-        this.note(false, failure);
+      } else if (failure) {
+        this.note(false, failure.failure, failure.detail);
         await this.pause(this.nextBackoff());
       }
     }
@@ -93,7 +98,7 @@
     return failure === undefined;
   }
 
-  private readNext(): Promise<StoreFailure | undefined> {
+  private readNext(): Promise<StoreError | undefined> {
     if (this.revision === undefined) {
       return this.list();
     }
@@ -101,7 +106,7 @@
     return this.isBehind && only !== undefined ? this.readOnly(only) : this.watch();
   }
 
-  private async list(): Promise<StoreFailure | undefined> {
+  private async list(): Promise<StoreError | undefined> {
     // The first list may lag: the watch from its revision brings what came since.
     const reading = this.newest === 0 ? Reading.Lately : Reading.Now;
     const result = await this.store.list<Spec>(this.kind, reading);
@@ -109,10 +114,10 @@
       return undefined;
     }
     if (!result.ok) {
-      return result.failure;
+      return result;
     }
     if (result.value.revision < this.newest) {
-      return 'unavailable';
+      return LAGGING;
     }
     this.note(true, 'list');
     this.revision = result.value.revision;
@@ -125,13 +130,13 @@
   }
 
   /** One read in place of all the steps since: in a storm each of them would come whole. */
-  private async readOnly(name: string): Promise<StoreFailure | undefined> {
+  private async readOnly(name: string): Promise<StoreError | undefined> {
     const result = await this.store.get<Spec>(this.kind, name);
     if (this.stopped) {
       return undefined;
     }
     if (!result.ok && result.failure !== 'not-found') {
-      return result.failure;
+      return result;
     }
     this.note(true, 'get');
     if (!result.ok || result.value.revision <= this.onlyRevision) {
@@ -146,14 +151,14 @@
     return undefined;
   }
 
-  private async watch(): Promise<StoreFailure | undefined> {
+  private async watch(): Promise<StoreError | undefined> {
     const from = this.revision ?? 0;
     const result = await this.store.watch<Spec>(this.kind, from, this.timing.waitMs);
     if (this.stopped) {
       return undefined;
     }
     if (!result.ok) {
-      return result.failure;
+      return result;
     }
     this.note(true, 'watch');
     this.newest = Math.max(this.newest, result.value.revision);
@@ -175,14 +180,14 @@
     return undefined;
   }
 
-  private note(connected: boolean, detail: string): void {
+  private note(connected: boolean, detail: string, cause?: string): void {
     if (connected) {
       this.backoffMs = FIRST_BACKOFF_MS;
       this.handler.onCurrent?.();
     }
     if (connected !== this.connected) {
       this.connected = connected;
-      this.handler.onConnected(connected, detail);
+      this.handler.onConnected(connected, detail, cause);
     }
   }
 
--- a/src/source/configuration-follower.ts
+++ b/src/source/configuration-follower.ts
@@ -7,7 +7,7 @@
 import type { Finding } from '../model/finding.js';
 import type { Shortage } from '../routing/completeConfiguration.js';
 import type { RouteMatcher } from '../routing/route-matcher.js';
-import { CollectionWatcher } from './collection-watcher.js';
+import { type CollectionHandler, CollectionWatcher } from './collection-watcher.js';
 import {
   type ConfigurationCandidate,
   ConfigurationHolder,
@@ -56,7 +56,7 @@
   readonly askPeer: (address: string) => Promise<Buffer | undefined>;
   /** Steady time in milliseconds at which the store was last shown to be within reach. */
   readonly provenAt: () => number;
-  readonly onConnected: (connected: boolean, detail: string) => void;
+  readonly onConnected: CollectionHandler<unknown>['onConnected'];
   readonly onInForce: (routes: RouteMatcher, origin: string) => void;
   readonly onHeldOff: (version: number, origin: string, findings: readonly Finding[]) => void;
   /** A version waits for policies or secrets. */
--- a/src/source/object-store.ts
+++ b/src/source/object-store.ts
@@ -41,9 +41,14 @@
   | 'rejected'
   | 'unknown';
 
-export type StoreResult<Value> =
-  | { readonly ok: true; readonly value: Value }
-  | { readonly ok: false; readonly failure: StoreFailure; readonly detail: string };
+/** A call that failed, and in words what was seen of that. */
+export interface StoreError {
+  readonly ok: false;
+  readonly failure: StoreFailure;
+  readonly detail: string;
+}
+
+export type StoreResult<Value> = { readonly ok: true; readonly value: Value } | StoreError;
 
 /** A question for the changes of a kind after a revision, or for all its objects. */
 export interface StoreQuestion {
