A watch is not taken at its word: silence on one connection puts all that rests in doubt, and each kind of watch is checked

Cause: only the end of its own time (13.5 s) showed that a watch was dead. A proof that met with silence ended the watches once; they were sent again on kept connections as silent as the first. A revision that no watch told of was excused after one alarm, and hidden by the watch of another kind. A node for which another zone had spoken once proved nothing any more. Excluded: slow nodes; a silent store alone (the store answered new connections at once in the test). Change: a silent call closes the connections that rest; while a proof is unanswered no watch is sent, other zones are asked; at two looks without news of a revision the same question is asked again without waiting, for each kind by itself.

--- a/lab/memory-store.ts
+++ b/lab/memory-store.ts
@@ -73,15 +73,17 @@
     return [...objects.values()];
   }
 
-  /** Resolves at the next change, or after `waitMs`. */
-  nextChange(waitMs: number): Promise<void> {
+  /** Resolves at the next change, after `waitMs`, or when the signal aborts. */
+  nextChange(waitMs: number, signal?: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
       const done = () => {
         clearTimeout(timer);
+        signal?.removeEventListener('abort', done);
         this.listeners.delete(done);
         resolve();
       };
       const timer = setTimeout(done, waitMs);
+      signal?.addEventListener('abort', done);
       this.listeners.add(done);
     });
   }
@@ -145,17 +147,22 @@
     kind: string,
     revision: number,
     waitMs: number,
+    signal?: AbortSignal,
   ): Promise<StoreResult<StoreChanges<Spec>>> {
     const until = performance.now() + waitMs;
     const changes = () =>
       this.store.log.filter((change) => change.kind === kind && change.revision > revision);
     while (
       !this.failure &&
+      !signal?.aborted &&
       this.store.forgotten <= revision &&
       changes().length === 0 &&
       performance.now() < until
     ) {
-      await this.store.nextChange(until - performance.now());
+      await this.store.nextChange(until - performance.now(), signal);
+    }
+    if (signal?.aborted) {
+      return failed('unknown');
     }
     return this.answer(() =>
       this.store.forgotten > revision
@@ -211,9 +218,7 @@
     return this.failure ? failed(this.failure) : { ok: true, value: this.store.revision };
   }
 
-  abandonWatches(): void {
-    this.store.wake();
-  }
+  closeIdle(): void {}
 
   close(): void {
     this.failure = 'unavailable';
--- a/lab/relayFleet.ts
+++ b/lab/relayFleet.ts
@@ -128,12 +128,12 @@
   return {
     list: (kind, reading) => arrived(view.list(kind, reading)),
     get: (kind, name) => arrived(view.get(kind, name)),
-    watch: (kind, revision, waitMs) => arrived(view.watch(kind, revision, waitMs)),
+    watch: (kind, revision, waitMs, signal) => arrived(view.watch(kind, revision, waitMs, signal)),
     create: (kind, name, spec) => view.create(kind, name, spec),
     replace: (kind, object) => view.replace(kind, object),
     remove: (kind, name, revision) => view.remove(kind, name, revision),
     probe: () => view.probe(),
-    abandonWatches: () => view.abandonWatches(),
+    closeIdle: () => view.closeIdle(),
     close: () => view.close(),
   };
 }
--- a/src/peer/peerReads.ts
+++ b/src/peer/peerReads.ts
@@ -19,12 +19,21 @@
     pools.set(address, known);
     return known;
   };
+  const closeIdle = () => {
+    for (const pool of pools.values()) {
+      pool.close();
+    }
+  };
   return {
     read: (address, question, timeoutMs) =>
       new Promise((resolve) => {
         const pool = poolOf(address);
         const connection = pool.take();
-        const timer = setTimeout(() => connection.destroy(), timeoutMs);
+        const timer = setTimeout(() => {
+          connection.destroy();
+          // Those that rest may have gone silent with this one: the next read gets a new one.
+          closeIdle();
+        }, timeoutMs);
         connection.listen({
           onMessage: (message) => {
             clearTimeout(timer);
@@ -42,10 +51,6 @@
         });
         connection.send({ kind: MessageKind.Read, sender: sender(), question });
       }),
-    close: () => {
-      for (const pool of pools.values()) {
-        pool.close();
-      }
-    },
+    close: closeIdle,
   };
 }
--- /dev/null
+++ b/src/relay/ownWatches.ts
@@ -0,0 +1,103 @@
+/**
+ * The watches that this node itself has waiting at the store. Such a watch says nothing for seconds, so
+ * it is not taken at its word: when the store is at a revision that it should have told of and has
+ * not, the store is asked the same again, without waiting. So a change is at most two proofs and a call
+ * late where a watch's connection has gone silent (1.3 s of a bound of 2 s); its own end comes after
+ * 13.5 s.
+ */
+import type { ObjectStore, StoreChanges, StoreError, StoreResult } from '../source/object-store.js';
+
+/** Wait of a watch that only brings up to date, in milliseconds: the store takes no zero. */
+export const CATCH_UP_WAIT_MS = 1;
+
+/** What is needed of the node. */
+export interface OwnWatchesContext {
+  readonly store: ObjectStore;
+  /** Newest revision up to which all changes of a kind are known here. */
+  readonly toldRevision: (kind: string) => number | undefined;
+  /** The changes of a kind after `from` are known here up to `revision`: there were none. */
+  readonly onNothingMissed: (kind: string, from: number, revision: number) => void;
+  /** A watch was silent although there were changes. */
+  readonly onSilent: (kind: string, revision: number) => void;
+}
+
+export interface OwnWatches {
+  watch<Spec>(
+    kind: string,
+    revision: number,
+    waitMs: number,
+  ): Promise<StoreResult<StoreChanges<Spec>>>;
+  /** Ends those that wait, as failed: they were sent on connections, or to a store, now in doubt. */
+  abandon(): void;
+  /** The store is at this revision. */
+  noteSeen(revision: number): void;
+}
+
+interface Waiting {
+  readonly revision: number;
+  readonly settle: (result: StoreResult<StoreChanges<never>>) => void;
+  /** A revision that it had not told of at an earlier look. */
+  untold: number | undefined;
+  isChecked: boolean;
+}
+
+const ABANDONED: StoreError = { ok: false, failure: 'unknown', detail: 'abandoned' };
+
+export function createOwnWatches(context: OwnWatchesContext): OwnWatches {
+  const { store, toldRevision, onNothingMissed, onSilent } = context;
+  const waiting = new Map<string, Waiting>();
+
+  const check = async (kind: string, watch: Waiting): Promise<void> => {
+    watch.isChecked = true;
+    const result = await store.watch<never>(kind, watch.revision, CATCH_UP_WAIT_MS);
+    watch.isChecked = false;
+    watch.untold = undefined;
+    if (!result.ok || waiting.get(kind) !== watch) {
+      return;
+    }
+    const { events, revision } = result.value;
+    if (events.length === 0) {
+      onNothingMissed(kind, watch.revision, revision);
+      return;
+    }
+    onSilent(kind, revision);
+    watch.settle(result);
+  };
+
+  return {
+    watch: <Spec>(kind: string, revision: number, waitMs: number) =>
+      new Promise<StoreResult<StoreChanges<Spec>>>((resolve) => {
+        const controller = new AbortController();
+        const watch: Waiting = {
+          revision,
+          untold: undefined,
+          isChecked: false,
+          settle: (result) => {
+            if (waiting.get(kind) === watch) {
+              waiting.delete(kind);
+            }
+            resolve(result);
+            controller.abort();
+          },
+        };
+        waiting.set(kind, watch);
+        void store.watch<never>(kind, revision, waitMs, controller.signal).then(watch.settle);
+      }),
+    abandon: () => {
+      for (const watch of [...waiting.values()]) {
+        watch.settle(ABANDONED);
+      }
+    },
+    noteSeen: (seen) => {
+      for (const [kind, watch] of waiting) {
+        const told = Math.max(watch.revision, toldRevision(kind) ?? 0);
+        if (watch.untold !== undefined && watch.untold > told && !watch.isChecked) {
+          void check(kind, watch);
+        } else if (seen > told) {
+          // At the first look the watch's own answer may still be on its way.
+          watch.untold ??= seen;
+        }
+      }
+    },
+  };
+}
--- a/src/relay/reachProof.test.ts
+++ b/src/relay/reachProof.test.ts
@@ -1,77 +1,104 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import type { ObjectStore } from '../source/object-store.js';
-import { createUntoldRevision, startReachProof } from './reachProof.js';
-import { createStoreCache } from './storeCache.js';
+import type { ObjectStore, StoreResult } from '../source/object-store.js';
+import { type ReachProof, startReachProof } from './reachProof.js';
+import { createStoreReach } from './storeReach.js';
 
-const PACE_MS = 80;
+const PACE_MS = 600;
 
-describe('a revision that no watch tells of', () => {
-  it('is noticed at the second look, once', () => {
-    const staysUntold = createUntoldRevision();
-    expect(staysUntold(5, 5)).toBe(false);
-    expect(staysUntold(6, 5)).toBe(false);
-    expect(staysUntold(6, 5)).toBe(true);
-    // Of a kind that nobody watches: it is left alone from now on.
-    expect(staysUntold(6, 5)).toBe(false);
-    expect(staysUntold(7, 5)).toBe(false);
-    expect(staysUntold(8, 5)).toBe(true);
-  });
+/** A proof's patience, in milliseconds. */
+const PATIENCE_MS = 500;
 
-  it('is not noticed when a watch tells of it meanwhile, or of a part of what has come', () => {
-    const staysUntold = createUntoldRevision();
-    expect(staysUntold(6, 5)).toBe(false);
-    expect(staysUntold(9, 6)).toBe(false);
-    expect(staysUntold(9, 9)).toBe(false);
-    expect(staysUntold(10, 9)).toBe(false);
-  });
+const ANSWERED: StoreResult<number> = { ok: true, value: 4 };
+const RESET: StoreResult<number> = { ok: false, failure: 'unknown', detail: 'reset' };
+
+let proof: ReachProof;
+
+beforeEach(() => {
+  vi.useFakeTimers();
 });
 
+afterEach(() => {
+  proof.stop();
+  vi.useRealTimers();
+});
+
+/** A node whose proofs meet with what `probe` says, and what became of its reach. */
+function nodeWith(probe: () => Promise<StoreResult<number>>, isWanted = () => true) {
+  const clock = { now: () => Date.now() };
+  const changes: string[] = [];
+  const reach = createStoreReach({
+    clock,
+    onChange: (isInDoubt, detail) => changes.push(`${isInDoubt ? 'lost' : 'regained'}: ${detail}`),
+  });
+  let probes = 0;
+  const seen: number[] = [];
+  proof = startReachProof({
+    clock,
+    store: {
+      probe: () => {
+        probes += 1;
+        return probe();
+      },
+    } as unknown as ObjectStore,
+    reach,
+    kind: 'nodes',
+    paceMs: PACE_MS,
+    isWanted,
+    onSeen: (revision) => seen.push(revision),
+  });
+  return { reach, changes, seen, probes: () => probes };
+}
+
+function silent(): Promise<never> {
+  return new Promise(() => {});
+}
+
 describe('the proof of reach', () => {
-  beforeEach(() => {
-    vi.useFakeTimers();
+  it('is asked for at its pace, and tells the revision of the store', async () => {
+    const { changes, seen } = nodeWith(async () => ANSWERED);
+    await vi.advanceTimersByTimeAsync(PACE_MS * 5);
+    expect(seen.length).toBeGreaterThanOrEqual(4);
+    expect(seen.length).toBeLessThanOrEqual(5);
+    expect(changes).toEqual([]);
   });
 
-  afterEach(() => {
-    vi.useRealTimers();
+  it('puts the store in doubt as soon as one is met with silence, and ends the doubt when one is answered', async () => {
+    let answer: () => Promise<StoreResult<number>> = async () => ANSWERED;
+    const { reach, changes } = nodeWith(() => answer());
+    await vi.advanceTimersByTimeAsync(PACE_MS * 2);
+    answer = silent;
+    await vi.advanceTimersByTimeAsync(PACE_MS + PATIENCE_MS + PACE_MS / 8);
+    expect(reach.isInDoubt).toBe(true);
+    answer = async () => ANSWERED;
+    await vi.advanceTimersByTimeAsync(PATIENCE_MS + PACE_MS / 8);
+    expect(reach.isInDoubt).toBe(false);
+    expect(changes).toEqual(['lost: a proof was not answered', 'regained: answered']);
   });
 
-  function proofOf(probe: () => Promise<unknown>) {
-    const clock = { now: () => Date.now() };
-    const cache = createStoreCache({ clock, freshMs: PACE_MS });
-    cache.noteList('nodes', { items: [], revision: 3 });
-    let abandoned = 0;
-    const store = { probe, abandonWatches: () => (abandoned += 1) } as unknown as ObjectStore;
-    const proof = startReachProof({
-      clock,
-      store,
-      cache,
-      kind: 'nodes',
-      paceMs: PACE_MS,
-      isWanted: () => true,
-      onReach: () => {},
-      onUntold: () => {},
-    });
-    return { proof, cache, abandoned: () => abandoned };
-  }
+  it('is asked for at a bounded rate while it is refused at once', async () => {
+    const { probes, reach } = nodeWith(async () => RESET);
+    await vi.advanceTimersByTimeAsync(PATIENCE_MS * 10);
+    expect(reach.isInDoubt).toBe(true);
+    expect(probes()).toBeLessThanOrEqual(10);
+  });
 
-  it('ends watches that have gone silent while new connections work', async () => {
-    let revision = 3;
-    const { proof, abandoned } = proofOf(async () => ({ ok: true, value: revision }));
-    await vi.advanceTimersByTimeAsync(PACE_MS * 5);
-    expect(abandoned()).toBe(0);
-    revision = 4;
-    await vi.advanceTimersByTimeAsync(PACE_MS * 3);
-    expect(abandoned()).toBe(1);
-    await vi.advanceTimersByTimeAsync(PACE_MS * 10);
-    expect(abandoned()).toBe(1);
-    proof.stop();
+  it('says nothing by one connection that was closed at rest', async () => {
+    let isFirst = true;
+    const { changes } = nodeWith(async () => {
+      const result = isFirst ? RESET : ANSWERED;
+      isFirst = false;
+      return result;
+    });
+    await vi.advanceTimersByTimeAsync(PACE_MS * 4);
+    expect(changes).toEqual([]);
   });
 
-  it('ends them when the store is out of reach, and shows that the cache may not speak for it', async () => {
-    const { proof, cache, abandoned } = proofOf(async () => ({ ok: false, failure: 'unknown' }));
-    await vi.advanceTimersByTimeAsync(PACE_MS * 3);
-    expect(abandoned()).toBe(1);
-    expect(cache.isFresh).toBe(false);
-    proof.stop();
+  it('is not asked for while another node speaks for the store', async () => {
+    const { probes } = nodeWith(
+      async () => ANSWERED,
+      () => false,
+    );
+    await vi.advanceTimersByTimeAsync(PACE_MS * 5);
+    expect(probes()).toBe(0);
   });
 });
--- a/src/relay/reachProof.ts
+++ b/src/relay/reachProof.ts
@@ -1,86 +1,68 @@
 /**
- * Shows again and again that the store is within reach of a node that reads for others. Its watches
- * may wait for long: were their answers the only proof, they would have to be made over and over.
- * A watch whose connection has gone silent while new ones work is found out as well: the store's
- * revision goes on, and no watch tells of it.
+ * Shows again and again that the store is within reach of a node that reads it itself. Its watches may
+ * wait for long: were their answers the only proof, they would have to be made over and over.
  */
 import type { Clock } from '../model/clock.js';
 import type { ObjectStore } from '../source/object-store.js';
-import type { StoreCache } from './storeCache.js';
+import type { StoreReach } from './storeReach.js';
 
 /** Looks in the time of one proof: a proof is late by one of them at the most. */
 const LOOKS = 8;
 
+/**
+ * A proof that is not answered within this time, in milliseconds, is met with silence: a hundred times
+ * what a store usually takes, and with the pace of 600 ms well inside the 3 s within which nodes are to
+ * be in touch again. An answer that comes later still counts. While in doubt, another one is sent as
+ * often, so that a store which is back is found within it.
+ */
+const PATIENCE_MS = 500;
+
+/** A connection that was closed at rest fails one call: only the next failure says something. */
+const TELLING_FAILURES = 2;
+
 /** What is needed of the node. */
 export interface ReachProofContext {
   readonly clock: Clock;
   readonly store: ObjectStore;
-  readonly cache: StoreCache;
+  readonly reach: StoreReach;
   /** A kind of small objects. */
   readonly kind: string;
   /** Milliseconds after an answer of the store until it is asked again. */
   readonly paceMs: number;
   readonly isWanted: () => boolean;
-  /** The store has ceased to answer this node's proofs, or answers again; what was seen of that. */
-  readonly onReach: (isReached: boolean, detail: string) => void;
-  /** A watch of the store is taken for dead: it has not told of this revision. */
-  readonly onUntold: (revision: number) => void;
+  /** The store is at this revision, or was lately. */
+  readonly onSeen: (revision: number) => void;
 }
 
-/** Asks the store while others rely on this node; runs until stopped. */
+/** Asks the store while this node relies on it; runs until stopped. */
 export interface ReachProof {
   stop(): void;
 }
 
-/**
- * True when a revision of the store that was seen at an earlier look is still not told by any watch.
- * It may be of a kind that nobody here watches, so the answer is true only once for it.
- */
-export function createUntoldRevision(): (seen: number, told: number) => boolean {
-  let untold: number | undefined;
-  let excused = 0;
-  return (seen, told) => {
-    if (seen <= Math.max(told, excused)) {
-      untold = undefined;
-      return false;
-    }
-    if (untold === undefined || untold <= told) {
-      untold = seen;
-      return false;
-    }
-    excused = seen;
-    untold = undefined;
-    return true;
-  };
-}
-
 export function startReachProof(context: ReachProofContext): ReachProof {
-  const { clock, store, cache, kind, paceMs, isWanted, onReach, onUntold } = context;
-  let isAsking = false;
-  let isReached = true;
-  const staysUntold = createUntoldRevision();
+  const { clock, store, reach, kind, paceMs, isWanted, onSeen } = context;
+  let sentAt = Number.NEGATIVE_INFINITY;
+  let failures = 0;
   const ask = async (): Promise<void> => {
-    isAsking = true;
+    sentAt = clock.now();
+    const silence = setTimeout(() => reach.noteSilence('a proof was not answered'), PATIENCE_MS);
     const result = await store.probe(kind);
-    isAsking = false;
+    clearTimeout(silence);
     if (result.ok) {
-      cache.noteAnswered();
-      if (staysUntold(result.value, cache.newestRevision)) {
-        onUntold(result.value);
-        store.abandonWatches();
-      }
-    } else if (isReached) {
-      // A watch that was lost on the way would be waited for to its end.
-      store.abandonWatches();
+      failures = 0;
+      reach.noteAnswered();
+      onSeen(result.value);
+      return;
     }
-    if (result.ok !== isReached) {
-      isReached = result.ok;
-      onReach(isReached, result.ok ? 'answered' : `${result.failure}: ${result.detail}`);
+    failures += 1;
+    if (failures >= TELLING_FAILURES) {
+      reach.noteSilence(`${result.failure}: ${result.detail}`);
     }
   };
   const timer = setInterval(() => {
-    const isDue = clock.now() - cache.answeredAt >= paceMs;
-    if (isDue && !isAsking && isWanted()) {
+    const isDoubtful = reach.isInDoubt || failures > 0;
+    const sinceMs = clock.now() - Math.max(sentAt, reach.answeredAt);
+    if (sinceMs >= (isDoubtful ? PATIENCE_MS : paceMs) && isWanted()) {
       void ask();
     }
   }, paceMs / LOOKS);
--- a/src/relay/relayedStore.test.ts
+++ b/src/relay/relayedStore.test.ts
@@ -1,8 +1,10 @@
-import { expect, it } from 'vitest';
+import { expect, it, vi } from 'vitest';
 import { MemoryStore, StoreView } from '../../lab/memory-store.js';
 import { Reading, type StoreQuestion } from '../source/object-store.js';
-import { createRelayedStore } from './relayedStore.js';
+import { createOwnWatches } from './ownWatches.js';
+import { createRelayedStore, type RelayedStoreContext } from './relayedStore.js';
 import { createStoreCache } from './storeCache.js';
+import { createStoreReach } from './storeReach.js';
 import { ZoneRole } from './zoneReaders.js';
 
 const READER = { node: 'reader', zone: 'a', address: '10.0.0.1:1' };
@@ -10,18 +12,42 @@
 const NODES = 'nodes';
 const PACE_MS = 100;
 
-/** A follower's store whose reader never answers, and what the reader is asked. */
-function followerOfSilentReader(patienceMs = PACE_MS) {
+type Parts = Pick<RelayedStoreContext, 'zonePart' | 'ask'> & { readonly patienceMs?: number };
+
+/** A node's store in parts, over a store with one configuration. */
+function nodeWith({ zonePart, ask, patienceMs = PACE_MS }: Parts) {
   const store = new MemoryStore();
   store.put(CONFIGURATION, 'current', { version: 1 });
+  const view = new StoreView(store);
   const clock = { now: () => performance.now() };
-  const asked: { question: StoreQuestion; timeoutMs: number }[] = [];
+  const reach = createStoreReach({ clock, onChange: () => {} });
+  const cache = createStoreCache({ clock, reach, freshMs: PACE_MS });
+  const watches = createOwnWatches({
+    store: view,
+    toldRevision: cache.revisionOf,
+    onNothingMissed: () => {},
+    onSilent: () => {},
+  });
   const relayed = createRelayedStore({
     clock,
-    store: new StoreView(store),
-    cache: createStoreCache({ clock, freshMs: PACE_MS }),
+    store: view,
+    cache,
+    reach,
+    watches,
     nodeKind: NODES,
     paceMs: PACE_MS,
+    patienceMs,
+    zonePart,
+    ask,
+    onReader: () => {},
+  });
+  return { relayed, view, reach, watches };
+}
+
+/** A follower's store whose reader never answers, and what the reader is asked. */
+function followerOfSilentReader(patienceMs = PACE_MS) {
+  const asked: { question: StoreQuestion; timeoutMs: number }[] = [];
+  const { relayed } = nodeWith({
     patienceMs,
     zonePart: () => ({ role: ZoneRole.Follower, readers: [READER], elsewhere: () => [] }),
     ask: async (_address, question, timeoutMs) => {
@@ -29,7 +55,6 @@
       await new Promise((resolve) => setTimeout(resolve, timeoutMs));
       return undefined;
     },
-    onReader: () => {},
   });
   return { relayed, asked };
 }
@@ -58,3 +83,48 @@
     expect(asked.map(({ timeoutMs }) => timeoutMs)).toEqual([longestMs]);
   }
 });
+
+/** A node of its zone alone; the reader of another zone answers with this revision, or not at all. */
+function aloneBeside(revisionElsewhere: number | undefined) {
+  return nodeWith({
+    zonePart: () => ({ role: ZoneRole.Alone, readers: [], elsewhere: () => [READER] }),
+    ask: async () => {
+      const isThere = revisionElsewhere !== undefined;
+      return isThere ? { ok: true, value: { events: [], revision: revisionElsewhere } } : undefined;
+    },
+  });
+}
+
+it('a watch is not sent to a store in doubt: another zone is asked, until a proof is answered', async () => {
+  const { relayed, view, reach } = aloneBeside(7);
+  reach.noteSilence('a proof was not answered');
+  expect(await relayed.watch(CONFIGURATION, 1, 10_000)).toMatchObject({ value: { revision: 7 } });
+  expect(view.calls).toBe(0);
+  reach.noteAnswered();
+  view.failure = 'unavailable';
+  await relayed.watch(CONFIGURATION, 1, 10_000);
+  expect(view.calls).toBe(1);
+});
+
+it('a node whose watches another zone speaks for goes on proving its own reach', async () => {
+  const { relayed, reach } = aloneBeside(7);
+  reach.noteSilence('a proof was not answered');
+  const watch = relayed.watch(CONFIGURATION, 1, 10_000);
+  await new Promise((resolve) => setImmediate(resolve));
+  expect((await watch).ok).toBe(true);
+  expect(relayed.isFollowing).toBe(true);
+  reach.noteAnswered();
+  void relayed.watch(CONFIGURATION, 1, PACE_MS);
+  // Its own watch waits at the store now, whoever spoke for it last.
+  await vi.waitFor(() => expect(relayed.isAlone).toBe(true));
+});
+
+it('a watch in doubt that nobody speaks for is sent as soon as the store answers, or fails', async () => {
+  const { relayed, view, reach } = aloneBeside(undefined);
+  reach.noteSilence('a proof was not answered');
+  expect(await relayed.watch(CONFIGURATION, 1, 10_000)).toMatchObject({ ok: false });
+  expect(view.calls).toBe(0);
+  const watch = relayed.watch(CONFIGURATION, 0, 10_000);
+  reach.noteAnswered();
+  expect(await watch).toMatchObject({ ok: true, value: { events: [{ gone: false }] } });
+});
--- a/src/relay/relayedStore.ts
+++ b/src/relay/relayedStore.ts
@@ -11,11 +11,14 @@
   Reading,
   type StoreChanges,
   type StoredObject,
+  type StoreError,
   type StoreListing,
   type StoreQuestion,
   type StoreResult,
 } from '../source/object-store.js';
+import { CATCH_UP_WAIT_MS, type OwnWatches } from './ownWatches.js';
 import type { StoreCache } from './storeCache.js';
+import type { StoreReach } from './storeReach.js';
 import { type ZoneNode, type ZonePart, ZoneRole } from './zoneReaders.js';
 
 /** A reader that did not answer is not asked again for so long, in milliseconds. */
@@ -36,9 +39,6 @@
  */
 const DIRECTORY_PACES = 4;
 
-/** Wait of a watch that only brings up to date, in milliseconds: the store takes no zero. */
-const CATCH_UP_WAIT_MS = 1;
-
 /**
  * Nodes that start together for the first time see none of the others in their first lists. The
  * watches of a node that knows no other of its zone begin this long after its start, in milliseconds:
@@ -51,12 +51,16 @@
 /** Pause between two looks whether the zone is known, in milliseconds. */
 const ZONE_TICK_MS = 50;
 
+const OUT_OF_REACH: StoreError = { ok: false, failure: 'unavailable', detail: 'out of reach' };
+
 /** What is needed of the node. */
 export interface RelayedStoreContext {
   readonly clock: Clock;
   /** The store itself. */
   readonly store: ObjectStore;
   readonly cache: StoreCache;
+  readonly reach: StoreReach;
+  readonly watches: OwnWatches;
   /** Kind of the records by which nodes find one another. */
   readonly nodeKind: string;
   /** Milliseconds for which a follower's watch waits. */
@@ -82,17 +86,22 @@
   readonly isReader: boolean;
   /** True while others ask this node. */
   readonly isAsked: boolean;
+  /** True while this node's own watches are all that it has, whether or not the store answers them. */
+  readonly isAlone: boolean;
   /** Steady time in milliseconds at which the store itself last answered this node. */
   readonly answeredAt: number;
 }
 
 export function createRelayedStore(context: RelayedStoreContext): RelayedStore {
-  const { clock, store, cache, nodeKind, paceMs, patienceMs, zonePart, ask } = context;
+  const { clock, store, cache, reach, watches, nodeKind, paceMs, patienceMs, zonePart, ask } =
+    context;
   const startedAt = clock.now();
   const restingUntil = new Map<string, number>();
   /** Kinds whose reader no longer knows the changes since this node's revision. */
   const toList = new Set<string>();
   let reader: string | undefined;
+  /** Watches for which no reader of the own zone speaks. */
+  let alone = 0;
 
   const isAsked = () => clock.now() - cache.askedAt < ASKED_LIFETIME_MS;
   const isReader = () => zonePart().role === ZoneRole.Reader || isAsked();
@@ -111,11 +120,11 @@
   };
 
   const watchStore = async <Spec>(kind: string, revision: number, waitMs: number) => {
-    const result = await store.watch<Spec>(kind, revision, waitMs);
+    const result = await watches.watch<Spec>(kind, revision, waitMs);
     if (!result.ok) {
       return result;
     }
-    cache.noteAnswered();
+    reach.noteAnswered();
     return { ok: true, value: cache.noteChanges(kind, revision, result.value) } as const;
   };
   const listStore = async <Spec>(kind: string, reading: Reading) => {
@@ -123,7 +132,7 @@
     if (!result.ok) {
       return result;
     }
-    cache.noteAnswered();
+    reach.noteAnswered();
     return { ok: true, value: cache.noteList(kind, result.value) } as const;
   };
 
@@ -146,6 +155,10 @@
       return result;
     }
     const cause = result ? 'unavailable' : 'silent';
+    if (!result) {
+      // What silenced one connection of this node may have silenced those to the store.
+      store.closeIdle();
+    }
     restingUntil.set(from.address, clock.now() + (result ? paceMs : SILENT_REST_MS));
     noteReader(undefined, `${from.node} ${cause}`);
     return undefined;
@@ -164,14 +177,48 @@
     kind: string,
     revision: number,
     waitMs: number,
+  ): Promise<StoreResult<StoreChanges<Spec>>> => {
+    alone += 1;
+    try {
+      return await (reach.isInDoubt ? watchInDoubt<Spec> : watchOwn<Spec>)(kind, revision, waitMs);
+    } finally {
+      alone -= 1;
+    }
+  };
+
+  const watchOwn = async <Spec>(
+    kind: string,
+    revision: number,
+    waitMs: number,
   ): Promise<StoreResult<StoreChanges<Spec>>> => {
     const result = await watchStore<Spec>(kind, revision, waitMs);
     if (result.ok || result.failure === 'history-gone') {
       noteReader(undefined, zonePart().role);
       return result;
     }
+    return (await watchElsewhere<Spec>(kind, revision, waitMs)) ?? result;
+  };
+
+  /**
+   * A watch that is sent to a silent store may never be answered, also when the store is back: it is
+   * sent once a proof has been answered.
+   */
+  const watchInDoubt = async <Spec>(
+    kind: string,
+    revision: number,
+    waitMs: number,
+  ): Promise<StoreResult<StoreChanges<Spec>>> => {
+    const answer = await watchElsewhere<Spec>(kind, revision, waitMs);
+    if (answer) {
+      return answer;
+    }
+    await reach.regained(paceMs);
+    return reach.isInDoubt ? OUT_OF_REACH : watchOwn<Spec>(kind, revision, waitMs);
+  };
+
+  const watchElsewhere = async <Spec>(kind: string, revision: number, waitMs: number) => {
     const answer = await askElsewhere({ kind, revision, waitMs: Math.min(waitMs, paceMs) });
-    return answer ? taken<Spec>(kind, revision, answer) : result;
+    return answer && taken<Spec>(kind, revision, answer);
   };
 
   /** What a reader has answered is known here from now on. */
@@ -198,8 +245,11 @@
     get isAsked() {
       return isAsked();
     },
+    get isAlone() {
+      return alone > 0;
+    },
     get answeredAt() {
-      return cache.answeredAt;
+      return reach.answeredAt;
     },
     list: async <Spec>(
       kind: string,
@@ -241,14 +291,14 @@
       if (!result.ok) {
         return result;
       }
-      cache.noteAnswered();
+      reach.noteAnswered();
       return { ok: true, value: cache.noteObject(kind, result.value) };
     },
     create: (kind, name, spec) => store.create(kind, name, spec),
     replace: (kind, object) => store.replace(kind, object),
     remove: (kind, name, revision) => store.remove(kind, name, revision),
     probe: (kind) => store.probe(kind),
-    abandonWatches: () => store.abandonWatches(),
+    closeIdle: () => store.closeIdle(),
     close: () => store.close(),
   };
 }
--- a/src/relay/storeCache.test.ts
+++ b/src/relay/storeCache.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import type { StoredObject } from '../source/object-store.js';
 import { createStoreCache } from './storeCache.js';
+import { createStoreReach } from './storeReach.js';
 import { packStoreResult, unpackStoreResult } from './storeResultCodec.js';
 
 const KIND = 'nodes';
@@ -11,10 +12,11 @@
 
 function cacheAt(now: { ms: number }) {
   const clock = { now: () => now.ms };
-  const cache = createStoreCache({ clock, freshMs: 100 });
+  const reach = createStoreReach({ clock, onChange: () => {} });
+  const cache = createStoreCache({ clock, reach, freshMs: 100 });
   cache.noteList(KIND, { items: [object('a', 3), object('b', 4)], revision: 5 });
-  cache.noteAnswered();
-  return cache;
+  reach.noteAnswered();
+  return { ...cache, noteAnswered: reach.noteAnswered };
 }
 
 async function namesAfter(cache: ReturnType<typeof cacheAt>, revision: number | undefined) {
@@ -81,9 +83,10 @@
 
   it('wakes who waits for a change, and who waits while it grows old', async () => {
     const clock = { now: () => performance.now() };
-    const cache = createStoreCache({ clock, freshMs: 150 });
+    const reach = createStoreReach({ clock, onChange: () => {} });
+    const cache = createStoreCache({ clock, reach, freshMs: 150 });
     cache.noteList(KIND, { items: [], revision: 1 });
-    cache.noteAnswered();
+    reach.noteAnswered();
     const first = cache.read({ kind: KIND, revision: 1, waitMs: 5_000 });
     cache.noteChanges(KIND, 1, { events: [{ object: object('a', 2), gone: false }], revision: 2 });
     expect(await first).toMatchObject({ ok: true, value: { revision: 2 } });
--- a/src/relay/storeCache.ts
+++ b/src/relay/storeCache.ts
@@ -13,6 +13,7 @@
   StoreResult,
 } from '../source/object-store.js';
 import { shareStructure } from './sharedStructure.js';
+import type { StoreReach } from './storeReach.js';
 
 /**
  * Earlier versions of objects that are kept for each kind: a follower that holds one of them is told
@@ -27,6 +28,7 @@
 /** What is needed of the node. */
 export interface StoreCacheContext {
   readonly clock: Clock;
+  readonly reach: Pick<StoreReach, 'answeredAt'>;
   /** Milliseconds after the store's last answer for which the cache may speak for it. */
   readonly freshMs: number;
 }
@@ -37,10 +39,6 @@
   readonly askedAt: number;
   /** True while the store itself has answered this node lately. */
   readonly isFresh: boolean;
-  /** Newest revision of the store that any list or watch has told. */
-  readonly newestRevision: number;
-  /** Steady time in milliseconds at which the store itself last answered. */
-  readonly answeredAt: number;
   /** Returns the list with what it shares with what was known. */
   noteList<Spec>(kind: string, listing: StoreListing<Spec>): StoreListing<Spec>;
   /** Returns the changes with what they share with what was known. */
@@ -50,12 +48,12 @@
    * known. Of a kind with several objects the others may have changed as well: nothing is noted.
    */
   noteObject<Spec>(kind: string, object: StoredObject<Spec>): StoredObject<Spec>;
+  /** Newest revision up to which all changes of a kind are known. */
+  revisionOf(kind: string): number | undefined;
   /** Revision of the object of a kind that has only one. */
   onlyRevision(kind: string): number | undefined;
   /** The object of this revision, present or earlier, while it is kept. */
   objectAt(kind: string, revision: number): StoredObject<unknown> | undefined;
-  /** The store itself, not another node, has answered. */
-  noteAnswered(): void;
   /** Answers another node; `unavailable` as soon as the cache is not fresh. */
   read(question: StoreQuestion): Promise<StoreResult<StoreChanges<unknown>>>;
 }
@@ -78,12 +76,11 @@
   readonly waiting: Set<() => void>;
 }
 
-export function createStoreCache({ clock, freshMs }: StoreCacheContext): StoreCache {
+export function createStoreCache({ clock, reach, freshMs }: StoreCacheContext): StoreCache {
   const kinds = new Map<string, CachedKind>();
-  let answeredAt = Number.NEGATIVE_INFINITY;
   let askedAt = Number.NEGATIVE_INFINITY;
 
-  const freshLeftMs = () => answeredAt + freshMs - clock.now();
+  const freshLeftMs = () => reach.answeredAt + freshMs - clock.now();
   const wake = (cached: CachedKind) => {
     for (const callback of [...cached.waiting]) {
       callback();
@@ -104,12 +101,6 @@
     get askedAt() {
       return askedAt;
     },
-    get answeredAt() {
-      return answeredAt;
-    },
-    get newestRevision() {
-      return Math.max(0, ...[...kinds.values()].map(({ revision }) => revision));
-    },
     get isFresh() {
       return freshLeftMs() > 0;
     },
@@ -157,6 +148,7 @@
       }
       return shared;
     },
+    revisionOf: (kind) => kinds.get(kind)?.revision,
     onlyRevision: (kind) => {
       const known = kinds.get(kind);
       return known && onlyObject(known)?.revision;
@@ -167,9 +159,6 @@
       const present = [...(known?.changes.values() ?? [])].map(({ event }) => event.object);
       return known?.earlier.findLast(isIt) ?? present.find(isIt);
     },
-    noteAnswered: () => {
-      answeredAt = clock.now();
-    },
     read: async (question) => {
       askedAt = clock.now();
       const cached = kinds.get(question.kind);
--- /dev/null
+++ b/src/relay/storeReach.ts
@@ -0,0 +1,62 @@
+/**
+ * Whether the store is within reach of this node. A call that meets silence puts all in doubt that was
+ * sent before it: connections may go silent for good while new ones work, and a store that is silent
+ * for a while may never answer what it was sent meanwhile.
+ */
+import type { Clock } from '../model/clock.js';
+
+/** What is needed of the node. */
+export interface StoreReachContext {
+  readonly clock: Clock;
+  /** The store has ceased to answer, or answers again; what was seen of that. */
+  readonly onChange: (isInDoubt: boolean, detail: string) => void;
+}
+
+export interface StoreReach {
+  /** Steady time in milliseconds at which the store itself last answered; minus infinity if never. */
+  readonly answeredAt: number;
+  /** True from a silence until the next answer. */
+  readonly isInDoubt: boolean;
+  noteAnswered(): void;
+  noteSilence(detail: string): void;
+  /** Resolves when the store has answered again, or after `waitMs`. */
+  regained(waitMs: number): Promise<void>;
+}
+
+export function createStoreReach({ clock, onChange }: StoreReachContext): StoreReach {
+  let answeredAt = Number.NEGATIVE_INFINITY;
+  let isInDoubt = false;
+  const waiting = new Set<() => void>();
+  const change = (next: boolean, detail: string) => {
+    if (next !== isInDoubt) {
+      isInDoubt = next;
+      onChange(next, detail);
+    }
+  };
+  return {
+    get answeredAt() {
+      return answeredAt;
+    },
+    get isInDoubt() {
+      return isInDoubt;
+    },
+    noteAnswered: () => {
+      answeredAt = clock.now();
+      change(false, 'answered');
+      for (const resume of [...waiting]) {
+        resume();
+      }
+    },
+    noteSilence: (detail) => change(true, detail),
+    regained: (waitMs) =>
+      new Promise((resolve) => {
+        const resume = () => {
+          clearTimeout(timer);
+          waiting.delete(resume);
+          resolve();
+        };
+        const timer = setTimeout(resume, waitMs);
+        waiting.add(resume);
+      }),
+  };
+}
--- a/src/relay/zoneRelay.ts
+++ b/src/relay/zoneRelay.ts
@@ -1,9 +1,11 @@
 /** One node's part in reading the store for its zone, put together. */
 import type { Clock } from '../model/clock.js';
 import type { ObjectStore, StoreQuestion } from '../source/object-store.js';
+import { createOwnWatches } from './ownWatches.js';
 import { startReachProof } from './reachProof.js';
 import { createRelayedStore, type RelayedStore } from './relayedStore.js';
 import { createStoreCache } from './storeCache.js';
+import { createStoreReach } from './storeReach.js';
 import { packStoreResult, unpackStoreResult } from './storeResultCodec.js';
 import type { ZonePart } from './zoneReaders.js';
 
@@ -39,8 +41,10 @@
     timeoutMs: number,
   ) => Promise<Buffer | undefined>;
   readonly onReader: (reader: string | undefined, cause: string) => void;
+  /** The store has ceased to answer this node's proofs, or answers again; what was seen of that. */
   readonly onReach: (isReached: boolean, detail: string) => void;
-  readonly onUntold: (revision: number) => void;
+  /** A watch was silent although the store had changes, up to this revision. */
+  readonly onUntold: (kind: string, revision: number) => void;
   /** An answer to a follower has been made, of so many bytes. */
   readonly onAnswer?: (kind: string, bytes: number) => void;
 }
@@ -57,14 +61,37 @@
 
 export function createZoneRelay(context: ZoneRelayContext): ZoneRelay {
   const { clock, applyMs, record } = context;
+  const reach = createStoreReach({
+    clock,
+    onChange: (isInDoubt, detail) => {
+      context.onReach(!isInDoubt, detail);
+      if (isInDoubt) {
+        context.store.closeIdle();
+        watches.abandon();
+      }
+    },
+  });
   const cache = createStoreCache({
     clock,
+    reach,
     freshMs: applyMs * (PACE_SHARE + MARGIN_SHARE),
   });
+  const watches = createOwnWatches({
+    store: context.store,
+    toldRevision: cache.revisionOf,
+    onNothingMissed: (kind, from, revision) =>
+      cache.noteChanges(kind, from, { events: [], revision }),
+    onSilent: (kind, revision) => {
+      context.store.closeIdle();
+      context.onUntold(kind, revision);
+    },
+  });
   const store = createRelayedStore({
     clock,
     store: context.store,
     cache,
+    reach,
+    watches,
     nodeKind: record.kind,
     paceMs: applyMs * PACE_SHARE,
     patienceMs: applyMs * PATIENCE_SHARE,
@@ -87,12 +114,11 @@
   const proof = startReachProof({
     clock,
     store: context.store,
-    cache,
+    reach,
     kind: record.kind,
     paceMs: applyMs * PACE_SHARE,
-    isWanted: () => !store.isFollowing,
-    onReach: context.onReach,
-    onUntold: context.onUntold,
+    isWanted: () => store.isAlone,
+    onSeen: watches.noteSeen,
   });
   // Followers that wait for the same change get the same bytes: packing is the dear part.
   const packed = createPackedAnswers();
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -136,7 +136,7 @@
     readPeer: (address, question, timeoutMs) => reads.read(address, question, timeoutMs),
     onReader: (reader, cause) => log.event('zone-reader', { reader, cause }),
     onReach: (isReached, detail) => log.event('store-reach', { isReached, detail }),
-    onUntold: (revision) => log.event('watch-silent', { revision }),
+    onUntold: (kind, revision) => log.event('watch-silent', { kind, revision }),
     onAnswer: (kind, bytes) => {
       load.noteRelayed(kind, bytes);
     },
--- a/src/source/collection-watcher.ts
+++ b/src/source/collection-watcher.ts
@@ -3,6 +3,7 @@
  * new list; failures lead to jittered back-off, so that a herd of nodes does not
  * storm the store.
  */
+import { steadyClock } from '../model/clock.js';
 import { type ObjectStore, Reading, type StoredObject, type StoreError } from './object-store.js';
 
 /** Receives what a watcher learns, in order. */
@@ -72,12 +73,13 @@
   /** Runs until {@link stop}. */
   async run(): Promise<void> {
     while (!this.stopped) {
+      const sentAt = steadyClock.now();
       const failure = await this.readNext();
       if (failure?.failure === 'history-gone') {
         this.revision = undefined;
       } else if (failure) {
         this.note(false, failure.failure, failure.detail);
-        await this.pause(this.nextBackoff());
+        await this.pause(this.nextBackoff(steadyClock.now() - sentAt));
       }
     }
   }
@@ -191,9 +193,10 @@
     }
   }
 
-  private nextBackoff(): number {
-    const current = this.backoffMs;
-    this.backoffMs = Math.min(current * BACKOFF_FACTOR, LONGEST_BACKOFF_MS);
+  /** The time that the failed call took counts: what was met with silence has waited already. */
+  private nextBackoff(tookMs: number): number {
+    const current = Math.max(this.backoffMs - tookMs, FIRST_BACKOFF_MS);
+    this.backoffMs = Math.min(this.backoffMs * BACKOFF_FACTOR, LONGEST_BACKOFF_MS);
     return current * (0.5 + this.random());
   }
 
--- a/src/source/object-store.ts
+++ b/src/source/object-store.ts
@@ -79,11 +79,12 @@
   list<Spec>(kind: string, reading: Reading): Promise<StoreResult<StoreListing<Spec>>>;
   /** One object as it is now. */
   get<Spec>(kind: string, name: string): Promise<StoreResult<StoredObject<Spec>>>;
-  /** Waits up to `waitMs` for changes after a revision. */
+  /** Waits up to `waitMs` for changes after a revision; a watch that is aborted fails. */
   watch<Spec>(
     kind: string,
     revision: number,
     waitMs: number,
+    signal?: AbortSignal,
   ): Promise<StoreResult<StoreChanges<Spec>>>;
   create<Spec>(kind: string, name: string, spec: Spec): Promise<StoreResult<StoredObject<Spec>>>;
   /** Replaces an object if its revision is still the given one. */
@@ -95,7 +96,7 @@
    * was lately: no object of any kind has changed later than that unless something newer exists.
    */
   probe(kind: string): Promise<StoreResult<number>>;
-  /** Ends the watches that wait: the store was found out of reach, and may have forgotten them. */
-  abandonWatches(): void;
+  /** Closes the connections that rest: one like them was found silent, and they may be as well. */
+  closeIdle(): void;
   close(): void;
 }
--- a/src/source/observed-store.ts
+++ b/src/source/observed-store.ts
@@ -32,8 +32,9 @@
     kind: string,
     revision: number,
     waitMs: number,
+    signal?: AbortSignal,
   ): Promise<StoreResult<StoreChanges<Spec>>> {
-    return this.observe('watch', this.store.watch<Spec>(kind, revision, waitMs));
+    return this.observe('watch', this.store.watch<Spec>(kind, revision, waitMs, signal));
   }
 
   create<Spec>(kind: string, name: string, spec: Spec): Promise<StoreResult<StoredObject<Spec>>> {
@@ -55,8 +56,8 @@
     return this.observe('probe', this.store.probe(kind));
   }
 
-  abandonWatches(): void {
-    this.store.abandonWatches();
+  closeIdle(): void {
+    this.store.closeIdle();
   }
 
   close(): void {
--- a/src/source/source.test.ts
+++ b/src/source/source.test.ts
@@ -80,7 +80,7 @@
     throw new Error('not used');
   }
 
-  abandonWatches(): void {}
+  closeIdle(): void {}
 
   close(): void {}
 
