Other waits with a single proof of life: the store is waited for a moment only when another node holds the version

Cause: a node that heard of a version listed the store first, for as long as that stayed silent (1.5 s after a patience of half the bound), and asked the node that holds it only then: beyond the bound. Change: that node is asked after 0.7 of the bound at the latest. Test: without it the version never comes while the list hangs.

--- a/src/relay/relayedStore.ts
+++ b/src/relay/relayedStore.ts
@@ -11,11 +11,11 @@
   Reading,
   type StoreChanges,
   type StoredObject,
-  type StoreError,
   type StoreListing,
   type StoreQuestion,
   type StoreResult,
 } from '../source/object-store.js';
+import { createAloneWatch } from './aloneWatch.js';
 import { CATCH_UP_WAIT_MS, type OwnWatches } from './ownWatches.js';
 import type { StoreCache } from './storeCache.js';
 import type { StoreReach } from './storeReach.js';
@@ -51,8 +51,6 @@
 /** Pause between two looks whether the zone is known, in milliseconds. */
 const ZONE_TICK_MS = 50;
 
-const OUT_OF_REACH: StoreError = { ok: false, failure: 'unavailable', detail: 'out of reach' };
-
 /** What is needed of the node. */
 export interface RelayedStoreContext {
   readonly clock: Clock;
@@ -86,7 +84,7 @@
   readonly isReader: boolean;
   /** True while others ask this node. */
   readonly isAsked: boolean;
-  /** True while this node's own watches are all that it has, whether or not the store answers them. */
+  /** True while no reader of the own zone speaks for some watch of this node. */
   readonly isAlone: boolean;
   /** Steady time in milliseconds at which the store itself last answered this node. */
   readonly answeredAt: number;
@@ -100,8 +98,6 @@
   /** Kinds whose reader no longer knows the changes since this node's revision. */
   const toList = new Set<string>();
   let reader: string | undefined;
-  /** Watches for which no reader of the own zone speaks. */
-  let alone = 0;
 
   const isAsked = () => clock.now() - cache.askedAt < ASKED_LIFETIME_MS;
   const isReader = () => zonePart().role === ZoneRole.Reader || isAsked();
@@ -119,13 +115,17 @@
     return zonePart().readers.find(({ address }) => now >= (restingUntil.get(address) ?? 0));
   };
 
-  const watchStore = async <Spec>(kind: string, revision: number, waitMs: number) => {
+  const watchStore = async <Spec>(
+    kind: string,
+    revision: number,
+    waitMs: number,
+  ): Promise<StoreResult<StoreChanges<Spec>>> => {
     const result = await watches.watch<Spec>(kind, revision, waitMs);
     if (!result.ok) {
       return result;
     }
     reach.noteAnswered();
-    return { ok: true, value: cache.noteChanges(kind, revision, result.value) } as const;
+    return { ok: true, value: cache.noteChanges(kind, revision, result.value) };
   };
   const listStore = async <Spec>(kind: string, reading: Reading) => {
     const result = await store.list<Spec>(kind, reading);
@@ -173,54 +173,6 @@
     return from && (await askReader(from, question));
   };
 
-  const watchAlone = async <Spec>(
-    kind: string,
-    revision: number,
-    waitMs: number,
-  ): Promise<StoreResult<StoreChanges<Spec>>> => {
-    alone += 1;
-    try {
-      return await (reach.isInDoubt ? watchInDoubt<Spec> : watchOwn<Spec>)(kind, revision, waitMs);
-    } finally {
-      alone -= 1;
-    }
-  };
-
-  const watchOwn = async <Spec>(
-    kind: string,
-    revision: number,
-    waitMs: number,
-  ): Promise<StoreResult<StoreChanges<Spec>>> => {
-    const result = await watchStore<Spec>(kind, revision, waitMs);
-    if (result.ok || result.failure === 'history-gone') {
-      noteReader(undefined, zonePart().role);
-      return result;
-    }
-    return (await watchElsewhere<Spec>(kind, revision, waitMs)) ?? result;
-  };
-
-  /**
-   * A watch that is sent to a silent store may never be answered, also when the store is back: it is
-   * sent once a proof has been answered.
-   */
-  const watchInDoubt = async <Spec>(
-    kind: string,
-    revision: number,
-    waitMs: number,
-  ): Promise<StoreResult<StoreChanges<Spec>>> => {
-    const answer = await watchElsewhere<Spec>(kind, revision, waitMs);
-    if (answer) {
-      return answer;
-    }
-    await reach.regained(paceMs);
-    return reach.isInDoubt ? OUT_OF_REACH : watchOwn<Spec>(kind, revision, waitMs);
-  };
-
-  const watchElsewhere = async <Spec>(kind: string, revision: number, waitMs: number) => {
-    const answer = await askElsewhere({ kind, revision, waitMs: Math.min(waitMs, paceMs) });
-    return answer && taken<Spec>(kind, revision, answer);
-  };
-
   /** What a reader has answered is known here from now on. */
   const taken = <Spec>(
     kind: string,
@@ -235,6 +187,17 @@
     return { ok: true, value: cache.noteChanges(kind, revision, changes) };
   };
 
+  const alone = createAloneWatch({
+    reach,
+    paceMs,
+    watchStore,
+    watchElsewhere: async <Spec>(kind: string, revision: number, waitMs: number) => {
+      const answer = await askElsewhere({ kind, revision, waitMs });
+      return answer && taken<Spec>(kind, revision, answer);
+    },
+    onOwn: () => noteReader(undefined, zonePart().role),
+  });
+
   return {
     get isFollowing() {
       return reader !== undefined;
@@ -246,7 +209,7 @@
       return isAsked();
     },
     get isAlone() {
-      return alone > 0;
+      return alone.isWaiting;
     },
     get answeredAt() {
       return reach.answeredAt;
@@ -278,13 +241,13 @@
       await zoneKnown(kind);
       const from = readerToAsk();
       if (!from) {
-        return watchAlone<Spec>(kind, revision, waitMs);
+        return alone.watch<Spec>(kind, revision, waitMs);
       }
       const longestMs = kind === nodeKind ? paceMs * DIRECTORY_PACES : paceMs;
       const answer = await askReader(from, { kind, revision, waitMs: Math.min(waitMs, longestMs) });
       return answer
         ? taken<Spec>(kind, revision, answer)
-        : watchAlone<Spec>(kind, revision, CATCH_UP_WAIT_MS);
+        : alone.watch<Spec>(kind, revision, CATCH_UP_WAIT_MS);
     },
     get: async <Spec>(kind: string, name: string): Promise<StoreResult<StoredObject<Spec>>> => {
       const result = await store.get<Spec>(kind, name);
--- a/src/source/configuration-follower.ts
+++ b/src/source/configuration-follower.ts
@@ -26,6 +26,12 @@
  */
 const PATIENCE_SHARE = 0.5;
 
+/**
+ * Part of the bound for which the store is then waited for, before the other node is asked: together
+ * 0.7 of it, so that a store that is silent to this node does not cost it the version.
+ */
+const REFRESH_SHARE = 0.2;
+
 /** Pause before what a version lacks is looked for again, in milliseconds. */
 const SHORT_RETRY_MS = 500;
 
@@ -140,7 +146,7 @@
     this.watcher.stop();
   }
 
-  /** Another node holds this version: if it is newer, the store is asked first, then that node. */
+  /** Another node holds this version: if it is newer, the store is asked first, that node soon after. */
   noteVersion(address: string, version: number): void {
     this.heardVersion = Math.max(this.heardVersion, version);
     if (version > this.version && version > this.fetchingVersion) {
@@ -158,7 +164,13 @@
     if (this.version >= version || this.isStopped) {
       return;
     }
-    if (this.isConnected && (await this.watcher.refresh()) && this.version >= version) {
+    if (this.isConnected) {
+      await Promise.race([
+        this.watcher.refresh(),
+        delay(this.options.applyMs * REFRESH_SHARE, undefined, { ref: false }),
+      ]);
+    }
+    if (this.version >= version || this.isStopped) {
       return;
     }
     const bytes = await this.options.askPeer(address);
--- a/test/configuration-follower.test.ts
+++ b/test/configuration-follower.test.ts
@@ -115,3 +115,19 @@
   await waitFor(() => node.version === 9);
   expect(asked).toEqual(['10.0.0.2:1']);
 });
+
+it('takes a version from the node that holds it in time when the store is silent to this one', async () => {
+  const store = new MemoryStore();
+  store.put('config', 'main', { version: 1 });
+  const view = new StoreView(store);
+  const asked: string[] = [];
+  const node = follow(view, asked);
+  await waitFor(() => node.version === 1 && node.isConnected);
+  view.list = () => new Promise(() => {});
+  view.watch = () => new Promise(() => {});
+  const heardAt = performance.now();
+  node.noteVersion('peer', 9);
+  await waitFor(() => node.version === 9);
+  expect(performance.now() - heardAt).toBeLessThan(APPLY_MS);
+  expect(asked).toEqual(['peer']);
+});
