Soak: faults in series that overlap, clients that keep their connections, silent connections to the store, and a bound for a change after each series

Why: no soak brought the incident about, and none looked when a version comes into force, only whether at the end. Faults of the soak are a module of their own.

--- a/lab/main.ts
+++ b/lab/main.ts
@@ -114,9 +114,10 @@
           type: 'number',
           describe: 'Seed of the schedule; a fresh one if left out',
         })
-        .option('seconds', { type: 'number', default: 120, describe: 'Length of the faults' }),
-    async ({ seed = Date.now() % MAX_SEED, seconds }) => {
-      const result = await sidecarSoak({ seed, seconds }, say);
+        .option('seconds', { type: 'number', default: 120, describe: 'Length of the faults' })
+        .option('nodes', { type: 'number', default: 6, describe: 'Sidecars, in two zones' }),
+    async ({ seed = Date.now() % MAX_SEED, seconds, nodes }) => {
+      const result = await sidecarSoak({ seed, seconds, nodes }, say);
       printJson(result);
       process.exitCode = result.breaches.length === 0 ? 0 : 1;
     },
--- a/lab/sidecarMain.ts
+++ b/lab/sidecarMain.ts
@@ -39,7 +39,8 @@
   return new StoreView(store);
 }
 
-const plan = JSON.parse(readFileSync(process.argv[2] ?? '', 'utf8')) as SidecarPlan;
+const readPlan = () => JSON.parse(readFileSync(process.argv[2] ?? '', 'utf8')) as SidecarPlan;
+const plan = readPlan();
 const node = new SidecarNode(
   checkSidecarSettings(plan.settings).unsafeCoerce(),
   labOutside(storeOf(plan.store)),
@@ -55,3 +56,4 @@
 await node.start();
 process.stdout.write(`${JSON.stringify({ event: 'ready' })}\n`);
 process.on('SIGTERM', () => void node.stop().finally(() => process.exit(0)));
+process.on('SIGHUP', () => node.reload(checkSidecarSettings(readPlan().settings).unsafeCoerce()));
--- a/lab/sidecarSoak.ts
+++ b/lab/sidecarSoak.ts
@@ -1,13 +1,16 @@
 /**
  * A randomized soak of real sidecar processes: faults from outside (signals to the processes,
  * misbehaving back ends, a store in trouble) while clients call and the configuration changes, and
- * the history checked at the end.
+ * the history checked at the end. Faults come in series and overlap; after each series the
+ * configuration changes once more, and must be in force on every node in time.
  */
+
 import { mkdtempSync, rmSync } from 'node:fs';
+import http from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { readFleet } from '../src/cli/fleetStatus.js';
-import { ApplicationStandIn, type Behaviour } from './application-stand-in.js';
+import { ApplicationStandIn } from './application-stand-in.js';
 import { CONFIGURATION_KIND, CONFIGURATION_NAME } from './labOutside.js';
 import { MemoryStore, StoreView } from './memory-store.js';
 import { pickOne, seededRandom } from './random.js';
@@ -18,42 +21,47 @@
   type SoakBreach,
   type SoakFleet,
   type SoakRequest,
+  SoakRule,
   type SoakRun,
 } from './sidecarSoakCheck.js';
+import { createFaultInjector, FAULTS, type FaultInjector } from './soakFaults.js';
 import { configurationOf, MAX_ATTEMPTS, SERVICES, send } from './soakTraffic.js';
-import { StoreFault, type StoreWays, strikeStore } from './storeFaults.js';
+import { StoreFault, type StoreWays } from './storeFaults.js';
 import { openStoreWay, type StoreWay } from './storeServer.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 const ZONES = ['zone-a', 'zone-b'];
-const NODES = 6;
+const DEFAULT_NODES = 6;
 const SLOTS = 6;
 /** What the nodes are told of their links: large bodies then go in many small chunks. */
 const LINK_MBPS = 3.5;
 const SERVICE_MS = 30;
-const CLIENTS = 24;
+const CLIENTS_OF_A_NODE = 4;
 const HEARTBEAT_MS = 500;
 /** Requests that follow the last fault. */
 const RECOVERY_MS = 4_000;
 /** The mesh has come back to itself after this time without faults. */
 const SETTLE_MS = 6_000;
-const LONGEST_PAUSE_MS = 1_500;
-const SLOWER = 6;
+/** Faults of one series, at the most, and the longest time between two of them in milliseconds. */
+const LONGEST_SERIES = 6;
+const LONGEST_GAP_MS = 700;
+/** A configuration is in force within this time, in milliseconds: the nodes' own setting. */
+const APPLY_MS = 2_000;
+/** Nodes are bound again this long after the last fault, in milliseconds. */
+const CONTACT_MS = 3_000;
+/** A machine that is short of processor time tells of what is in force so much later, in milliseconds. */
+const SLACK_MS = 400;
+/** Part of the series that end with it: what follows is late if nothing finds the silence out. */
+const SILENCE_SHARE = 0.5;
 const BODY_BYTES = [0, 300, 60_000, 2_000_000];
-const BEHAVIOURS: readonly Behaviour[] = [
-  'reset',
-  'stay-silent',
-  'turn-away',
-  'answer-another',
-  'cut-short',
-  'answer-early',
-];
 
 /** What a soak is told. */
 export interface SidecarSoakPlan {
   readonly seed: number;
   /** Length of the part with faults. */
   readonly seconds: number;
+  /** Sidecars, each beside a back end; 6 if left out. */
+  readonly nodes?: number;
 }
 
 /** What a soak has found. */
@@ -66,23 +74,6 @@
   readonly breaches: readonly SoakBreach[];
 }
 
-/** Faults, each of which ends by itself. */
-enum Fault {
-  Kill = 'kill',
-  Freeze = 'freeze',
-  Stop = 'planned stop',
-  Misbehave = 'back end misbehaves',
-  Slow = 'back end is slow',
-  KillAll = 'all killed at once',
-  Configuration = 'configuration changes',
-}
-
-/** Everything that may strike. */
-const FAULTS: readonly (Fault | StoreFault)[] = [
-  ...Object.values(Fault),
-  ...Object.values(StoreFault),
-];
-
 /** Runs the soak; it ends by itself. */
 export async function sidecarSoak(
   plan: SidecarSoakPlan,
@@ -91,7 +82,7 @@
   say(`soak: seed ${plan.seed}`);
   const folder = mkdtempSync(join(tmpdir(), 'spindlepaddle-soak-'));
   const applications = Array.from(
-    { length: NODES },
+    { length: plan.nodes ?? DEFAULT_NODES },
     (_, index) => new ApplicationStandIn(SERVICES[index % SERVICES.length] as string, SLOTS),
   );
   await Promise.all(applications.map((application) => application.start()));
@@ -108,7 +99,7 @@
     folder,
     store: (index) => (ways[index] as StoreWay).address,
     nodeFlags: [],
-    settings: { linkMbps: LINK_MBPS },
+    settings: { linkMbps: LINK_MBPS, configurationApplyMs: APPLY_MS },
   });
   const heartbeats = setInterval(() => beatAll(sidecars), HEARTBEAT_MS);
   try {
@@ -132,7 +123,11 @@
 class Soak {
   private readonly requests: SoakRequest[] = [];
   private readonly faults = new Map<string, number>();
+  private readonly late: SoakBreach[] = [];
   private readonly random: () => number;
+  /** Of the clients: how many calls they make depends on the machine, the schedule does not. */
+  private readonly clientRandom: () => number;
+  private readonly injector: FaultInjector;
   private isOver = false;
   private afterFaults = false;
   private version = 1;
@@ -141,20 +136,29 @@
     private readonly plan: SidecarSoakPlan,
     private readonly sidecars: readonly Sidecar[],
     private readonly platform: StoreWays,
-    private readonly say: (text: string) => void,
+    say: (text: string) => void,
   ) {
     this.random = seededRandom(plan.seed);
+    this.clientRandom = seededRandom(plan.seed + 1);
+    this.injector = createFaultInjector({
+      sidecars,
+      platform,
+      serviceMs: SERVICE_MS,
+      slots: SLOTS,
+      changeConfiguration: () => this.changeConfiguration(),
+      random: this.random,
+      say,
+    });
   }
 
   async run(): Promise<SidecarSoakResult> {
     await pause(SETTLE_MS);
-    const clients = Array.from({ length: CLIENTS }, (_, index) => this.callAlways(index));
+    const count = this.sidecars.length * CLIENTS_OF_A_NODE;
+    const clients = Array.from({ length: count }, (_, index) => this.callAlways(index));
     const until = performance.now() + this.plan.seconds * MILLISECONDS_PER_SECOND;
     while (performance.now() < until) {
-      const fault = pickOne(FAULTS, this.random);
-      this.faults.set(fault, (this.faults.get(fault) ?? 0) + 1);
-      await this.strike(fault);
-      await pause(this.random() * LONGEST_PAUSE_MS);
+      await this.strikeSeries();
+      await this.checkChange();
     }
     await pause(SETTLE_MS);
     this.afterFaults = true;
@@ -177,61 +181,56 @@
     };
   }
 
-  private async strike(fault: Fault | StoreFault): Promise<void> {
-    const sidecar = pickOne(this.sidecars, this.random);
-    this.say(`soak: ${fault} at ${sidecar.name}`);
-    const forMs = this.random() * LONGEST_PAUSE_MS;
-    const { application } = sidecar;
-    switch (fault) {
-      case Fault.Kill:
-        await sidecar.process.kill();
-        await pause(forMs);
-        await sidecar.restart();
-        return;
-      case Fault.Freeze:
-        sidecar.process.signal('SIGSTOP');
-        await pause(forMs);
-        sidecar.process.signal('SIGCONT');
-        return;
-      case Fault.Stop:
-        await sidecar.process.stop();
-        await sidecar.restart();
-        return;
-      case Fault.Misbehave: {
-        const behaviour = pickOne(BEHAVIOURS, this.random);
-        application.behaviours.push(...Array<Behaviour>(SLOTS).fill(behaviour));
-        return;
+  /** Faults that begin one after the other, whether or not those before are over. */
+  private async strikeSeries(): Promise<void> {
+    const length = 1 + Math.floor(this.random() * LONGEST_SERIES);
+    const underWay: Promise<void>[] = [];
+    for (let index = 0; index < length; index += 1) {
+      const fault = pickOne(FAULTS, this.random);
+      this.faults.set(fault, (this.faults.get(fault) ?? 0) + 1);
+      underWay.push(this.injector.strike(fault));
+      await pause(this.random() * LONGEST_GAP_MS);
+    }
+    await Promise.all(underWay);
+    if (this.random() < SILENCE_SHARE) {
+      await this.injector.strike(StoreFault.ConnectionsSilent);
+    }
+  }
+
+  /** A change soon after the last fault: in force in time on every node that is in touch again. */
+  private async checkChange(): Promise<void> {
+    const calmAt = performance.now();
+    await pause(this.random() * CONTACT_MS);
+    this.changeConfiguration();
+    const { version } = this;
+    const writtenAt = performance.now();
+    const boundAt = Math.max(calmAt + CONTACT_MS, writtenAt + APPLY_MS);
+    await pause(boundAt + SLACK_MS - writtenAt);
+    for (const { name, process } of this.sidecars) {
+      const inForce = process.events.findLast(({ event }) => event === 'configuration');
+      if (Number(inForce?.version ?? 0) < version) {
+        const sinceMs = Math.round(writtenAt - calmAt);
+        const detail = `${name} has ${inForce?.version}, not ${version}, written ${sinceMs} ms after the last fault`;
+        this.late.push({ rule: SoakRule.Config, detail });
       }
-      case Fault.Slow:
-        application.serviceMs = SERVICE_MS * SLOWER;
-        await pause(forMs);
-        application.serviceMs = SERVICE_MS;
-        return;
-      case Fault.KillAll:
-        await Promise.all(this.sidecars.map(({ process }) => process.kill()));
-        await Promise.all(this.sidecars.map((each) => each.restart()));
-        return;
-      case Fault.Configuration:
-        this.version += 1;
-        this.platform.store.put(
-          CONFIGURATION_KIND,
-          CONFIGURATION_NAME,
-          configurationOf(this.version),
-        );
-        return;
-      default:
-        await strikeStore(this.platform, fault, forMs, this.random);
     }
   }
 
-  /** One client: it calls, and does not ask again. */
+  private changeConfiguration(): void {
+    this.version += 1;
+    const configuration = configurationOf(this.version);
+    this.platform.store.put(CONFIGURATION_KIND, CONFIGURATION_NAME, configuration);
+  }
+
+  /** One client: it calls on connections that it keeps, and does not ask again. */
   private async callAlways(client: number): Promise<void> {
+    const agent = new http.Agent({ keepAlive: true });
     for (let index = 0; !this.isOver; index += 1) {
       const id = `soak-${client}-${index}`;
-      const repeatable = this.random() < 0.5;
-      const bodyBytes = repeatable ? 0 : pickOne(BODY_BYTES, this.random);
-      const service = pickOne(SERVICES, this.random);
-      const entry = pickOne(this.sidecars, this.random);
+      const repeatable = this.clientRandom() < 0.5;
+      const bodyBytes = repeatable ? 0 : pickOne(BODY_BYTES, this.clientRandom);
+      const service = pickOne(SERVICES, this.clientRandom);
+      const entry = pickOne(this.sidecars, this.clientRandom);
       const { afterFaults } = this;
       const { status, answer } = await send({
         address: entry.listen.clients,
@@ -239,10 +238,12 @@
         id,
         method: repeatable ? 'GET' : 'POST',
         bodyBytes,
+        agent,
       });
       this.requests.push({ id, repeatable, bodyBytes, status, answer, afterFaults });
       await pause(status === 0 ? HEARTBEAT_MS : SERVICE_MS);
     }
+    agent.destroy();
   }
 
   private result(fleet: SoakFleet): SidecarSoakResult {
@@ -263,7 +264,11 @@
       requests: this.requests.length,
       runs: runs.length,
       statuses,
-      breaches: [...checkSoak(this.requests, runs, MAX_ATTEMPTS), ...checkFleet(fleet)],
+      breaches: [
+        ...checkSoak(this.requests, runs, MAX_ATTEMPTS),
+        ...this.late,
+        ...checkFleet(fleet),
+      ],
     };
   }
 }
--- a/lab/sidecarSoakCheck.ts
+++ b/lab/sidecarSoakCheck.ts
@@ -14,7 +14,7 @@
   Attempts = 'attempts',
   /** Too little was served after the last fault. */
   Recover = 'recover',
-  /** A node does not have the newest configuration in force, long after the last fault. */
+  /** A node in touch does not have a configuration in force in time. */
   Config = 'config',
   /** A node that lives has no record in the store, long after the last fault. */
   Lapsed = 'lapsed',
--- /dev/null
+++ b/lab/soakFaults.ts
@@ -0,0 +1,130 @@
+/** Faults of a soak: of the processes, of the back ends beside them, and of the store. */
+import type { Behaviour } from './application-stand-in.js';
+import { pickOne } from './random.js';
+import type { Sidecar } from './sidecarProcesses.js';
+import { StoreFault, type StoreWays, strikeStore } from './storeFaults.js';
+
+/** Longest fault that ends by itself, in milliseconds. */
+const LONGEST_MS = 1_500;
+
+const SLOWER = 6;
+
+const BEHAVIOURS: readonly Behaviour[] = [
+  'reset',
+  'stay-silent',
+  'turn-away',
+  'answer-another',
+  'cut-short',
+  'answer-early',
+];
+
+/** Faults beside those of the store, each of which ends by itself. */
+export enum Fault {
+  Kill = 'kill',
+  Freeze = 'freeze',
+  Stop = 'planned stop',
+  Reload = 'reload',
+  Misbehave = 'back end misbehaves',
+  Slow = 'back end is slow',
+  KillAll = 'all killed at once',
+  Configuration = 'configuration changes',
+}
+
+/** Everything that may strike. */
+export const FAULTS: readonly (Fault | StoreFault)[] = [
+  ...Object.values(Fault),
+  ...Object.values(StoreFault),
+];
+
+/** What is struck. */
+export interface FaultTargets {
+  readonly sidecars: readonly Sidecar[];
+  readonly platform: StoreWays;
+  /** Milliseconds of work on one request while a back end is not slow, and requests at a time. */
+  readonly serviceMs: number;
+  readonly slots: number;
+  readonly changeConfiguration: () => void;
+  readonly random: () => number;
+  readonly say: (text: string) => void;
+}
+
+/** Brings faults about; several may be under way at once. */
+export interface FaultInjector {
+  /** Resolves when the fault is over. */
+  strike(fault: Fault | StoreFault): Promise<void>;
+}
+
+export function createFaultInjector(targets: FaultTargets): FaultInjector {
+  const { sidecars, platform, serviceMs, slots, changeConfiguration, random, say } = targets;
+  /** Sidecars whose processes are being ended or started: one fault at a time has them. */
+  const taken = new Set<Sidecar>();
+
+  const withProcesses = async (
+    wanted: readonly Sidecar[],
+    act: (had: readonly Sidecar[]) => Promise<unknown>,
+  ): Promise<void> => {
+    const had = wanted.filter((sidecar) => !taken.has(sidecar));
+    for (const sidecar of had) {
+      taken.add(sidecar);
+    }
+    await act(had);
+    for (const sidecar of had) {
+      taken.delete(sidecar);
+    }
+  };
+  const killAndRestart = async (sidecar: Sidecar, pauseMs: number) => {
+    await sidecar.process.kill();
+    await pause(pauseMs);
+    await sidecar.restart();
+  };
+
+  return {
+    strike: async (fault) => {
+      const sidecar = pickOne(sidecars, random);
+      const forMs = random() * LONGEST_MS;
+      say(`soak: ${fault} at ${sidecar.name}`);
+      switch (fault) {
+        case Fault.Kill:
+          return withProcesses([sidecar], ([had]) =>
+            had ? killAndRestart(had, forMs) : Promise.resolve(),
+          );
+        case Fault.Freeze:
+          return withProcesses([sidecar], async ([had]) => {
+            had?.process.signal('SIGSTOP');
+            await pause(forMs);
+            had?.process.signal('SIGCONT');
+          });
+        case Fault.Stop:
+          return withProcesses([sidecar], async ([had]) => {
+            await had?.process.stop();
+            await had?.restart();
+          });
+        case Fault.Reload:
+          return withProcesses([sidecar], async ([had]) => had?.process.signal('SIGHUP'));
+        case Fault.KillAll:
+          return withProcesses(sidecars, (had) =>
+            Promise.all(had.map((each) => killAndRestart(each, 0))),
+          );
+        case Fault.Misbehave: {
+          const behaviour = pickOne(BEHAVIOURS, random);
+          sidecar.application.behaviours.push(...Array<Behaviour>(slots).fill(behaviour));
+          return;
+        }
+        case Fault.Slow:
+          sidecar.application.serviceMs = serviceMs * SLOWER;
+          await pause(forMs);
+          sidecar.application.serviceMs = serviceMs;
+          return;
+        case Fault.Configuration:
+          changeConfiguration();
+          return;
+        default:
+          await strikeStore(platform, fault, forMs, random);
+      }
+    },
+  };
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/lab/soakTraffic.ts
+++ b/lab/soakTraffic.ts
@@ -33,9 +33,11 @@
   readonly id: string;
   readonly method: string;
   readonly bodyBytes: number;
+  /** The client's connections, which it keeps until the other side closes them. */
+  readonly agent: http.Agent;
 }
 
-/** Sends one request on a connection of its own; status 0 when there is no whole answer. */
+/** Sends one request; status 0 when there is no whole answer. */
 export function send(call: Call): Promise<{ status: number; answer: string }> {
   const separator = call.address.lastIndexOf(':');
   return new Promise((resolve) => {
@@ -45,7 +47,7 @@
       port: Number(call.address.slice(separator + 1)),
       path: call.path,
       method: call.method,
-      agent: false,
+      agent: call.agent,
       headers: {
         host: HOST,
         [NAMES.requestId]: call.id,
--- a/lab/storeFaults.ts
+++ b/lab/storeFaults.ts
@@ -18,6 +18,7 @@
   LosesAnswers = 'store loses answers',
   Forgets = 'store forgets its history',
   RecordsLapse = 'records lapse',
+  ConnectionsSilent = 'connections to the store go silent',
 }
 
 /** The store and each sidecar's way to it. */
@@ -71,6 +72,11 @@
         view.answersToLose += 1;
       }
       return;
+    case StoreFault.ConnectionsSilent:
+      for (const way of ways) {
+        way.silenceStanding();
+      }
+      return;
     case StoreFault.Forgets:
       store.compact();
       return;
--- a/lab/storeServer.ts
+++ b/lab/storeServer.ts
@@ -3,7 +3,7 @@
  * gets a way of its own, so that troubles can strike one node's calls and spare the others'.
  */
 import http from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { Reading, type StoreFailure, type StoreResult } from '../src/source/object-store.js';
 import { type MemoryStore, StoreView } from './memory-store.js';
 
@@ -28,18 +28,22 @@
   delayMs: number;
   /** While true, calls are taken and not answered. */
   isSilent: boolean;
+  /** The connections that stand now answer nothing any more; new ones work. */
+  silenceStanding(): void;
   close(): void;
 }
 
 /** Opens a way to the store on a port of its own. */
 export async function openStoreWay(store: MemoryStore): Promise<StoreWay> {
   const view = new StoreView(store);
+  const standing = new Set<Socket>();
+  const silenced = new WeakSet<Socket>();
   const server = http.createServer((request, response) => {
     answer(request, view)
       .catch(() => undefined)
       .then(async (result) => {
         await new Promise((resolve) => setTimeout(resolve, way.delayMs));
-        if (way.isSilent) {
+        if (way.isSilent || silenced.has(request.socket)) {
           return;
         }
         if (!result) {
@@ -51,12 +55,21 @@
       });
   });
   server.keepAliveTimeout = IDLE_LIMIT_MS;
+  server.on('connection', (socket) => {
+    standing.add(socket);
+    socket.on('close', () => standing.delete(socket));
+  });
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const way: StoreWay = {
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
     view,
     delayMs: 0,
     isSilent: false,
+    silenceStanding: () => {
+      for (const socket of standing) {
+        silenced.add(socket);
+      }
+    },
     close: () => {
       server.close();
       server.closeAllConnections();
