--- a/src/source/source.test.ts
+++ b/src/source/source.test.ts
@@ -197,3 +197,28 @@
     expect(seen).toEqual(['connected', 'list ', 'lost', 'connected', 'change a']);
   });
 });
+
+it('waits less after a call that was met with silence: the time that it took counts', async () => {
+  vi.useFakeTimers();
+  const sentAt: number[] = [];
+  const silence = (afterMs: number) =>
+    new Promise((resolve) => {
+      setTimeout(resolve, afterMs, { ok: false, failure: 'unknown', detail: 'silent' });
+    });
+  const took = [0, 0, 0, 0, 1_500, 1_500, 400];
+  const store = {
+    list: () => {
+      sentAt.push(performance.now());
+      return silence(took[sentAt.length - 1] ?? 60_000);
+    },
+  } as unknown as ObjectStore;
+  const handler = { onList: () => {}, onChange: () => {}, onConnected: () => {} };
+  const timing = { waitMs: 1_000, settleMs: () => 0 };
+  const watcher = new CollectionWatcher(store, 'routes', handler, timing, () => 0.5);
+  void watcher.run();
+  await vi.advanceTimersByTimeAsync(10_000);
+  watcher.stop();
+  vi.useRealTimers();
+  const gaps = sentAt.slice(1).map((at, index) => Math.round(at - (sentAt[index] ?? 0)));
+  expect(gaps).toEqual([150, 300, 600, 1_000, 1_650, 1_650, 1_000]);
+});
