A watch is checked on a new connection, and again at each look until the check is answered

Cause: where only a part of the connections is silent, the second question went out on one that rested in the pool, silent too: 1.5 s until that was found, and two looks more. Change: what rests is closed before the question.

--- a/src/relay/ownWatches.ts
+++ b/src/relay/ownWatches.ts
@@ -49,12 +49,14 @@
 
   const check = async (kind: string, watch: Waiting): Promise<void> => {
     watch.isChecked = true;
+    // What rests in the pool may have gone silent with the watch, and would cost the question its time.
+    store.closeIdle();
     const result = await store.watch<never>(kind, watch.revision, CATCH_UP_WAIT_MS);
     watch.isChecked = false;
-    watch.untold = undefined;
     if (!result.ok || waiting.get(kind) !== watch) {
       return;
     }
+    watch.untold = undefined;
     const { events, revision } = result.value;
     if (events.length === 0) {
       onNothingMissed(kind, watch.revision, revision);
--- a/src/relay/zoneRelay.ts
+++ b/src/relay/zoneRelay.ts
@@ -81,10 +81,7 @@
     toldRevision: cache.revisionOf,
     onNothingMissed: (kind, from, revision) =>
       cache.noteChanges(kind, from, { events: [], revision }),
-    onSilent: (kind, revision) => {
-      context.store.closeIdle();
-      context.onUntold(kind, revision);
-    },
+    onSilent: context.onUntold,
   });
   const store = createRelayedStore({
     clock,
