--- a/src/relay/ownWatches.ts
+++ b/src/relay/ownWatches.ts
@@ -2,8 +2,8 @@
  * The watches that this node itself has waiting at the store. Such a watch says nothing for seconds, so
  * it is not taken at its word: when the store is at a revision that it should have told of and has
  * not, the store is asked the same again, without waiting. So a change is at most two proofs and a call
- * late where a watch's connection has gone silent (1.3 s of a bound of 2 s); its own end comes after
- * 13.5 s.
+ * late where a watch's connection has gone silent: 1.3 s of a bound of 2 s, and what the revision that
+ * the proofs bring lags behind. The watch's own end comes after 13.5 s.
  */
 import type { ObjectStore, StoreChanges, StoreError, StoreResult } from '../source/object-store.js';
 
