--- a/lab/sidecarSoak.ts
+++ b/lab/sidecarSoak.ts
@@ -24,7 +24,7 @@
   SoakRule,
   type SoakRun,
 } from './sidecarSoakCheck.js';
-import { createFaultInjector, FAULTS, type FaultInjector } from './soakFaults.js';
+import { createFaultInjector, FAULTS, type Fault, type FaultInjector } from './soakFaults.js';
 import { configurationOf, MAX_ATTEMPTS, SERVICES, send } from './soakTraffic.js';
 import { StoreFault, type StoreWays } from './storeFaults.js';
 import { openStoreWay, type StoreWay } from './storeServer.js';
@@ -186,17 +186,20 @@
     const length = 1 + Math.floor(this.random() * LONGEST_SERIES);
     const underWay: Promise<void>[] = [];
     for (let index = 0; index < length; index += 1) {
-      const fault = pickOne(FAULTS, this.random);
-      this.faults.set(fault, (this.faults.get(fault) ?? 0) + 1);
-      underWay.push(this.injector.strike(fault));
+      underWay.push(this.strike(pickOne(FAULTS, this.random)));
       await pause(this.random() * LONGEST_GAP_MS);
     }
     await Promise.all(underWay);
     if (this.random() < SILENCE_SHARE) {
-      await this.injector.strike(StoreFault.ConnectionsSilent);
+      await this.strike(StoreFault.ConnectionsSilent);
     }
   }
 
+  private strike(fault: Fault | StoreFault): Promise<void> {
+    this.faults.set(fault, (this.faults.get(fault) ?? 0) + 1);
+    return this.injector.strike(fault);
+  }
+
   /** A change soon after the last fault: in force in time on every node that is in touch again. */
   private async checkChange(): Promise<void> {
     const calmAt = performance.now();
