--- a/src/relay/aloneWatch.ts
+++ b/src/relay/aloneWatch.ts
@@ -5,12 +5,12 @@
 import type { StoreChanges, StoreError, StoreResult } from '../source/object-store.js';
 import type { StoreReach } from './storeReach.js';
 
-/** Asks for the changes of a kind after a revision. */
-export type AskChanges<Answer> = <Spec>(
+/** Asks for the changes of a kind after a revision; `None` is what may come in place of a result. */
+export type AskChanges<None> = <Spec>(
   kind: string,
   revision: number,
   waitMs: number,
-) => Promise<Answer | StoreResult<StoreChanges<Spec>>>;
+) => Promise<None | StoreResult<StoreChanges<Spec>>>;
 
 /** What is needed of the node. */
 export interface AloneWatchContext {
