A silent watch whose history is gone meanwhile is told so, and a list follows

Cause: read in the last look through the change: the check of a silent watch took 410 for a failure and asked again at each look, until the watch's own end (13.5 s). The new test fails without the change (times out).

--- a/src/relay/ownWatches.test.ts
+++ b/src/relay/ownWatches.test.ts
@@ -1,5 +1,10 @@
 import { describe, expect, it } from 'vitest';
-import type { ObjectStore, StoreChanges, StoreResult } from '../source/object-store.js';
+import type {
+  ObjectStore,
+  StoreChanges,
+  StoreFailure,
+  StoreResult,
+} from '../source/object-store.js';
 import { createOwnWatches } from './ownWatches.js';
 
 const KIND = 'configuration';
@@ -11,7 +16,10 @@
 const CHANGE = { object: { name: 'current', revision: 6, spec: {} }, gone: false };
 
 /** Watches whose long waits are never answered, as on a silent connection; short ones are, with this. */
-function onSilentConnection(answer: StoreChanges<unknown> | undefined) {
+function onSilentConnection(
+  answer: StoreChanges<unknown> | undefined,
+  failure: StoreFailure = 'unknown',
+) {
   const told = new Map([[KIND, 3]]);
   const silentKinds: string[] = [];
   let shortCalls = 0;
@@ -29,7 +37,7 @@
       shortCalls += 1;
       const result = answer
         ? { ok: true, value: answer }
-        : { ok: false, failure: 'unknown', detail: 'silent' };
+        : { ok: false, failure, detail: 'no answer' };
       return Promise.resolve(result as StoreResult<StoreChanges<unknown>>);
     },
   } as unknown as ObjectStore;
@@ -105,6 +113,14 @@
     expect(node.closedAt()[0]).toBe(0);
   });
 
+  it('is told that the history is gone, so that a list follows', async () => {
+    const node = onSilentConnection(undefined, 'history-gone');
+    const watch = node.watches.watch(KIND, 3, 10_000);
+    node.watches.noteSeen(6);
+    node.watches.noteSeen(6);
+    expect(await watch).toMatchObject({ ok: false, failure: 'history-gone' });
+  }, 2_000);
+
   it('is ended with all others, as failed, when the store is in doubt', async () => {
     const node = onSilentConnection(undefined);
     const all = [node.watches.watch(KIND, 3, 10_000), node.watches.watch('nodes', 3, 10_000)];
--- a/src/relay/ownWatches.ts
+++ b/src/relay/ownWatches.ts
@@ -53,7 +53,14 @@
     store.closeIdle();
     const result = await store.watch<never>(kind, watch.revision, CATCH_UP_WAIT_MS);
     watch.isChecked = false;
-    if (!result.ok || waiting.get(kind) !== watch) {
+    if (waiting.get(kind) !== watch) {
+      return;
+    }
+    if (!result.ok) {
+      // Any other failure says nothing of the watch: it is checked again at the next look.
+      if (result.failure === 'history-gone') {
+        watch.settle(result);
+      }
       return;
     }
     watch.untold = undefined;
