--- a/lab/application-stand-in.ts
+++ b/lab/application-stand-in.ts
@@ -1,6 +1,7 @@
 /** A back end beside a node: slots, heartbeats, and the faults that back ends show. */
 import http from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
 
 /** How a back end treats the next request. */
@@ -36,10 +37,30 @@
 
 let instances = 0;
 
+function nextInstance(): string {
+  instances += 1;
+  return `i-${instances}`;
+}
+
+/** Pause before a heartbeat that was not acknowledged is sent again, in milliseconds. */
+const ANNOUNCE_RETRY_MS = 100;
+
+/** A back end that has crashed is back, as another incarnation at the same port, after this time. */
+const MIN_DOWN_MS = 2_500;
+const MAX_DOWN_MS = 4_000;
+
 /** Listens until closed. */
 export class ApplicationStandIn {
-  readonly instance: string;
+  /** Of the present incarnation. */
+  instance: string;
   readonly runs: Run[] = [];
+  /** True for a request that crashes the back end {@link crashAfterMs} after it has begun to run. */
+  crashesUnder: (run: Run) => boolean = () => false;
+  crashAfterMs = 45;
+  /** Steady time in milliseconds of each crash. */
+  readonly crashes: number[] = [];
+  /** Called when another incarnation listens after a crash. */
+  onBack: () => void = () => {};
   /** Behaviours of the next requests; then {@link Behaviour} `serve`. */
   readonly behaviours: Behaviour[] = [];
   serviceMs = 5;
@@ -49,21 +70,25 @@
   running = 0;
   mostRunning = 0;
   private sequence = 0;
+  private isClosed = false;
+  private port = 0;
   private readonly server = http.createServer((request, response) => this.serve(request, response));
 
   constructor(
     readonly service: string,
     public slots: number,
   ) {
-    instances += 1;
-    this.instance = `i-${instances}`;
+    this.instance = nextInstance();
   }
 
   /** Starts listening and resolves with its address. */
   start(port = 0): Promise<string> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
-      this.server.listen(port, '127.0.0.1', () => resolve(this.address));
+      this.server.listen(port, '127.0.0.1', () => {
+        this.port = (this.server.address() as AddressInfo).port;
+        resolve(this.address);
+      });
     });
   }
 
@@ -71,16 +96,51 @@
     return this.server.listening;
   }
 
+  /** Also while it is down after a crash. */
   get address(): string {
-    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    return `127.0.0.1:${this.port}`;
   }
 
   /** Ends at once. */
   close(): void {
+    this.isClosed = true;
     this.server.close();
     this.server.closeAllConnections();
   }
 
+  /** Ends at once, with its connections, and is back some seconds later. */
+  crash(downMs = MIN_DOWN_MS + Math.random() * (MAX_DOWN_MS - MIN_DOWN_MS)): void {
+    if (this.isClosed || !this.isListening) {
+      return;
+    }
+    this.crashes.push(performance.now());
+    this.server.close();
+    this.server.closeAllConnections();
+    setTimeout(() => void this.comeBack(), downMs);
+  }
+
+  private async comeBack(): Promise<void> {
+    if (this.isClosed) {
+      return;
+    }
+    this.instance = nextInstance();
+    this.sequence = 0;
+    this.running = 0;
+    await this.start(this.port);
+    this.onBack();
+  }
+
+  /** Sends heartbeats until one is acknowledged. */
+  async announce(registrations: () => string): Promise<void> {
+    const { instance } = this;
+    while (!this.isClosed && this.isListening && this.instance === instance) {
+      if ((await this.heartbeat(registrations()).catch(() => 0)) === 200) {
+        return;
+      }
+      await delay(ANNOUNCE_RETRY_MS);
+    }
+  }
+
   /** Sends one heartbeat to its node. */
   heartbeat(registrations: string, sequence?: number): Promise<number> {
     this.sequence += 1;
@@ -158,7 +218,15 @@
         run.cutAt = performance.now();
       }
     });
-    await new Promise((resolve) => setTimeout(resolve, this.serviceMs));
+    const { instance } = this;
+    if (this.crashesUnder(run)) {
+      setTimeout(() => this.instance === instance && this.crash(), this.crashAfterMs);
+      return;
+    }
+    await delay(this.serviceMs);
+    if (this.instance !== instance) {
+      return;
+    }
     this.running -= 1;
     this.answer(request, response, requestId, behaviour);
   }
--- a/lab/sidecar-mesh.ts
+++ b/lab/sidecar-mesh.ts
@@ -76,6 +76,8 @@
 
   async start(): Promise<void> {
     await this.application.start();
+    this.application.onBack = () =>
+      void this.application.announce(() => this.node.addresses.registrations);
     this.running = this.create(undefined);
     await this.node.start();
   }
