A suspended machine: a test that fails, and the sources of time passed in

A node takes two clocks, one for deadlines and one for what it only believes; both are the steady one still. Three tests fail: a back end that left gets a task after waking, a route is said not to exist ten seconds after the store was last heard, a request is held that its client has given up.

--- a/lab/sidecar-mesh.ts
+++ b/lab/sidecar-mesh.ts
@@ -2,7 +2,11 @@
 import http from 'node:http';
 import { DecisionLog } from '../src/diagnostics/decision-log.js';
 import { SidecarMetrics } from '../src/diagnostics/sidecar-metrics.js';
-import { steadyClock } from '../src/model/clock.js';
+import {
+  type ClockSources,
+  createNodeClocks,
+  SYSTEM_CLOCK_SOURCES,
+} from '../src/model/nodeClocks.js';
 import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
 import { SidecarNode } from '../src/sidecar/sidecar-node.js';
 import { checkSidecarSettings } from '../src/sidecar/sidecar-settings.js';
@@ -54,6 +58,12 @@
 export class Machine {
   private running: SidecarNode | undefined;
   view: StoreView;
+  private sleptMs = 0;
+  private readonly clockSources: ClockSources = {
+    ...SYSTEM_CLOCK_SOURCES,
+    timeOfDay: () => SYSTEM_CLOCK_SOURCES.timeOfDay() + this.sleptMs,
+    sinceBoot: () => SYSTEM_CLOCK_SOURCES.sinceBoot() + this.sleptMs,
+  };
   readonly lines: Record<string, unknown>[] = [];
 
   constructor(
@@ -91,6 +101,11 @@
     await this.node.start();
   }
 
+  /** The machine is suspended and wakes: its steady clock has not moved, the others have. */
+  suspend(ms: number): void {
+    this.sleptMs += ms;
+  }
+
   private create(listen: SidecarNode['addresses'] | undefined): SidecarNode {
     const any = '127.0.0.1:0';
     const settings = checkSidecarSettings({
@@ -109,11 +124,12 @@
       }
       done();
     };
+    const clocks = createNodeClocks(this.clockSources);
     return new SidecarNode(
       settings,
       labOutside(this.options.client ?? this.view),
-      steadyClock,
-      new DecisionLog(this.name, () => steadyClock.now(), sink),
+      clocks,
+      new DecisionLog(this.name, () => clocks.clock.now(), sink),
       new SidecarMetrics(),
     );
   }
--- a/lab/sidecarMain.ts
+++ b/lab/sidecarMain.ts
@@ -5,7 +5,7 @@
 import { SidecarMetrics } from '../src/diagnostics/sidecar-metrics.js';
 import { NODE_KIND } from '../src/directory/directory-sync.js';
 import type { OwnerRecord } from '../src/directory/owner-entry.js';
-import { steadyClock } from '../src/model/clock.js';
+import { createNodeClocks } from '../src/model/nodeClocks.js';
 import { SidecarNode } from '../src/sidecar/sidecar-node.js';
 import { checkSidecarSettings } from '../src/sidecar/sidecar-settings.js';
 import type { ObjectStore } from '../src/source/object-store.js';
@@ -41,13 +41,14 @@
 
 const readPlan = () => JSON.parse(readFileSync(process.argv[2] ?? '', 'utf8')) as SidecarPlan;
 const plan = readPlan();
+const clocks = createNodeClocks();
 const node = new SidecarNode(
   checkSidecarSettings(plan.settings).unsafeCoerce(),
   labOutside(storeOf(plan.store)),
-  steadyClock,
+  clocks,
   new DecisionLog(
     plan.settings.node,
-    () => steadyClock.now(),
+    () => clocks.clock.now(),
     descriptorSink(STANDARD_OUTPUT),
     gatherLines,
   ),
--- a/src/owner/back-end-presence.ts
+++ b/src/owner/back-end-presence.ts
@@ -24,7 +24,8 @@
 
 /** What the presence needs of its node. */
 export interface BackEndPresenceOptions {
-  readonly clock: Clock;
+  /** For what is believed of the back end. */
+  readonly beliefClock: Clock;
   readonly names: HeaderNames;
   /** Service that the settings name for this machine. */
   readonly service: () => string;
@@ -90,12 +91,12 @@
 
   /** Why a task that was admitted may not be sent any more, if so. */
   sendObstacle(): NotRunReason | undefined {
-    return this.options.clock.now() >= this.sendUntil ? 'draining' : undefined;
+    return this.options.beliefClock.now() >= this.sendUntil ? 'draining' : undefined;
   }
 
   /** Takes a heartbeat; the drain it tells is fenced before this returns. */
   heartbeat(beat: Heartbeat): void {
-    const result = this.registry.heartbeat(beat, this.options.clock.now());
+    const result = this.registry.heartbeat(beat, this.options.beliefClock.now());
     if (result === 'unverified') {
       this.askIfNeeded();
     } else if (result === 'applied' && beat.instance === this.backEnd?.instance) {
@@ -127,7 +128,7 @@
   }
 
   private onBackEnd(backEnd: BackEnd | undefined): void {
-    const { clock, drainMs } = this.options;
+    const { beliefClock, drainMs } = this.options;
     clearTimeout(this.fence);
     if (backEnd?.state === 'ready') {
       this.sendUntil = Number.POSITIVE_INFINITY;
@@ -135,7 +136,7 @@
       this.listener.onReady(backEnd);
     } else {
       this.fence = setTimeout(() => this.listener.onClosed(), drainMs() * DRAIN_QUEUE_SHARE);
-      this.sendUntil = clock.now() + drainMs() * DRAIN_SEND_SHARE;
+      this.sendUntil = beliefClock.now() + drainMs() * DRAIN_SEND_SHARE;
     }
     this.listener.onChange(backEnd, backEnd?.state ?? 'none');
   }
@@ -172,7 +173,7 @@
       // The address may have gone to another service: only a heartbeat can tell.
       return;
     }
-    const now = this.options.clock.now();
+    const now = this.options.beliefClock.now();
     const fallback = { service, address, state: 'ready', coldUntil: now, sequence: -1 } as const;
     this.registry.verified(report, fallback);
   }
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -2,6 +2,7 @@
 import type { DecisionLog } from '../diagnostics/decision-log.js';
 import type { SidecarGauges, SidecarMetrics } from '../diagnostics/sidecar-metrics.js';
 import type { Clock } from '../model/clock.js';
+import type { NodeClocks } from '../model/nodeClocks.js';
 import type { OwnerReport } from '../owner/owner-report.js';
 import type { RouteMatcher } from '../routing/route-matcher.js';
 import { createLifecycle, type Lifecycle, LifecycleEvent, LifecycleState } from './lifecycle.js';
@@ -42,20 +43,22 @@
   private readonly registrations: SmallServer;
   private readonly metricsServer: SmallServer;
   private readonly lifecycle: Lifecycle;
+  private readonly clock: Clock;
   /** Steady time in milliseconds since which the configuration is in force. */
   private inForceSince = 0;
 
   constructor(
     private settings: SidecarSettings,
     private readonly outside: Outside,
-    private readonly clock: Clock,
+    clocks: NodeClocks,
     private readonly log: DecisionLog,
     metrics: SidecarMetrics,
   ) {
+    this.clock = clocks.clock;
     this.parts = createSidecarParts({
       settings: () => this.settings,
       outside,
-      clock,
+      clocks,
       log,
       metrics,
       onInForce: (routes, origin) => this.onInForce(routes, origin),
--- a/src/sidecar/sidecar-process.ts
+++ b/src/sidecar/sidecar-process.ts
@@ -2,7 +2,7 @@
 import { statSync } from 'node:fs';
 import type { DecisionLog } from '../diagnostics/decision-log.js';
 import type { SidecarMetrics } from '../diagnostics/sidecar-metrics.js';
-import type { Clock } from '../model/clock.js';
+import type { NodeClocks } from '../model/nodeClocks.js';
 import type { Outside } from './outside.js';
 import { SidecarNode } from './sidecar-node.js';
 import { checkSidecarSettings, type SidecarSettings } from './sidecar-settings.js';
@@ -15,7 +15,7 @@
 
 /** What a process is made of. */
 export interface SidecarProcess {
-  readonly clock: Clock;
+  readonly clocks: NodeClocks;
   readonly log: DecisionLog;
   readonly metrics: SidecarMetrics;
   readonly settingsFile: string;
@@ -31,7 +31,7 @@
     process.exitCode = EXIT_SETTINGS;
     return;
   }
-  const node = new SidecarNode(settings, parts.outside, parts.clock, parts.log, parts.metrics);
+  const node = new SidecarNode(settings, parts.outside, parts.clocks, parts.log, parts.metrics);
   process.on('SIGTERM', () => {
     void node.stop().finally(() => process.exit(0));
   });
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -11,7 +11,7 @@
 import { createOfferLimit } from '../ingress/offerLimit.js';
 import { createReturnTimes } from '../ingress/returnTimes.js';
 import { SharedRetryBudget } from '../ingress/shared-retry-budget.js';
-import type { Clock } from '../model/clock.js';
+import type { NodeClocks } from '../model/nodeClocks.js';
 import { LocalOwner } from '../owner/local-owner.js';
 import { bulkWindowOf } from '../peer/bodySender.js';
 import { PeerCaller } from '../peer/peerCaller.js';
@@ -43,7 +43,7 @@
   /** In force now: they may be reloaded. */
   readonly settings: () => SidecarSettings;
   readonly outside: Outside;
-  readonly clock: Clock;
+  readonly clocks: NodeClocks;
   readonly log: DecisionLog;
   readonly metrics: SidecarMetrics;
   /** A configuration has come into force. */
@@ -67,7 +67,8 @@
 }
 
 export function createSidecarParts(context: SidecarPartsContext): SidecarParts {
-  const { settings, outside, clock, log, metrics, onInForce } = context;
+  const { settings, outside, clocks, log, metrics, onInForce } = context;
+  const { clock, beliefClock } = clocks;
   const { names } = outside;
   const { node, zone, configurationApplyMs } = settings();
 
@@ -92,6 +93,7 @@
   const ledger = createCrashLedger();
   const owner = new LocalOwner({
     clock,
+    beliefClock,
     ledger,
     onNews: (news) => {
       recordNews({ log, metrics }, news);
@@ -134,7 +136,7 @@
 
   const reads = createPeerReads(sender, onSent);
   const relay = createZoneRelay({
-    clock,
+    clock: beliefClock,
     store: new ObservedStore(
       outside.store,
       () => clock.now(),
@@ -183,7 +185,7 @@
   });
 
   const configuration = new ConfigurationFollower({
-    clock,
+    clock: beliefClock,
     store: relay.store,
     provenAt: () => relay.store.answeredAt,
     kind: outside.configurationKind,
