A node counts the time for which its machine was suspended

Cause: every age and deadline came from the steady clock, which stands still meanwhile. The time of day shows the jump at the first reading after it; the clock since the start of the machine, once it has kept step for 5 s, says whether that was a suspension or a clock that was set. Where it cannot tell, beliefs (a drain's fence, the store's word, what is in force) grow older, deadlines stay. Alarms: timers of held requests ring at once when their time has passed asleep.

--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -1,6 +1,7 @@
 /** One client's request, from its head to the final answer. */
 import type http from 'node:http';
 import type { OwnerRecord } from '../directory/owner-entry.js';
+import type { Alarms } from '../model/alarms.js';
 import type { Clock } from '../model/clock.js';
 import { Cancellation } from '../owner/cancellation.js';
 import type { HeaderNames } from '../owner/header-names.js';
@@ -49,6 +50,7 @@
 /** What the ingress needs of its node. */
 export interface IngressOptions extends DispatchContext {
   readonly clock: Clock;
+  readonly alarms: Alarms;
   readonly names: HeaderNames;
   readonly routes: () => RouteMatcher | undefined;
   /** True when there may be a newer configuration than the one in force here. */
@@ -71,7 +73,7 @@
   private version = 0;
   private allowedMs = 0;
   private dispatch: Dispatch | undefined;
-  private timer: NodeJS.Timeout | undefined;
+  private cancelTimer: () => void = () => {};
   private isFinished = false;
 
   constructor(
@@ -207,7 +209,7 @@
     const deadlineMs = Number.isFinite(asked) && asked > 0 ? asked : LONGEST_REQUEST_MS;
     const timeoutMs = route.timeoutMs ?? LONGEST_REQUEST_MS;
     this.allowedMs = Math.min(deadlineMs, timeoutMs);
-    this.timer = setTimeout(() => {
+    this.cancelTimer = this.options.alarms.set(() => {
       // The dispatch knows whether the request may have run, and ends at once.
       this.cancellation.cancel();
       if (!this.dispatch) {
@@ -240,7 +242,7 @@
 
   /** The client has left, or has its answer. */
   private onClose(): void {
-    clearTimeout(this.timer);
+    this.cancelTimer();
     if (!this.response.writableFinished) {
       this.finish(0, 'client-left');
       this.cancellation.cancel();
@@ -252,7 +254,7 @@
       return;
     }
     this.isFinished = true;
-    clearTimeout(this.timer);
+    this.cancelTimer();
     this.options.onFinished({
       requestId: this.requestId,
       fingerprint: this.fingerprint,
--- a/src/model/nodeClocks.ts
+++ b/src/model/nodeClocks.ts
@@ -34,7 +34,101 @@
   onWake(listener: (sleptMs: number) => void): void;
 }
 
+/**
+ * The time of day has jumped when it moved so much more, or less, than the steady clock, in milliseconds:
+ * more than its corrections by network time, and less than what any deadline or age is about.
+ */
+const JUMP_MS = 250;
+
+/** The clock since the start of the machine is looked at so often, in milliseconds; a look takes 5 microseconds. */
+const LOOK_MS = 500;
+
+/**
+ * It is believed once it has kept step with the steady clock for this time, within this tolerance, in
+ * milliseconds: it comes in steps of 10, and where machines are simulated it may be another machine's.
+ */
+const PROOF_MS = 5_000;
+const TOLERANCE_MS = 30;
+
+/** Whether the clock since the start of the machine can tell a suspension. */
+interface BootClock {
+  readonly isProven: boolean;
+  /** Looks at it if that is due; `at` is the present steady time in milliseconds. */
+  look(at: number): void;
+  /** Milliseconds that it has moved more than the steady clock since the last look. */
+  takeJumpMs(at: number): number;
+}
+
+function createBootClock({ steady, sinceBoot }: ClockSources): BootClock {
+  let lookedAt = steady();
+  let inStepSince = lookedAt;
+  let offset = sinceBoot() - lookedAt;
+  return {
+    get isProven() {
+      return lookedAt - inStepSince >= PROOF_MS;
+    },
+    look: (at) => {
+      if (at - lookedAt < LOOK_MS) {
+        return;
+      }
+      lookedAt = at;
+      const present = sinceBoot() - at;
+      if (Math.abs(present - offset) > TOLERANCE_MS) {
+        offset = present;
+        inStepSince = at;
+      }
+    },
+    takeJumpMs: (at) => {
+      const present = sinceBoot() - at;
+      const jumpMs = present - offset;
+      offset = present;
+      return jumpMs;
+    },
+  };
+}
+
+/**
+ * A jump of the time of day is what is noticed, at the first reading after it. It was a suspension if
+ * the clock since the start of the machine has jumped as well, and the clock was merely set if not.
+ * Where that one cannot tell, a jump forward may have been a suspension: beliefs grow older by it, which
+ * costs a question, and deadlines stay, since requests would be given up for a clock that was set.
+ */
 export function createNodeClocks(sources: ClockSources = SYSTEM_CLOCK_SOURCES): NodeClocks {
-  const clock = { now: sources.steady };
-  return { clock, beliefClock: clock, onWake: () => {} };
+  const { steady, timeOfDay } = sources;
+  const bootClock = createBootClock(sources);
+  const listeners: ((sleptMs: number) => void)[] = [];
+  let dayOffset = timeOfDay() - steady();
+  let sleptMs = 0;
+  let maybeSleptMs = 0;
+
+  const onJump = (jumpMs: number, at: number): void => {
+    const bootJumpMs = bootClock.takeJumpMs(at);
+    if (!bootClock.isProven) {
+      maybeSleptMs += Math.max(0, jumpMs);
+    } else if (bootJumpMs >= JUMP_MS) {
+      sleptMs += bootJumpMs;
+      for (const listener of listeners) {
+        listener(bootJumpMs);
+      }
+    }
+  };
+  const look = (): number => {
+    const at = steady();
+    const offset = timeOfDay() - at;
+    const jumpMs = offset - dayOffset;
+    dayOffset = offset;
+    if (Math.abs(jumpMs) >= JUMP_MS) {
+      onJump(jumpMs, at);
+    } else {
+      bootClock.look(at);
+    }
+    return at;
+  };
+  return {
+    clock: { now: () => look() + sleptMs },
+    beliefClock: { now: () => look() + sleptMs + maybeSleptMs },
+    onWake: (listener) => {
+      listeners.push(listener);
+    },
+  };
 }
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -1,5 +1,6 @@
 /** The gate to the back end on this machine: admits tasks, sends them, and reports its load. */
 import type http from 'node:http';
+import type { Alarms } from '../model/alarms.js';
 import { Standing } from '../quarantine/crashLedger.js';
 import type { BackEnd, Heartbeat } from '../registry/back-end-registry.js';
 import { AdmissionControl, type AdmissionRequest, type Waiter } from './admission-control.js';
@@ -25,6 +26,7 @@
 
 /** What the local owner is told at its start. */
 export interface LocalOwnerOptions extends BackEndPresenceOptions, WatchedCallsContext {
+  readonly alarms: Alarms;
   readonly onBackEnd: (backEnd: BackEnd | undefined, cause: string) => void;
   readonly onTask: (record: TaskRecord) => void;
 }
@@ -180,17 +182,17 @@
         },
       };
       const forget = task.cancellation.onCancel(() => {
-        clearTimeout(timer);
+        cancelTimer();
         this.admission.remove(waiter);
         resolve(turnedAway('cancelled'));
       });
       // No slot may become free for long: what can no longer be in time is told so at once.
-      const timer = setTimeout(() => {
+      const cancelTimer = this.options.alarms.set(() => {
         this.admission.remove(waiter);
         waiter.turnAway(this.admission.retryAfterMs());
       }, this.admission.latestStartAt(task) - now);
       const release = () => {
-        clearTimeout(timer);
+        cancelTimer();
         forget();
       };
       this.admission.enqueue(waiter);
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -55,6 +55,7 @@
     metrics: SidecarMetrics,
   ) {
     this.clock = clocks.clock;
+    clocks.onWake((sleptMs) => log.event('woken', { sleptMs: Math.round(sleptMs) }));
     this.parts = createSidecarParts({
       settings: () => this.settings,
       outside,
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -11,6 +11,7 @@
 import { createOfferLimit } from '../ingress/offerLimit.js';
 import { createReturnTimes } from '../ingress/returnTimes.js';
 import { SharedRetryBudget } from '../ingress/shared-retry-budget.js';
+import { createAlarms } from '../model/alarms.js';
 import type { NodeClocks } from '../model/nodeClocks.js';
 import { LocalOwner } from '../owner/local-owner.js';
 import { bulkWindowOf } from '../peer/bodySender.js';
@@ -69,6 +70,7 @@
 export function createSidecarParts(context: SidecarPartsContext): SidecarParts {
   const { settings, outside, clocks, log, metrics, onInForce } = context;
   const { clock, beliefClock } = clocks;
+  const alarms = createAlarms(clocks);
   const { names } = outside;
   const { node, zone, configurationApplyMs } = settings();
 
@@ -94,6 +96,7 @@
   const owner = new LocalOwner({
     clock,
     beliefClock,
+    alarms,
     ledger,
     onNews: (news) => {
       recordNews({ log, metrics }, news);
@@ -209,6 +212,7 @@
 
   const ingress = new IngressServer({
     clock,
+    alarms,
     names,
     directory,
     budget: new SharedRetryBudget(
