Operators see which requests are quarantined, and lift a quarantine

quarantines prints the store's records, lift removes one: its request then runs alone once. What a command prints when it could not be carried out stands in a file of its own.

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -2,15 +2,15 @@
 import { readFileSync } from 'node:fs';
 import { setTimeout as delay } from 'node:timers/promises';
 import { stringify as toYaml } from 'yaml';
-import { type Finding, formatFinding } from '../model/finding.js';
 import { secretDigest } from '../routing/completeConfiguration.js';
 import type { MeshConfiguration } from '../routing/mesh-configuration.js';
-import { type ObjectStore, Reading, type StoreFailure } from '../source/object-store.js';
+import { type ObjectStore, Reading } from '../source/object-store.js';
 import { SECRET_KIND, type SecretObject } from '../source/supplier.js';
 import { configurationDiff } from './configurationDiff.js';
 import { readConfigurationFile } from './configurationFile.js';
 import { ExitCode } from './exitCode.js';
 import { type AskedRequest, explain } from './explanation.js';
+import { refuse, unavailable } from './failures.js';
 import { laggards, type NodeStatus, readFleet, readRecords } from './fleetStatus.js';
 import type { OperatorOutside } from './operatorOutside.js';
 import { type Output, tableOf } from './output.js';
@@ -269,16 +269,6 @@
   }
 }
 
-function refuse(findings: readonly Finding[], output: Output): ExitCode {
-  output.failure({ findings }, findings.map(formatFinding).join('\n'));
-  return ExitCode.Rejected;
-}
-
-function unavailable(failure: StoreFailure, output: Output): ExitCode {
-  output.failure({ failure }, `The store cannot be used: ${failure}.`);
-  return ExitCode.Unavailable;
-}
-
 function fleetTable(nodes: readonly NodeStatus[]): string {
   const rows = nodes.map(({ node, zone, service, version, ready }) => [
     node,
--- a/src/cli/runCli.ts
+++ b/src/cli/runCli.ts
@@ -14,6 +14,7 @@
 import { ExitCode } from './exitCode.js';
 import type { OperatorOutside } from './operatorOutside.js';
 import { createOutput, type Write } from './output.js';
+import { liftQuarantine, listQuarantines } from './quarantineCommands.js';
 
 const DEFAULT_WAIT_SECONDS = 30;
 
@@ -124,6 +125,22 @@
           explainRequest(command, { host, path, method, zone, headers: headersOf(header) }),
         ),
     )
+    .command(
+      'quarantines',
+      'Print the requests that are refused because they have crashed back ends',
+      (options) => withStore(options, context.defaultStore),
+      (options) => run(options, listQuarantines),
+    )
+    .command(
+      'lift <name>',
+      'End a quarantine: its request runs once alone, and is served if that ends well',
+      (options) =>
+        withStore(options, context.defaultStore).positional('name', {
+          type: 'string',
+          demandOption: true,
+        }),
+      ({ name, ...rest }) => run(rest, (command) => liftQuarantine(command, name)),
+    )
     .command(
       'secret <name> <file>',
       'Write the value of a secret and print its digest',
--- a/test/operators.test.ts
+++ b/test/operators.test.ts
@@ -10,6 +10,7 @@
 import { readConfigurationFile } from '../src/cli/configurationFile.js';
 import { ExitCode } from '../src/cli/exitCode.js';
 import { runCli } from '../src/cli/runCli.js';
+import { QUARANTINE_KIND } from '../src/directory/quarantineSync.js';
 import { checkMeshConfiguration } from '../src/routing/mesh-configuration.js';
 
 let folder: string;
@@ -259,3 +260,25 @@
     expect((await call(machine.node.addresses.clients, '/read/1')).status).toBe(200);
   });
 });
+
+describe('quarantines', () => {
+  it('are printed, and lifted by name', async () => {
+    const store = new MemoryStore();
+    expect((await run(store, ['quarantines'])).results).toEqual([{ quarantines: [] }]);
+    const record = { fingerprint: 'f1', caller: 'desk', crashes: 3 };
+    store.put(QUARANTINE_KIND, 'f1.desk', record);
+    expect((await run(store, ['quarantines'])).results).toEqual([
+      { quarantines: [{ name: 'f1.desk', caller: 'desk', crashes: 3 }] },
+    ]);
+    const wrong = await run(store, ['lift', 'f2.desk']);
+    expect(wrong.code).toBe(ExitCode.Rejected);
+    expect(wrong.results).toMatchObject([
+      { findings: [{ message: 'no quarantine has the name f2.desk' }] },
+    ]);
+    expect((await run(store, ['lift', 'f1.desk'])).code).toBe(ExitCode.Ok);
+    expect(store.kind(QUARANTINE_KIND).size).toBe(0);
+    const away = new StoreView(store);
+    away.failure = 'unavailable';
+    expect((await run(store, ['quarantines'], away)).code).toBe(ExitCode.Unavailable);
+  });
+});
