--- a/src/quarantine/crashLedger.test.ts
+++ b/src/quarantine/crashLedger.test.ts
@@ -52,6 +52,12 @@
     expect(ledger.noteCompleted(CULPRIT, 1)?.cleared).toEqual([CULPRIT]);
   });
 
+  it('takes a request that ran twice on one back end for alone', () => {
+    const ledger = createCrashLedger();
+    crash(ledger, 'i-1', [CULPRIT, other(1)], 0);
+    expect(crash(ledger, 'i-2', [CULPRIT, CULPRIT], 0).quarantined).toEqual([CULPRIT]);
+  });
+
   it('refuses nobody for crashes beside others, however many', () => {
     const ledger = createCrashLedger();
     for (let index = 0; index < 9; index += 1) {
--- a/src/quarantine/crashLedger.ts
+++ b/src/quarantine/crashLedger.ts
@@ -221,13 +221,14 @@
       return isSuspect ? { ...NO_NEWS, cleared: [key] } : undefined;
     },
     noteCrash: (instance, underWay, now) => {
-      const [first, ...others] = underWay;
-      const isAlone = first !== undefined && others.length === 0;
+      // The same request may run on a back end more than once at a time.
+      const isAlone = new Set(underWay.map(nameOf)).size === 1;
       const suspects = uniqueOf(underWay).filter((key) => isAlone || !hasCompleted(key, now));
       for (const key of suspects) {
         blame(instance, key, now);
       }
-      const quarantined = isAlone && first.hadCrashed ? suspects : [];
+      const hadCrashed = underWay.some((request) => request.hadCrashed);
+      const quarantined = isAlone && hadCrashed ? suspects : [];
       for (const key of quarantined) {
         quarantine(key, now);
       }
