Soak: requests that crash back ends come again all along, and a check of how often they are sent on

Clients of their own, with a random sequence of their own: the schedule of faults of a seed stays. The check counts runs later than 3 s after the third crash where no fault was under way for 3 s.

--- a/lab/sidecarSoak.ts
+++ b/lab/sidecarSoak.ts
@@ -16,6 +16,7 @@
 import { pickOne, seededRandom } from './random.js';
 import { type Sidecar, startSidecars } from './sidecarProcesses.js';
 import {
+  checkCrashing,
   checkFleet,
   checkSoak,
   type SoakBreach,
@@ -23,7 +24,14 @@
   type SoakRequest,
   SoakRule,
   type SoakRun,
+  type Span,
 } from './sidecarSoakCheck.js';
+import {
+  type CrashingClients,
+  createCrashingClients,
+  isCrashing,
+  openSpan,
+} from './soakCrashing.js';
 import { createFaultInjector, FAULTS, type Fault, type FaultInjector } from './soakFaults.js';
 import { configurationOf, MAX_ATTEMPTS, SERVICES, send } from './soakTraffic.js';
 import { StoreFault, type StoreWays } from './storeFaults.js';
@@ -70,6 +78,8 @@
   readonly faults: Readonly<Record<string, number>>;
   readonly requests: number;
   readonly runs: number;
+  /** Back ends that a request has crashed. */
+  readonly crashes: number;
   readonly statuses: Readonly<Record<string, number>>;
   readonly breaches: readonly SoakBreach[];
 }
@@ -115,7 +125,7 @@
 }
 
 function beatAll(sidecars: readonly Sidecar[]): void {
-  for (const { application, listen } of sidecars) {
+  for (const { application, listen } of sidecars.filter((each) => each.application.isListening)) {
     application.heartbeat(listen.registrations).catch(() => {});
   }
 }
@@ -128,6 +138,9 @@
   /** Of the clients: how many calls they make depends on the machine, the schedule does not. */
   private readonly clientRandom: () => number;
   private readonly injector: FaultInjector;
+  private readonly crashing: CrashingClients;
+  /** When faults were under way. */
+  private readonly spans: Span[] = [];
   private isOver = false;
   private afterFaults = false;
   private version = 1;
@@ -140,6 +153,7 @@
   ) {
     this.random = seededRandom(plan.seed);
     this.clientRandom = seededRandom(plan.seed + 1);
+    this.crashing = createCrashingClients(sidecars, seededRandom(plan.seed + 2));
     this.injector = createFaultInjector({
       sidecars,
       platform,
@@ -155,6 +169,7 @@
     await pause(SETTLE_MS);
     const count = this.sidecars.length * CLIENTS_OF_A_NODE;
     const clients = Array.from({ length: count }, (_, index) => this.callAlways(index));
+    const crashing = this.crashing.run();
     const until = performance.now() + this.plan.seconds * MILLISECONDS_PER_SECOND;
     while (performance.now() < until) {
       await this.strikeSeries();
@@ -164,7 +179,8 @@
     this.afterFaults = true;
     await pause(RECOVERY_MS);
     this.isOver = true;
-    await Promise.all(clients);
+    this.crashing.stop();
+    await Promise.all([...clients, crashing]);
     return this.result(await this.fleet());
   }
 
@@ -195,9 +211,12 @@
     }
   }
 
-  private strike(fault: Fault | StoreFault): Promise<void> {
+  private async strike(fault: Fault | StoreFault): Promise<void> {
     this.faults.set(fault, (this.faults.get(fault) ?? 0) + 1);
-    return this.injector.strike(fault);
+    const span = openSpan();
+    this.spans.push(span);
+    await this.injector.strike(fault);
+    span.until = performance.now();
   }
 
   /** A change soon after the last fault: in force in time on every node that is in touch again. */
@@ -251,11 +270,13 @@
 
   private result(fleet: SoakFleet): SidecarSoakResult {
     const runs: SoakRun[] = this.sidecars.flatMap(({ application }) =>
-      application.runs.map(({ requestId, bodyBytes, method }) => ({
-        id: requestId,
-        bodyBytes,
-        hasReadBody: bodyBytes > 0 || method === 'GET',
-      })),
+      application.runs
+        .filter((run) => !isCrashing(run))
+        .map(({ requestId, bodyBytes, method }) => ({
+          id: requestId,
+          bodyBytes,
+          hasReadBody: bodyBytes > 0 || method === 'GET',
+        })),
     );
     const statuses: Record<string, number> = {};
     for (const { status } of this.requests) {
@@ -266,11 +287,13 @@
       faults: Object.fromEntries(this.faults),
       requests: this.requests.length,
       runs: runs.length,
+      crashes: this.sidecars.reduce((sum, each) => sum + each.application.crashes.length, 0),
       statuses,
       breaches: [
         ...checkSoak(this.requests, runs, MAX_ATTEMPTS),
         ...this.late,
         ...checkFleet(fleet),
+        ...checkCrashing(this.crashing.runs(), this.spans, CONTACT_MS),
       ],
     };
   }
--- a/lab/sidecarSoakCheck.test.ts
+++ b/lab/sidecarSoakCheck.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import {
+  checkCrashing,
   checkFleet,
   checkSoak,
   type SoakRequest,
@@ -63,3 +64,18 @@
     expect(checkFleet({ newest: 3, nodes: nodes.slice(0, 1) })).toEqual([]);
   });
 });
+
+describe('checkCrashing', () => {
+  const runsAt = (...times: number[]) => times.map((at) => ({ mark: 'a', at }));
+
+  it('allows three crashes, what is under way then, and three more', () => {
+    expect(checkCrashing(runsAt(0, 1, 2, 900, 5_000, 6_000, 7_000), [], 1_000)).toEqual([]);
+  });
+
+  it('names a request that is sent on, but for the time in which nodes were out of touch', () => {
+    const runs = runsAt(0, 1, 2, 5_000, 6_000, 7_000, 8_000);
+    expect(checkCrashing(runs, [], 1_000)).toMatchObject([{ rule: SoakRule.Crashing }]);
+    expect(checkCrashing(runs, [{ from: 5_500, until: 5_800 }], 1_000)).toEqual([]);
+    expect(checkCrashing(runs, [{ from: 3_000, until: 3_500 }], 1_000)).toHaveLength(1);
+  });
+});
--- a/lab/sidecarSoakCheck.ts
+++ b/lab/sidecarSoakCheck.ts
@@ -16,6 +16,8 @@
   Recover = 'recover',
   /** A node in touch does not have a configuration in force in time. */
   Config = 'config',
+  /** Nodes in touch went on to send a request under which three back ends had crashed. */
+  Crashing = 'crashing',
   /** A node that lives has no record in the store, long after the last fault. */
   Lapsed = 'lapsed',
 }
@@ -52,6 +54,22 @@
   readonly detail: string;
 }
 
+/** One run of a request that crashes its back end; `at` is a steady time in milliseconds. */
+export interface CrashingRun {
+  /** The same for requests that are the same. */
+  readonly mark: string;
+  readonly at: number;
+}
+
+/** The time of a fault, in steady milliseconds. */
+export interface Span {
+  readonly from: number;
+  until: number;
+}
+
+/** A request may crash so many back ends, and so many more once all nodes are to know of it. */
+const CRASHES_ALLOWED = 3;
+
 const OK = 200;
 const PROMISES = new Set([408, 421, 429, 503]);
 const RECOVERED_SHARE = 0.9;
@@ -119,3 +137,24 @@
     return version === newest ? [] : [{ rule: SoakRule.Config, detail }];
   });
 }
+
+/**
+ * Checks requests that crash back ends: later than the time in which nodes are in touch after the third
+ * crash, three more runs are allowed. Runs count where no fault was under way for as long before.
+ */
+export function checkCrashing(
+  runs: readonly CrashingRun[],
+  faults: readonly Span[],
+  contactMs: number,
+): SoakBreach[] {
+  const isCalm = (at: number) =>
+    faults.every(({ from, until }) => from > at || until < at - contactMs);
+  return [...new Set(runs.map(({ mark }) => mark))].flatMap<SoakBreach>((mark) => {
+    const times = runs.filter((run) => run.mark === mark).map(({ at }) => at);
+    times.sort((left, right) => left - right);
+    const third = times[CRASHES_ALLOWED - 1] ?? Number.POSITIVE_INFINITY;
+    const late = times.filter((at) => at > third + contactMs && isCalm(at)).length;
+    const detail = `${mark}: ${times.length} runs, ${late} of them too late`;
+    return late > CRASHES_ALLOWED ? [{ rule: SoakRule.Crashing, detail }] : [];
+  });
+}
