--- a/test/explain-a-failure.test.ts
+++ b/test/explain-a-failure.test.ts
@@ -1,5 +1,5 @@
 /**
- * From the id of a failed request to its cause, by log lines alone: the three
+ * From the id of a failed request to its cause, by log lines alone: the four
  * worked examples of docs/OPERATIONS.md. Run with `--reporter verbose` to see
  * the lines.
  */
@@ -87,18 +87,58 @@
     expect(absent).toMatchObject({ owner: owner.name, change: 'absent', detail: 'unreachable' });
   });
 
+  it('a request that crashes back ends: its fingerprint leads to the quarantine and the crashes', async () => {
+    const [owner, entry] = [await mesh.add('desk'), await mesh.add('desk')];
+    mesh.configure([{ name: 'read', service: 'desk' }]);
+    await mesh.settled();
+    for (const { application } of mesh.machines) {
+      application.crashesUnder = ({ target }) => target === '/read/crash';
+    }
+    const ask = (requestId: string) =>
+      call(entry.node.addresses.clients, '/read/crash', { requestId });
+    await ask('crash-1');
+    const refused = await ask('crash-2');
+    expect(refused).toMatchObject({ status: 503, body: '{"error":"quarantined"}\n' });
+    const [line] = linesOf(
+      entry,
+      ({ requestId, event }) => requestId === 'crash-2' && event === 'request',
+    );
+    expect(line).toMatchObject({ code: 'quarantined', status: 503, offers: [] });
+    const isSame = ({ fingerprint }: Line) => fingerprint === line?.fingerprint;
+    const lines = [...linesOf(owner, isSame), ...linesOf(entry, isSame)];
+    const proofs = lines.filter(({ event, origin }) => event === 'quarantine' && origin === 'own');
+    expect(proofs).toMatchObject([{ change: 'begun', crashes: 2, caller: 'desk' }]);
+    const tasks = lines.filter(({ event }) => event === 'task');
+    expect(tasks).toMatchObject(
+      Array(2).fill({ requestId: 'crash-1', result: 'unknown connection-lost' }),
+    );
+    const crashes = mesh.machines.flatMap((machine) =>
+      linesOf(machine, ({ event }) => event === 'crash'),
+    );
+    const named = crashes.map(({ instance }) => instance);
+    expect(named.sort()).toEqual(tasks.map(({ instance }) => instance).sort());
+    expect(crashes.flatMap(({ suspects }) => suspects)).toEqual([
+      line?.fingerprint,
+      line?.fingerprint,
+    ]);
+  });
+
   it('a node that the store does not serve: no version, and when the store was lost', async () => {
     const machine = await mesh.add('desk');
     machine.view.failure = 'unavailable';
     mesh.store.wake();
     const isLost = (line: Line) => line.event === 'store' && !line.connected;
-    await waitFor(() => (machine.lines as unknown as Line[]).filter(isLost).length === 2);
+    await waitFor(() => (machine.lines as unknown as Line[]).filter(isLost).length === 3);
     const result = await call(machine.node.addresses.clients, '/read/1', { requestId: 'early-1' });
     expect(result.status).toBe(503);
     const [line] = linesOf(machine, ({ requestId }) => requestId === 'early-1');
     expect(line).toMatchObject({ code: 'no-configuration', version: 0, offers: [] });
     const lost = linesOf(machine, isLost);
-    expect(lost.map(({ use }) => use).sort()).toEqual(['configuration', 'directory']);
-    expect(lost).toMatchObject([{ detail: 'unavailable' }, { detail: 'unavailable' }]);
+    expect(lost.map(({ use }) => use).sort()).toEqual([
+      'configuration',
+      'directory',
+      'quarantines',
+    ]);
+    expect(lost.map(({ detail }) => detail)).toEqual(Array(3).fill('unavailable'));
   });
 });
--- a/test/store-trouble.test.ts
+++ b/test/store-trouble.test.ts
@@ -27,7 +27,7 @@
     mesh.store.wake();
     const before = machine.view.calls;
     await new Promise((resolve) => setTimeout(resolve, WATCHED_MS));
-    // Two kinds are followed; each call that fails doubles the wait, from 0.15 s on.
+    // Three kinds are followed; each call that fails doubles the wait, from 0.15 s on.
     expect(machine.view.calls - before).toBeLessThanOrEqual(16);
     expect((await call(machine.node.addresses.clients, '/read/1')).status).toBe(200);
     machine.view.callsPerSecond = Number.POSITIVE_INFINITY;
