--- a/src/relay/relayedStore.ts
+++ b/src/relay/relayedStore.ts
@@ -34,10 +34,12 @@
 const LIST_PATIENCE_MS = 150;
 
 /**
- * A follower's watch of any other kind waits so many times longer than that of a configuration: an
- * owner that is known late breaks no promise, and each watch costs both nodes processor time.
+ * A follower's watch of the directory waits so many times longer than that of a configuration: an
+ * owner that is known late breaks no promise, and each watch costs both nodes processor time. One of
+ * any other kind waits as long as it is asked to: it still brings each change at once, and what it is
+ * about goes from node to node as well.
  */
-const UNHURRIED_PACES = 4;
+const DIRECTORY_PACES = 4;
 
 /**
  * Nodes that start together for the first time see none of the others in their first lists. The
@@ -157,6 +159,14 @@
     }
   };
 
+  /** How long a follower's watch waits, in milliseconds: a silent reader is found out after that. */
+  const longestWaitMs = (kind: string): number => {
+    if (kind === hurriedKind) {
+      return paceMs;
+    }
+    return kind === nodeKind ? paceMs * DIRECTORY_PACES : Number.POSITIVE_INFINITY;
+  };
+
   /** Undefined when the reader cannot speak for the store now. */
   const askReader = async (from: ZoneNode, question: StoreQuestion) => {
     const isList = question.revision === undefined;
@@ -256,8 +266,8 @@
       if (!from) {
         return alone.watch<Spec>(kind, revision, waitMs);
       }
-      const longestMs = kind === hurriedKind ? paceMs : paceMs * UNHURRIED_PACES;
-      const answer = await askReader(from, { kind, revision, waitMs: Math.min(waitMs, longestMs) });
+      const longestMs = Math.min(waitMs, longestWaitMs(kind));
+      const answer = await askReader(from, { kind, revision, waitMs: longestMs });
       return answer
         ? taken<Spec>(kind, revision, answer)
         : alone.watch<Spec>(kind, revision, CATCH_UP_WAIT_MS);
