Crashes of suspects are kept in the store, so that they outlive a loss of power of all nodes

A record is written for each crash of what had been under one before: two for a request until it is refused. lift takes the fingerprint, which the log lines have.

--- a/src/cli/quarantineCommands.ts
+++ b/src/cli/quarantineCommands.ts
@@ -1,6 +1,6 @@
 /** Commands about requests that are refused because they have crashed back ends. */
-import { QUARANTINE_KIND, type QuarantineRecord } from '../directory/quarantineSync.js';
-import { Reading } from '../source/object-store.js';
+import { CRASH_KIND, type CrashRecord } from '../directory/quarantineSync.js';
+import { type ObjectStore, Reading } from '../source/object-store.js';
 import type { CommandContext } from './commands.js';
 import { ExitCode } from './exitCode.js';
 import { refuse, unavailable } from './failures.js';
@@ -8,40 +8,55 @@
 
 /** Prints the quarantines that the store holds. */
 export async function listQuarantines({ store, output }: CommandContext): Promise<ExitCode> {
-  const listed = await store.list<QuarantineRecord>(QUARANTINE_KIND, Reading.Now);
+  const listed = await readCrashes(store);
   if (!listed.ok) {
     return unavailable(listed.failure, output);
   }
-  const quarantines = listed.value.items.map(({ name, spec: { caller, crashes } }) => ({
-    name,
-    caller,
-    crashes,
-  }));
+  const quarantines = listed.value.items.flatMap(({ name, spec }) =>
+    spec.quarantined.map(({ fingerprint, caller, crashes }) => ({
+      fingerprint,
+      caller,
+      crashes,
+      instance: name,
+    })),
+  );
   output.result({ quarantines }, () =>
     quarantines.length === 0
       ? 'No request is quarantined.'
       : tableOf(
-          ['NAME', 'CALLER', 'CRASHES'],
-          quarantines.map(({ name, caller, crashes }) => [name, caller, crashes]),
+          ['FINGERPRINT', 'CALLER', 'CRASHES', 'INSTANCE'],
+          quarantines.map((each) => Object.values(each)),
         ),
   );
   return ExitCode.Ok;
 }
 
-/** Ends a quarantine: its request runs alone once, and is served again if it runs to its end. */
+/** Ends the quarantines of a request: it runs alone once, and is served again if it runs to its end. */
 export async function liftQuarantine(
   { store, output }: CommandContext,
-  name: string,
+  fingerprint: string,
 ): Promise<ExitCode> {
-  const found = await store.get<QuarantineRecord>(QUARANTINE_KIND, name);
-  if (!found.ok && found.failure === 'not-found') {
-    const message = `no quarantine has the name ${name}`;
+  const listed = await readCrashes(store);
+  if (!listed.ok) {
+    return unavailable(listed.failure, output);
+  }
+  const proofs = listed.value.items.filter(({ spec }) =>
+    spec.quarantined.some((each) => each.fingerprint === fingerprint),
+  );
+  if (proofs.length === 0) {
+    const message = `no request with the fingerprint ${fingerprint} is quarantined`;
     return refuse([{ code: 'no-quarantine', path: '', message }], output);
   }
-  const result = found.ok ? await store.remove(QUARANTINE_KIND, name, found.value.revision) : found;
-  if (!result.ok) {
-    return unavailable(result.failure, output);
+  for (const { name, revision } of proofs) {
+    const result = await store.remove(CRASH_KIND, name, revision);
+    if (!result.ok) {
+      return unavailable(result.failure, output);
+    }
   }
-  output.result({ lifted: name }, () => `Quarantine ${name} is lifted.`);
+  output.result({ lifted: fingerprint }, () => `The quarantine of ${fingerprint} is lifted.`);
   return ExitCode.Ok;
 }
+
+function readCrashes(store: ObjectStore) {
+  return store.list<CrashRecord>(CRASH_KIND, Reading.Now);
+}
--- a/src/cli/runCli.ts
+++ b/src/cli/runCli.ts
@@ -132,14 +132,14 @@
       (options) => run(options, listQuarantines),
     )
     .command(
-      'lift <name>',
+      'lift <fingerprint>',
       'End a quarantine: its request runs once alone, and is served if that ends well',
       (options) =>
-        withStore(options, context.defaultStore).positional('name', {
+        withStore(options, context.defaultStore).positional('fingerprint', {
           type: 'string',
           demandOption: true,
         }),
-      ({ name, ...rest }) => run(rest, (command) => liftQuarantine(command, name)),
+      ({ fingerprint, ...rest }) => run(rest, (command) => liftQuarantine(command, fingerprint)),
     )
     .command(
       'secret <name> <file>',
--- a/src/directory/quarantineSync.ts
+++ b/src/directory/quarantineSync.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps the crash ledgers of all nodes in step. News goes from node to node at once, also while the
- * store is away; quarantines are kept in the store as well, for nodes that start later, also after all
- * have lost power, and for operators, who lift one by removing its record.
+ * store is away. Crashes of suspects are kept in the store as well, for nodes that start later, also after
+ * all have lost power, and for operators, who lift a quarantine by removing the record of its crash.
  */
 import type { Clock } from '../model/clock.js';
 import { rankNames } from '../model/rendezvous.js';
@@ -11,6 +11,7 @@
   type CrashNews,
   type RequestKey,
   Standing,
+  SUSPECT_CRASHES,
 } from '../quarantine/crashLedger.js';
 import {
   type CollectionHandler,
@@ -21,8 +22,8 @@
 import type { OwnerDirectory } from './owner-directory.js';
 import type { OwnerEntry, OwnerRecord } from './owner-entry.js';
 
-/** Kind of the records of quarantines. */
-export const QUARANTINE_KIND = 'spindlepaddle-quarantines';
+/** Kind of the records of crashes; each has the name of the incarnation. */
+export const CRASH_KIND = 'spindlepaddle-crashes';
 
 /** A call that tells another node takes no longer, in milliseconds; it is not repeated. */
 const TELL_TIMEOUT_MS = 500;
@@ -37,12 +38,17 @@
 /** Pause before a record that could not be written is written again, in milliseconds. */
 const WRITE_RETRY_MS = 1_000;
 
-/** Pause between two looks for records of quarantines that are over, in milliseconds. */
+/** Pause between two looks for records that are of no use any more, in milliseconds. */
 const CLEANING_MS = 30_000;
 
-/** One quarantine as the store keeps it. */
-export interface QuarantineRecord extends RequestKey {
-  /** Back ends that the request had crashed. */
+/** A crash as the store keeps it: of what was under way, that which had been under a crash before. */
+export interface CrashRecord {
+  readonly suspects: readonly CrashedRequest[];
+  readonly quarantined: readonly CrashedRequest[];
+}
+
+export interface CrashedRequest extends RequestKey {
+  /** Back ends that had crashed under the request. */
   readonly crashes: number;
 }
 
@@ -80,7 +86,7 @@
   const { clock, store, ledger, directory, caller, own, timing, onConnected, onQuarantine } =
     context;
   /** Records in the store, by their names. */
-  const stored = new Map<string, StoredObject<QuarantineRecord>>();
+  const stored = new Map<string, StoredObject<CrashRecord>>();
   let isStopped = false;
   let cleaning: NodeJS.Timeout | undefined;
 
@@ -119,12 +125,17 @@
     }
   };
 
-  /** A record that another node has written meanwhile says the same. */
-  const write = async (key: RequestKey): Promise<void> => {
-    const isWanted = () => ledger.standingOf(key, clock.now()) === Standing.Quarantined;
-    const record = { ...key, crashes: ledger.crashesOf(key.fingerprint) };
-    while (!isStopped && isWanted()) {
-      const result = await store.create<QuarantineRecord>(QUARANTINE_KIND, nameOf(key), record);
+  const counted = (keys: readonly RequestKey[]): CrashedRequest[] =>
+    keys
+      .map((key) => ({ ...key, crashes: ledger.crashesOf(key.fingerprint) }))
+      .filter(({ crashes }) => crashes >= SUSPECT_CRASHES);
+
+  /** First crashes are not written: most of what was under way there runs to its end at once. */
+  const write = async (name: string, { suspects, quarantined }: CrashNews): Promise<void> => {
+    const record = { suspects: counted(suspects), quarantined: counted(quarantined) };
+    const isOfUse = () => record.suspects.some(isSuspect);
+    while (!isStopped && isOfUse()) {
+      const result = await store.create<CrashRecord>(CRASH_KIND, name, record);
       if (result.ok || result.failure === 'conflict') {
         return;
       }
@@ -132,48 +143,64 @@
     }
   };
 
+  const isSuspect = (key: RequestKey): boolean =>
+    ledger.standingOf(key, clock.now()) !== Standing.Clear;
+
   const remove = (name: string): void => {
     const object = stored.get(name);
     if (object) {
       // Should that fail, the record is found by the next cleaning.
-      void store.remove(QUARANTINE_KIND, name, object.revision);
+      void store.remove(CRASH_KIND, name, object.revision);
+    }
+  };
+
+  /** What ran to its end is not quarantined by anything that the store says. */
+  const removeQuarantineOf = ({ fingerprint, caller: from }: RequestKey): void => {
+    for (const [name, { spec }] of stored) {
+      if (spec.quarantined.some((key) => key.fingerprint === fingerprint && key.caller === from)) {
+        remove(name);
+      }
     }
   };
 
   const lift = (name: string): void => {
     const object = stored.get(name);
-    if (object) {
-      stored.delete(name);
-      ledger.lift(object.spec);
-      note(object.spec, 'lifted', 'store');
+    stored.delete(name);
+    for (const key of object?.spec.quarantined ?? []) {
+      ledger.lift(key);
+      note(key, 'lifted', 'store');
     }
   };
 
-  const takeObject = (object: StoredObject<QuarantineRecord>): void => {
-    if (!isRecord(object.spec)) {
+  const takeObject = ({ name, revision, spec }: StoredObject<unknown>): void => {
+    if (stored.has(name) || !isRecord(spec)) {
       return;
     }
-    const isNews = !stored.has(object.name);
-    stored.set(object.name, object);
-    if (isNews && ledger.takeQuarantine(object.spec, object.spec.crashes, clock.now())) {
-      note(object.spec, 'begun', 'store');
+    stored.set(name, { name, revision, spec });
+    for (const key of spec.suspects) {
+      ledger.takeSuspicion(key, key.crashes, clock.now());
+    }
+    for (const key of spec.quarantined) {
+      if (ledger.takeQuarantine(key, clock.now())) {
+        note(key, 'begun', 'store');
+      }
     }
   };
 
-  /** Of all nodes the first one by rank removes what nobody refuses any longer. */
+  /** Of all nodes the first one by rank removes what is of no use any longer. */
   const clean = (): void => {
     const nodes = directory.all().map(({ record }) => record.node);
     for (const [name, { spec }] of stored) {
-      const isOver = ledger.standingOf(spec, clock.now()) !== Standing.Quarantined;
+      const isOver = !spec.suspects.some(isSuspect);
       if (isOver && rankNames(name, nodes)[0] === own().node) {
         remove(name);
       }
     }
   };
 
-  const watcher = new CollectionWatcher<QuarantineRecord>(
+  const watcher = new CollectionWatcher<CrashRecord>(
     store,
-    QUARANTINE_KIND,
+    CRASH_KIND,
     {
       onList: (objects) => {
         const present = new Set(objects.map(({ name }) => name));
@@ -208,12 +235,12 @@
       tellZone(news);
       tellOtherZones(news);
       noteQuarantined(news.quarantined, 'own');
-      for (const key of news.quarantined) {
-        void write(key);
+      if (news.instance !== undefined) {
+        void write(news.instance, news);
       }
       for (const key of news.cleared) {
         note(key, 'cleared', 'own');
-        remove(nameOf(key));
+        removeQuarantineOf(key);
       }
     },
     take: (news, passesOn, from) => {
@@ -225,17 +252,19 @@
   };
 }
 
-/** Name of a quarantine's record. */
-function nameOf({ fingerprint, caller }: RequestKey): string {
-  return `${fingerprint}.${caller}`;
+function isRecord(value: unknown): value is CrashRecord {
+  const { suspects, quarantined } = (value ?? {}) as Partial<CrashRecord>;
+  return isList(suspects) && isList(quarantined);
+}
+
+function isList(value: unknown): boolean {
+  return Array.isArray(value) && value.every(isCrashedRequest);
 }
 
-function isRecord(value: unknown): value is QuarantineRecord {
-  const record = value as Partial<QuarantineRecord> | null;
+function isCrashedRequest(value: unknown): boolean {
+  const { fingerprint, caller, crashes } = (value ?? {}) as Partial<CrashedRequest>;
   return (
-    typeof record?.fingerprint === 'string' &&
-    typeof record.caller === 'string' &&
-    typeof record.crashes === 'number'
+    typeof fingerprint === 'string' && typeof caller === 'string' && typeof crashes === 'number'
   );
 }
 
--- a/src/quarantine/crashLedger.test.ts
+++ b/src/quarantine/crashLedger.test.ts
@@ -130,11 +130,21 @@
     expect(fromNode.takeNews(convict(ledger), 0)).toEqual([CULPRIT]);
     expect(fromNode.takeNews(convict(ledger), 0)).toEqual([]);
     const fromStore = createCrashLedger();
-    expect(fromStore.takeQuarantine(CULPRIT, 5, 0)).toBe(true);
+    expect(fromStore.takeQuarantine(CULPRIT, 0)).toBe(true);
     expect(fromStore.standingOf(CULPRIT, 1)).toBe(Standing.Quarantined);
     expect(fromStore.standingOf(CULPRIT, QUARANTINE_MS)).toBe(Standing.Suspect);
   });
 
+  it('takes a suspicion from the store, unless the request has just run to its end here', () => {
+    const ledger = createCrashLedger();
+    ledger.takeSuspicion(CULPRIT, 2, 0);
+    expect(ledger.standingOf(CULPRIT, 1)).toBe(Standing.Suspect);
+    expect(crash(ledger, 'i-1', [CULPRIT], 1).quarantined).toEqual([CULPRIT]);
+    ledger.noteCompleted(other(1), 0);
+    ledger.takeSuspicion(other(1), 2, 1);
+    expect(ledger.standingOf(other(1), 1)).toBe(Standing.Clear);
+  });
+
   it('forgets a suspicion, and keeps quarantines when requests are made up to push them out', () => {
     const ledger = createCrashLedger();
     convict(ledger);
--- a/src/quarantine/crashLedger.ts
+++ b/src/quarantine/crashLedger.ts
@@ -49,7 +49,7 @@
  * Crashes after which a request runs alone. At one, each crash would have up to all slots of a back end
  * run alone, one after the other, and the users' rules grant three crashes.
  */
-const SUSPECT_CRASHES = 2;
+export const SUSPECT_CRASHES = 2;
 
 /** Without another crash, suspicion ends after this time, in milliseconds: clients come again minutes later. */
 const SUSPICION_MS = 600_000;
@@ -101,11 +101,13 @@
   noteCrash(instance: string, underWay: readonly RequestUnderWay[], now: number): CrashNews;
   /** Takes another node's news; returns what is quarantined since. */
   takeNews(news: CrashNews, now: number): readonly RequestKey[];
+  /** The store holds a suspicion of so many crashes. */
+  takeSuspicion(key: RequestKey, crashes: number, now: number): void;
   /** The store holds a quarantine; true if it was not known here. */
-  takeQuarantine(key: RequestKey, crashes: number, now: number): boolean;
+  takeQuarantine(key: RequestKey, now: number): boolean;
   /** The store does not hold it any more: the request runs alone once. */
   lift(key: RequestKey): void;
-  /** Crashes that are known of a request. */
+  /** Crashes that are known of a request; from two on it is a suspect unless it was cleared. */
   crashesOf(fingerprint: string): number;
   /** Requests that are refused now. */
   quarantined(now: number): readonly RequestKey[];
@@ -162,15 +164,11 @@
     return entry;
   };
 
-  const quarantine = (
-    { fingerprint, caller }: RequestKey,
-    now: number,
-    crashes = SUSPECT_CRASHES,
-  ): boolean => {
+  const quarantine = ({ fingerprint, caller }: RequestKey, now: number): boolean => {
     const entry = entryOf(fingerprint, now);
     const since = entry.quarantined.get(caller) ?? Number.NEGATIVE_INFINITY;
     const isNew = now - since >= QUARANTINE_MS;
-    entry.toldCrashes = Math.max(entry.toldCrashes, crashes);
+    entry.toldCrashes = Math.max(entry.toldCrashes, SUSPECT_CRASHES);
     entry.callers.add(caller);
     entry.cleared.delete(caller);
     if (isNew) {
@@ -243,7 +241,14 @@
       cleared.forEach(clear);
       return quarantined.filter((key) => quarantine(key, now));
     },
-    takeQuarantine: (key, crashes, now) => quarantine(key, now, crashes),
+    takeSuspicion: (key, crashes, now) => {
+      if (!hasCompleted(key, now)) {
+        const entry = entryOf(key.fingerprint, now);
+        entry.toldCrashes = Math.max(entry.toldCrashes, crashes);
+        entry.callers.add(key.caller);
+      }
+    },
+    takeQuarantine: quarantine,
     lift: ({ fingerprint, caller }) => {
       entries.get(fingerprint)?.quarantined.delete(caller);
     },
--- a/test/operators.test.ts
+++ b/test/operators.test.ts
@@ -10,7 +10,7 @@
 import { readConfigurationFile } from '../src/cli/configurationFile.js';
 import { ExitCode } from '../src/cli/exitCode.js';
 import { runCli } from '../src/cli/runCli.js';
-import { QUARANTINE_KIND } from '../src/directory/quarantineSync.js';
+import { CRASH_KIND } from '../src/directory/quarantineSync.js';
 import { checkMeshConfiguration } from '../src/routing/mesh-configuration.js';
 
 let folder: string;
@@ -262,21 +262,22 @@
 });
 
 describe('quarantines', () => {
-  it('are printed, and lifted by name', async () => {
+  it('are printed, and lifted by the fingerprint', async () => {
     const store = new MemoryStore();
     expect((await run(store, ['quarantines'])).results).toEqual([{ quarantines: [] }]);
-    const record = { fingerprint: 'f1', caller: 'desk', crashes: 3 };
-    store.put(QUARANTINE_KIND, 'f1.desk', record);
+    const request = { fingerprint: 'f1', caller: 'desk', crashes: 3 };
+    store.put(CRASH_KIND, 'i-1', { suspects: [request], quarantined: [request] });
+    store.put(CRASH_KIND, 'i-0', { suspects: [request], quarantined: [] });
     expect((await run(store, ['quarantines'])).results).toEqual([
-      { quarantines: [{ name: 'f1.desk', caller: 'desk', crashes: 3 }] },
+      { quarantines: [{ ...request, instance: 'i-1' }] },
     ]);
-    const wrong = await run(store, ['lift', 'f2.desk']);
+    const wrong = await run(store, ['lift', 'f2']);
     expect(wrong.code).toBe(ExitCode.Rejected);
     expect(wrong.results).toMatchObject([
-      { findings: [{ message: 'no quarantine has the name f2.desk' }] },
+      { findings: [{ message: 'no request with the fingerprint f2 is quarantined' }] },
     ]);
-    expect((await run(store, ['lift', 'f1.desk'])).code).toBe(ExitCode.Ok);
-    expect(store.kind(QUARANTINE_KIND).size).toBe(0);
+    expect((await run(store, ['lift', 'f1'])).code).toBe(ExitCode.Ok);
+    expect([...store.kind(CRASH_KIND).keys()]).toEqual(['i-0']);
     const away = new StoreView(store);
     away.failure = 'unavailable';
     expect((await run(store, ['quarantines'], away)).code).toBe(ExitCode.Unavailable);
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -2,7 +2,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { call, type Machine, SidecarMesh, waitFor } from '../lab/sidecar-mesh.js';
-import { QUARANTINE_KIND } from '../src/directory/quarantineSync.js';
+import { CRASH_KIND, type CrashRecord } from '../src/directory/quarantineSync.js';
 
 /** A node tells the others what it has found out well within this time, in milliseconds. */
 const TOLD_MS = 300;
@@ -52,8 +52,12 @@
   });
 }
 
+/** Names of the records of crashes that prove a quarantine. */
 function storedNames(): string[] {
-  return [...mesh.store.kind(QUARANTINE_KIND).keys()];
+  const records = [...mesh.store.kind(CRASH_KIND).values()];
+  return records.flatMap(({ name, spec }) =>
+    (spec as CrashRecord).quarantined.length > 0 ? [name] : [],
+  );
 }
 
 describe('a request that has crashed a back end alone', () => {
@@ -103,12 +107,30 @@
     expect(crashes()).toBe(before);
   });
 
+  it('is suspected again by all nodes that are started anew after two crashes', async () => {
+    for (const { application } of mesh.machines) {
+      application.serviceMs = 500;
+    }
+    // Others run beside it, so that its crashes prove nothing.
+    const beside = [1, 2, 3, 4, 5].map((index) => askAt(mesh.machines[index], `/read/${index}`));
+    await waitFor(() => mesh.runs().length === beside.length);
+    await askAt(mesh.machines[1]);
+    await Promise.all(beside);
+    expect(crashes()).toBe(2);
+    await waitFor(() => mesh.store.kind(CRASH_KIND).size === 1);
+    await Promise.all(mesh.machines.map((machine) => machine.restart()));
+    await waitFor(() => mesh.machines.every(({ node }) => node.status.backEndReady));
+    await delay(TOLD_MS);
+    await convict();
+    expect(crashes()).toBe(3);
+  });
+
   it('runs once more, alone, when an operator removes its record: mended, it is served', async () => {
     await convict();
     await waitFor(() => storedNames().length === 1);
     await waitFor(() => mesh.machines.every(({ node }) => node.status.backEndReady));
     crashing = false;
-    mesh.store.delete(QUARANTINE_KIND, storedNames()[0] as string);
+    mesh.store.delete(CRASH_KIND, storedNames()[0] as string);
     const lifted = () =>
       mesh.machines.every(({ lines }) =>
         lines.some(({ event, change }) => event === 'quarantine' && change === 'lifted'),
@@ -123,7 +145,7 @@
     await waitFor(() => storedNames().length === 1);
     await waitFor(() => mesh.machines.every(({ node }) => node.status.backEndReady));
     const before = crashes();
-    mesh.store.delete(QUARANTINE_KIND, storedNames()[0] as string);
+    mesh.store.delete(CRASH_KIND, storedNames()[0] as string);
     await delay(TOLD_MS);
     await convict(mesh.machines[2]);
     await waitFor(() => storedNames().length === 1);
