--- a/lab/sidecarSoak.ts
+++ b/lab/sidecarSoak.ts
@@ -10,7 +10,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { readFleet } from '../src/cli/fleetStatus.js';
-import { ApplicationStandIn } from './application-stand-in.js';
+import { ApplicationStandIn, LONGEST_DOWN_MS } from './application-stand-in.js';
 import { CONFIGURATION_KIND, CONFIGURATION_NAME } from './labOutside.js';
 import { MemoryStore, StoreView } from './memory-store.js';
 import { pickOne, seededRandom } from './random.js';
@@ -80,6 +80,8 @@
   readonly runs: number;
   /** Back ends that a request has crashed. */
   readonly crashes: number;
+  /** Those whose back ends were down while the recovery was looked at. */
+  readonly lateCrashes: number;
   readonly statuses: Readonly<Record<string, number>>;
   readonly breaches: readonly SoakBreach[];
 }
@@ -143,6 +145,8 @@
   private readonly spans: Span[] = [];
   private isOver = false;
   private afterFaults = false;
+  /** Steady time in milliseconds at which the requests begin that are to show the recovery. */
+  private afterFaultsAt = Number.POSITIVE_INFINITY;
   private version = 1;
 
   constructor(
@@ -177,6 +181,7 @@
     }
     await pause(SETTLE_MS);
     this.afterFaults = true;
+    this.afterFaultsAt = performance.now();
     await pause(RECOVERY_MS);
     this.isOver = true;
     this.crashing.stop();
@@ -268,6 +273,10 @@
     agent.destroy();
   }
 
+  private crashTimes(): number[] {
+    return this.sidecars.flatMap(({ application }) => application.crashes);
+  }
+
   private result(fleet: SoakFleet): SidecarSoakResult {
     const runs: SoakRun[] = this.sidecars.flatMap(({ application }) =>
       application.runs
@@ -287,7 +296,9 @@
       faults: Object.fromEntries(this.faults),
       requests: this.requests.length,
       runs: runs.length,
-      crashes: this.sidecars.reduce((sum, each) => sum + each.application.crashes.length, 0),
+      crashes: this.crashTimes().length,
+      lateCrashes: this.crashTimes().filter((at) => at > this.afterFaultsAt - LONGEST_DOWN_MS)
+        .length,
       statuses,
       breaches: [
         ...checkSoak(this.requests, runs, MAX_ATTEMPTS),
