--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -107,6 +107,17 @@
     expect(crashes()).toBe(before);
   });
 
+  it('is refused by a node that starts later', async () => {
+    await convict();
+    await waitFor(() => storedNames().length === 1);
+    const before = crashes();
+    const late = await mesh.add('desk', { zone: 'zone-c' });
+    await mesh.settled();
+    await waitFor(() => late.lines.some(({ event }) => event === 'quarantine'));
+    expect(refusalOf(await askAt(late))).toBe('503 quarantined');
+    expect(crashes()).toBe(before);
+  });
+
   it('is suspected again by all nodes that are started anew after two crashes', async () => {
     for (const { application } of mesh.machines) {
       application.serviceMs = 500;
