--- a/src/cli/fleetStatus.ts
+++ b/src/cli/fleetStatus.ts
@@ -21,6 +21,10 @@
   slots: 0,
   meanServiceMs: undefined,
   failureShare: 0,
+  backEndVersion: undefined,
+  bornAt: undefined,
+  slowness: 1,
+  waiting: 0,
   version: 0,
 };
 const NO_ADDRESS = '0.0.0.0:0';
--- /dev/null
+++ b/src/directory/newsBroadcast.ts
@@ -0,0 +1,93 @@
+/**
+ * Tells news to all nodes, from node to node and without the store: to each node of the own zone, and in
+ * each other zone to two that tell theirs. News is not repeated when a node does not take it: whoever
+ * needs certainty tells it again, or keeps it in the store as well.
+ */
+import { rankNames } from '../model/rendezvous.js';
+import type { News, PeerCaller } from '../peer/peerCaller.js';
+import type { NewsMessage, NewsTopic } from '../peer/peerMessages.js';
+import type { OwnerDirectory } from './owner-directory.js';
+import type { OwnerEntry, OwnerRecord } from './owner-entry.js';
+
+/** A call that tells another node takes no longer, in milliseconds; it is not repeated. */
+const TELL_TIMEOUT_MS = 500;
+
+/**
+ * Nodes of each other zone that are told and tell their zone: two, so that one may be away. News so
+ * costs its node as many calls as its zone has nodes and two for each other zone, and two nodes of
+ * each other zone as many as theirs: 256 and 250 among 1,000 nodes in four zones, of 200 bytes each.
+ */
+const TOLD_IN_OTHER_ZONES = 2;
+
+/** What is needed of the node. */
+export interface NewsBroadcastContext {
+  readonly directory: OwnerDirectory;
+  readonly caller: PeerCaller;
+  readonly own: () => OwnerRecord;
+}
+
+/** Takes news of a topic: its content, as it came, and the address of the node that told it here. */
+export type NewsListener = (content: unknown, from: string) => void;
+
+export interface NewsBroadcast {
+  /** Something was found out here; `content` is a value of CBOR. */
+  tell(topic: NewsTopic, content: unknown): void;
+  /** Another node has told something. */
+  take(message: NewsMessage): void;
+  /** Who takes the news of a topic: one listener each. */
+  listen(topic: NewsTopic, listener: NewsListener): void;
+}
+
+export function createNewsBroadcast({
+  directory,
+  caller,
+  own,
+}: NewsBroadcastContext): NewsBroadcast {
+  const listeners = new Map<NewsTopic, NewsListener>();
+
+  const othersIn = (isWanted: (entry: OwnerEntry) => boolean): OwnerEntry[] =>
+    directory.all().filter((entry) => !entry.isLocal && isWanted(entry));
+
+  const send = (entries: readonly OwnerEntry[], news: News): void => {
+    for (const { record } of entries) {
+      void caller.tell(record.address, news, TELL_TIMEOUT_MS);
+    }
+  };
+
+  const tellZone = (topic: NewsTopic, content: unknown): void =>
+    send(
+      othersIn((entry) => directory.isNear(entry)),
+      { topic, content, passesOn: false },
+    );
+
+  const tellOtherZones = (topic: NewsTopic, content: unknown): void => {
+    const far = othersIn((entry) => !directory.isNear(entry) && entry.absence !== 'silent');
+    for (const zone of new Set(far.map(({ record }) => record.zone))) {
+      const nodes = far.filter(({ record }) => record.zone === zone);
+      const ranked = rankNames(
+        own().node,
+        nodes.map(({ record }) => record.node),
+      ).slice(0, TOLD_IN_OTHER_ZONES);
+      send(
+        nodes.filter(({ record }) => ranked.includes(record.node)),
+        { topic, content, passesOn: true },
+      );
+    }
+  };
+
+  return {
+    tell: (topic, content) => {
+      tellZone(topic, content);
+      tellOtherZones(topic, content);
+    },
+    take: ({ topic, content, passesOn, sender }) => {
+      listeners.get(topic)?.(content, sender.address);
+      if (passesOn) {
+        tellZone(topic, content);
+      }
+    },
+    listen: (topic, listener) => {
+      listeners.set(topic, listener);
+    },
+  };
+}
--- a/src/directory/quarantineSync.ts
+++ b/src/directory/quarantineSync.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from '../model/clock.js';
 import { rankNames } from '../model/rendezvous.js';
-import type { PeerCaller } from '../peer/peerCaller.js';
+import { NewsTopic } from '../peer/peerMessages.js';
 import {
   type CrashLedger,
   type CrashNews,
@@ -13,28 +13,20 @@
   Standing,
   SUSPECT_CRASHES,
 } from '../quarantine/crashLedger.js';
+import { listOfNews, readNews } from '../quarantine/crashNewsCodec.js';
 import {
   type CollectionHandler,
   CollectionWatcher,
   type WatchTiming,
 } from '../source/collection-watcher.js';
 import type { ObjectStore, StoredObject } from '../source/object-store.js';
+import type { NewsBroadcast } from './newsBroadcast.js';
 import type { OwnerDirectory } from './owner-directory.js';
-import type { OwnerEntry, OwnerRecord } from './owner-entry.js';
+import type { OwnerRecord } from './owner-entry.js';
 
 /** Kind of the records of crashes; each has the name of the incarnation. */
 export const CRASH_KIND = 'spindlepaddle-crashes';
 
-/** A call that tells another node takes no longer, in milliseconds; it is not repeated. */
-const TELL_TIMEOUT_MS = 500;
-
-/**
- * Nodes of each other zone that are told and tell their zone: two, so that one may be away. A crash
- * so costs its node as many calls as its zone has nodes and two for each other zone, and two nodes of
- * each other zone as many as theirs: 256 and 250 among 1,000 nodes in four zones, of 200 bytes each.
- */
-const TOLD_IN_OTHER_ZONES = 2;
-
 /** Pause before a record that could not be written is written again, in milliseconds. */
 const WRITE_RETRY_MS = 1_000;
 
@@ -61,7 +53,7 @@
   readonly store: ObjectStore;
   readonly ledger: CrashLedger;
   readonly directory: OwnerDirectory;
-  readonly caller: PeerCaller;
+  readonly broadcast: NewsBroadcast;
   readonly own: () => OwnerRecord;
   readonly timing: WatchTiming;
   readonly onConnected: CollectionHandler<unknown>['onConnected'];
@@ -78,12 +70,10 @@
   stop(): void;
   /** Something was found out here. */
   tell(news: CrashNews): void;
-  /** Another node has told something. */
-  take(news: CrashNews, passesOn: boolean, from: string): void;
 }
 
 export function createQuarantineSync(context: QuarantineSyncContext): QuarantineSync {
-  const { clock, store, ledger, directory, caller, own, timing, onConnected, onQuarantine } =
+  const { clock, store, ledger, directory, broadcast, own, timing, onConnected, onQuarantine } =
     context;
   /** Records in the store, by their names. */
   const stored = new Map<string, StoredObject<CrashRecord>>();
@@ -93,38 +83,6 @@
   const note = (key: RequestKey, change: QuarantineChange, origin: string): void =>
     onQuarantine(key, change, origin, ledger.crashesOf(key.fingerprint));
 
-  const othersIn = (isWanted: (entry: OwnerEntry) => boolean): OwnerEntry[] =>
-    directory.all().filter((entry) => !entry.isLocal && isWanted(entry));
-
-  const send = (entries: readonly OwnerEntry[], news: CrashNews, passesOn: boolean): void => {
-    for (const { record } of entries) {
-      void caller.tellCrash(record.address, news, passesOn, TELL_TIMEOUT_MS);
-    }
-  };
-
-  const tellZone = (news: CrashNews): void =>
-    send(
-      othersIn((entry) => directory.isNear(entry)),
-      news,
-      false,
-    );
-
-  const tellOtherZones = (news: CrashNews): void => {
-    const far = othersIn((entry) => !directory.isNear(entry) && entry.absence !== 'silent');
-    for (const zone of new Set(far.map(({ record }) => record.zone))) {
-      const nodes = far.filter(({ record }) => record.zone === zone);
-      const ranked = rankNames(
-        own().node,
-        nodes.map(({ record }) => record.node),
-      ).slice(0, TOLD_IN_OTHER_ZONES);
-      send(
-        nodes.filter(({ record }) => ranked.includes(record.node)),
-        news,
-        true,
-      );
-    }
-  };
-
   const counted = (keys: readonly RequestKey[]): CrashedRequest[] =>
     keys
       .map((key) => ({ ...key, crashes: ledger.crashesOf(key.fingerprint) }))
@@ -221,6 +179,13 @@
     }
   };
 
+  broadcast.listen(NewsTopic.Crashes, (content, from) => {
+    const news = readNews(content);
+    if (news) {
+      noteQuarantined(ledger.takeNews(news, clock.now()), from);
+    }
+  });
+
   return {
     start: () => {
       cleaning = setInterval(clean, CLEANING_MS);
@@ -232,8 +197,7 @@
       watcher.stop();
     },
     tell: (news) => {
-      tellZone(news);
-      tellOtherZones(news);
+      broadcast.tell(NewsTopic.Crashes, listOfNews(news));
       noteQuarantined(news.quarantined, 'own');
       if (news.instance !== undefined) {
         void write(news.instance, news);
@@ -243,12 +207,6 @@
         removeQuarantineOf(key);
       }
     },
-    take: (news, passesOn, from) => {
-      noteQuarantined(ledger.takeNews(news, clock.now()), from);
-      if (passesOn) {
-        tellZone(news);
-      }
-    },
   };
 }
 
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -11,17 +11,16 @@
 import { type CrashLedger, type RequestKey, Standing } from '../quarantine/crashLedger.js';
 import { type Attempt, SILENT, startAttempt } from './attempt.js';
 import type { ClientRefusal } from './client-answer.js';
+import {
+  createDispatchRefusals,
+  type DispatchRefusals,
+  type RequestFate,
+} from './dispatchRefusals.js';
 import type { OfferLimit } from './offerLimit.js';
 import { createOwnerChoice, type OwnerChoice } from './ownerChoice.js';
 import type { ReturnTimes } from './returnTimes.js';
 import type { SharedRetryBudget } from './shared-retry-budget.js';
 
-/** Told when an obstacle other than a lack of room was met, in milliseconds. */
-const MIN_RETRY_AFTER_MS = 20;
-
-/** Told when no owner of the service is known to be ready. */
-const NO_OWNER_RETRY_AFTER_MS = 250;
-
 /** One offer and its fate, for the log. */
 export interface OfferRecord {
   readonly owner: string;
@@ -64,6 +63,7 @@
   private lastNotRun: OwnerNotRun | undefined;
   private readonly choice: OwnerChoice;
   private readonly key: RequestKey;
+  private readonly refusals: DispatchRefusals;
 
   constructor(
     private readonly context: DispatchContext,
@@ -71,10 +71,16 @@
     private readonly maxAttempts: number,
     /** Size of the request's body; infinite when it is not known. */
     bodyBytes: number,
-    private readonly mayServe?: OwnerWish['mayServe'],
+    readonly mayServe?: OwnerWish['mayServe'],
   ) {
     this.choice = createOwnerChoice({ ...context, task, bodyBytes, mayServe });
     this.key = { fingerprint: task.fingerprint, caller: task.callerService };
+    this.refusals = createDispatchRefusals({
+      ...context,
+      service: task.service,
+      key: this.key,
+      mayServe,
+    });
   }
 
   /** True when no back end can have run the request so far. */
@@ -123,7 +129,7 @@
     }
     const entry = this.chooseOwner();
     if (!entry) {
-      return this.noOwner();
+      return this.refusals.noOwner(this.fate);
     }
     this.offer(entry);
     return undefined;
@@ -162,7 +168,7 @@
     }
     if (!this.context.offerLimit.allows(this.task.service, this.tried.size)) {
       const hasNoRoom = !this.mayHaveRun && this.lastNotRun?.reason === 'busy';
-      return hasNoRoom ? this.noRoom() : this.giveUp('attempts-spent');
+      return hasNoRoom ? this.refusals.noRoom(this.fate) : this.giveUp('attempts-spent');
     }
     if (this.arrivals > 0 && !this.context.budget.withdraw(this.task.service, now)) {
       return this.giveUp('retry-budget-spent');
@@ -170,6 +176,14 @@
     return undefined;
   }
 
+  private giveUp(code: ClientRefusal['code']): ClientRefusal {
+    return this.refusals.giveUp(code, this.fate);
+  }
+
+  private get fate(): RequestFate {
+    return { mayHaveRun: this.mayHaveRun, lastNotRun: this.lastNotRun };
+  }
+
   private chooseOwner(): OwnerEntry | undefined {
     const { tried, busyNear } = this;
     const isSuspect = this.standing === Standing.Suspect;
@@ -228,54 +242,4 @@
       tookMs: Math.round(this.context.clock.now() - startedAt),
     });
   }
-
-  /** No owner is left to ask: the request has not run unless an earlier offer may have. */
-  private noOwner(): ClientRefusal {
-    if (this.mayHaveRun) {
-      return this.giveUp('no-owner');
-    }
-    if (this.isDenied()) {
-      return { code: 'placement-denied', status: 503, retryAfterMs: NO_OWNER_RETRY_AFTER_MS };
-    }
-    const isBusy = this.lastNotRun?.reason === 'busy';
-    const isResting = Number.isFinite(this.restMs());
-    return isBusy || isResting
-      ? this.noRoom()
-      : { code: 'no-owner', status: 503, retryAfterMs: NO_OWNER_RETRY_AFTER_MS };
-  }
-
-  /** The owners that were asked are full: clients come back at the pace of what is served. */
-  private noRoom(): ClientRefusal {
-    const restMs = this.restMs();
-    const waitMs =
-      this.lastNotRun?.retryAfterMs ?? (Number.isFinite(restMs) ? restMs : NO_OWNER_RETRY_AFTER_MS);
-    const now = this.context.clock.now();
-    const retryAfterMs = this.context.returns.next(this.task.service, waitMs, now);
-    return { code: 'busy', status: 503, retryAfterMs };
-  }
-
-  /** Milliseconds until some owner may be asked again; infinite when none is up. */
-  private restMs(): number {
-    return this.context.directory.restMs(this.task.service, this.context.clock.now());
-  }
-
-  /** True when owners of the service are up, and placement policies allow none of them. */
-  private isDenied(): boolean {
-    const { mayServe } = this;
-    const owners = this.context.directory.ownersOf(this.task.service);
-    const isUp = owners.some((entry) => !entry.absence);
-    return mayServe !== undefined && isUp && !owners.some((entry) => mayServe(entry.record));
-  }
-
-  private giveUp(code: ClientRefusal['code']): ClientRefusal {
-    if (this.mayHaveRun) {
-      return { code, status: code === 'deadline' ? 504 : 502 };
-    }
-    const { ledger, clock } = this.context;
-    const retryAfterMs =
-      code === 'quarantined'
-        ? ledger.quarantineLeftMs(this.key, clock.now())
-        : this.lastNotRun?.retryAfterMs;
-    return { code, status: 503, retryAfterMs: retryAfterMs ?? MIN_RETRY_AFTER_MS };
-  }
 }
--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -5,18 +5,16 @@
 import type { Clock } from '../model/clock.js';
 import { Cancellation } from '../owner/cancellation.js';
 import type { HeaderNames } from '../owner/header-names.js';
-import { collectBody, EMPTY_BODY, type MessageBody } from '../owner/message-body.js';
+import type { MessageBody } from '../owner/message-body.js';
 import type { OwnerTask } from '../owner/owner.js';
 import { endToEndFields, withField } from '../owner/raw-headers.js';
 import { fingerprintOf } from '../quarantine/fingerprint.js';
-import type { MeshLimits, MeshRoute } from '../routing/mesh-configuration.js';
+import type { MeshRoute } from '../routing/mesh-configuration.js';
 import type { MatchedRoute, RouteMatcher } from '../routing/route-matcher.js';
 import { type ClientRefusal, sendAnswer, sendRefusal } from './client-answer.js';
 import { Dispatch, type DispatchContext, type OfferRecord } from './dispatch.js';
 import { type OwnerCheck, placementOf } from './placement.js';
-
-/** A body up to this size, in bytes, is held, so that it can be offered again. */
-const MAX_HELD_BODY_BYTES = 1024 * 1024;
+import { hasBody, headBytes, takeBody } from './requestMessage.js';
 
 /** A request without a deadline or a time-out is given up after this time, in milliseconds. */
 const LONGEST_REQUEST_MS = 300_000;
@@ -27,9 +25,6 @@
 /** Told while the node stops, in milliseconds: others serve at once. */
 const STOPPING_RETRY_AFTER_MS = 20;
 
-/** A colon and a space, or a line end, go with each name and value of a header field. */
-const FIELD_FRAMING_BYTES = 2;
-
 /** One finished request, for logs and metrics. */
 export interface RequestRecord {
   readonly requestId: string;
@@ -127,7 +122,7 @@
       this.refuse({ code: 'ambiguous-path', status: 400 }, mayClose());
       return;
     }
-    const body = await this.takeBody(routes.configuration.limits);
+    const body = await takeBody(this.request, routes.configuration.limits);
     if (body === 'too-large') {
       this.refuse({ code: 'too-large', status: 413 }, true);
     } else if (body && !this.isFinished) {
@@ -190,6 +185,7 @@
       service: this.service,
       route: route.name,
       callerService: options.callerService(),
+      tenant: undefined,
       priority: route.priority,
       repeatable: route.kind === 'safe' && body.kind === 'bytes',
       deadlineAt: this.startedAt + this.allowedMs,
@@ -219,18 +215,6 @@
     }, this.allowedMs);
   }
 
-  private async takeBody(limits: MeshLimits): Promise<MessageBody | 'too-large' | undefined> {
-    if (!hasBody(this.request)) {
-      return EMPTY_BODY;
-    }
-    if (Number(this.request.headers['content-length'] ?? 0) > limits.maxBodyBytes) {
-      return 'too-large';
-    }
-    const body = await collectBody(this.request, MAX_HELD_BODY_BYTES).catch(() => undefined);
-    const isTooLarge = body?.kind === 'bytes' && body.bytes.length > limits.maxBodyBytes;
-    return isTooLarge ? 'too-large' : body;
-  }
-
   private refuse(refusal: ClientRefusal, closes: boolean): void {
     if (this.isFinished) {
       return;
@@ -269,13 +253,3 @@
     });
   }
 }
-
-/** Size of a request's header fields as they were sent, in bytes. */
-function headBytes(request: http.IncomingMessage): number {
-  return request.rawHeaders.reduce((sum, text) => sum + text.length + FIELD_FRAMING_BYTES, 0);
-}
-
-function hasBody(request: http.IncomingMessage): boolean {
-  const length = request.headers['content-length'];
-  return request.headers['transfer-encoding'] !== undefined || Number(length ?? 0) > 0;
-}
--- a/src/owner/back-end-call.test.ts
+++ b/src/owner/back-end-call.test.ts
@@ -48,6 +48,8 @@
       state: 'ready',
       coldUntil: 0,
       sequence: 1,
+      version: 'v1',
+      bornAt: undefined,
     },
     names: DEFAULT_HEADER_NAMES,
     agent: new http.Agent({ keepAlive: true }),
--- a/src/owner/back-end-presence.ts
+++ b/src/owner/back-end-presence.ts
@@ -174,7 +174,15 @@
       return;
     }
     const now = this.options.beliefClock.now();
-    const fallback = { service, address, state: 'ready', coldUntil: now, sequence: -1 } as const;
+    const fallback = {
+      service,
+      address,
+      state: 'ready',
+      coldUntil: now,
+      sequence: -1,
+      version: undefined,
+      bornAt: undefined,
+    } as const;
     this.registry.verified(report, fallback);
   }
 }
--- a/src/owner/header-names.ts
+++ b/src/owner/header-names.ts
@@ -18,6 +18,10 @@
   readonly callerService: string;
   /** Incarnation that answers a health question. */
   readonly instance: string;
+  /** A tenant's key, from clients only. */
+  readonly apiKey: string;
+  /** Name of the tenant whose key a request carries, for back ends only. */
+  readonly tenant: string;
 }
 
 /** The product's own names. */
@@ -30,4 +34,6 @@
   notRun: 'Spindlepaddle-Not-Run',
   callerService: 'Spindlepaddle-Caller-Service',
   instance: 'Spindlepaddle-Instance',
+  apiKey: 'Spindlepaddle-Api-Key',
+  tenant: 'Spindlepaddle-Tenant',
 };
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -3,7 +3,7 @@
 import type { Alarms } from '../model/alarms.js';
 import { Standing } from '../quarantine/crashLedger.js';
 import type { BackEnd, Heartbeat } from '../registry/back-end-registry.js';
-import { AdmissionControl, type AdmissionRequest, type Waiter } from './admission-control.js';
+import { AdmissionControl, type AdmissionRequest } from './admission-control.js';
 import { BackEndConnections } from './back-end-agent.js';
 import { BackEndPresence, type BackEndPresenceOptions } from './back-end-presence.js';
 import { createFailureShare } from './failureShare.js';
@@ -16,6 +16,7 @@
   turnedAway,
 } from './owner.js';
 import type { OwnerReport, TaskRecord } from './owner-report.js';
+import { waitForSlot } from './slotWait.js';
 import { createWatchedCalls, type WatchedCalls, type WatchedCallsContext } from './watchedCalls.js';
 
 /** After a late or foreign answer, connections are not kept for this long, in milliseconds. */
@@ -103,6 +104,10 @@
       slots: this.admission.capacity,
       meanServiceMs: this.admission.meanServiceMs,
       failureShare: this.failures.value,
+      backEndVersion: this.presence.backEnd?.version,
+      bornAt: this.presence.backEnd?.bornAt,
+      slowness: 1,
+      waiting: 0,
     };
   }
 
@@ -149,7 +154,11 @@
       return turnedAway('busy', decision.retryAfterMs);
     }
     if (decision.kind === 'wait') {
-      const refused = await this.wait(task, request);
+      const refused = await waitForSlot(task, request, {
+        ...this.options,
+        admission: this.admission,
+        obstacle: () => this.obstacle(),
+      });
       if (refused) {
         return refused;
       }
@@ -164,42 +173,6 @@
     return ledger.standingOf({ fingerprint, caller }, clock.now());
   }
 
-  /** Resolves with undefined when the task holds a slot. */
-  private wait(task: OwnerTask, request: AdmissionRequest): Promise<OwnerOutcome | undefined> {
-    return new Promise((resolve) => {
-      const now = this.options.clock.now();
-      const waiter: Waiter = {
-        request,
-        since: now,
-        admit: () => {
-          this.admission.started(request);
-          release();
-          resolve(undefined);
-        },
-        turnAway: (retryAfterMs) => {
-          release();
-          resolve(turnedAway(this.obstacle() ?? 'busy', retryAfterMs));
-        },
-      };
-      const forget = task.cancellation.onCancel(() => {
-        cancelTimer();
-        this.admission.remove(waiter);
-        resolve(turnedAway('cancelled'));
-      });
-      // No slot may become free for long: what can no longer be in time is told so at once.
-      const cancelTimer = this.options.alarms.set(() => {
-        this.admission.remove(waiter);
-        waiter.turnAway(this.admission.retryAfterMs());
-      }, this.admission.latestStartAt(task) - now);
-      const release = () => {
-        cancelTimer();
-        forget();
-      };
-      this.admission.enqueue(waiter);
-      task.onProgress('queued');
-    });
-  }
-
   private async runAdmitted(
     task: OwnerTask,
     request: AdmissionRequest,
--- a/src/owner/owner-report.ts
+++ b/src/owner/owner-report.ts
@@ -26,4 +26,15 @@
   readonly meanServiceMs: number | undefined;
   /** Share of what was sent to the back end that failed, from 0 to 1; a moving average. */
   readonly failureShare: number;
+  /** Version of the back end's software, as its heartbeats tell it; undefined before the first one. */
+  readonly backEndVersion: string | undefined;
+  /**
+   * Start of the back end's present life in Unix milliseconds of its own clock; undefined when it does
+   * not tell. To be compared with other lives of the same back end only.
+   */
+  readonly bornAt: number | undefined;
+  /** How long work takes the back end now, as a multiple of its usual time: 1 as usual. */
+  readonly slowness: number;
+  /** Requests that wait in the back end itself, from all senders, by its newest word. */
+  readonly waiting: number;
 }
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -20,6 +20,8 @@
   readonly route: string;
   /** Service that runs on the machine where the request began. */
   readonly callerService: string;
+  /** Name of the tenant whose key the request carries; undefined for calls, public routes and without tenants. */
+  readonly tenant: string | undefined;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** True if a back end may run the request more than once. */
--- /dev/null
+++ b/src/owner/slotWait.ts
@@ -0,0 +1,54 @@
+/** A task's wait for a slot of the back end. */
+import type { Alarms } from '../model/alarms.js';
+import type { Clock } from '../model/clock.js';
+import type { AdmissionControl, AdmissionRequest, Waiter } from './admission-control.js';
+import { type NotRunReason, type OwnerOutcome, type OwnerTask, turnedAway } from './owner.js';
+
+/** What the wait needs of its owner. */
+export interface SlotWaitContext {
+  readonly clock: Clock;
+  readonly alarms: Alarms;
+  readonly admission: AdmissionControl;
+  /** Why no task may be taken now, if so. */
+  readonly obstacle: () => NotRunReason | undefined;
+}
+
+/** Resolves with undefined when the task holds a slot. */
+export function waitForSlot(
+  task: OwnerTask,
+  request: AdmissionRequest,
+  { clock, alarms, admission, obstacle }: SlotWaitContext,
+): Promise<OwnerOutcome | undefined> {
+  return new Promise((resolve) => {
+    const now = clock.now();
+    const waiter: Waiter = {
+      request,
+      since: now,
+      admit: () => {
+        admission.started(request);
+        release();
+        resolve(undefined);
+      },
+      turnAway: (retryAfterMs) => {
+        release();
+        resolve(turnedAway(obstacle() ?? 'busy', retryAfterMs));
+      },
+    };
+    const forget = task.cancellation.onCancel(() => {
+      cancelTimer();
+      admission.remove(waiter);
+      resolve(turnedAway('cancelled'));
+    });
+    // No slot may become free for long: what can no longer be in time is told so at once.
+    const cancelTimer = alarms.set(() => {
+      admission.remove(waiter);
+      waiter.turnAway(admission.retryAfterMs());
+    }, admission.latestStartAt(task) - now);
+    const release = () => {
+      cancelTimer();
+      forget();
+    };
+    admission.enqueue(waiter);
+    task.onProgress('queued');
+  });
+}
--- a/src/peer/peerCaller.ts
+++ b/src/peer/peerCaller.ts
@@ -1,9 +1,9 @@
-/** Short calls to other nodes: their status, their configuration, the owners they know, news of crashes. */
+/** Short calls to other nodes: their status, their configuration, the owners they know, news. */
 import net from 'node:net';
-import type { CrashNews } from '../quarantine/crashLedger.js';
 import { createPeerConnection, type SentObserver } from './peerConnection.js';
 import {
   MessageKind,
+  type NewsTopic,
   type PeerMessage,
   PeerQuestion,
   type PeerReport,
@@ -11,6 +11,15 @@
   type ToldMessage,
 } from './peerMessages.js';
 
+/** News as one node is told it. */
+export interface News {
+  readonly topic: NewsTopic;
+  /** A value of CBOR. */
+  readonly content: unknown;
+  /** True if the receiver is to pass it on to the nodes of its zone. */
+  readonly passesOn: boolean;
+}
+
 /** Calls other nodes on connections of their own. */
 export class PeerCaller {
   constructor(
@@ -37,14 +46,9 @@
     return told?.bytes;
   }
 
-  /** Tells what was found out about requests that crash back ends; false when nobody took it. */
-  async tellCrash(
-    address: string,
-    news: CrashNews,
-    passesOn: boolean,
-    timeoutMs: number,
-  ): Promise<boolean> {
-    const message = { kind: MessageKind.Crash, sender: this.sender(), news, passesOn } as const;
+  /** Tells news; false when nobody took it. */
+  async tell(address: string, news: News, timeoutMs: number): Promise<boolean> {
+    const message = { kind: MessageKind.News, sender: this.sender(), ...news } as const;
     const reply = await this.exchange(address, message, timeoutMs);
     return reply?.kind === MessageKind.Pong;
   }
--- a/src/peer/peerCodec.ts
+++ b/src/peer/peerCodec.ts
@@ -2,25 +2,21 @@
 
 import { encodeFrame } from '../codec/frame.js';
 import type { NotRunReason, OwnerNotRun, OwnerUnknown } from '../owner/owner.js';
-import { NO_FINGERPRINT } from '../quarantine/fingerprint.js';
-import { listOfNews, readNews } from './crashNewsCodec.js';
 import {
   type AnswerMessage,
   type AskMessage,
-  type CrashMessage,
   MessageKind,
+  type NewsMessage,
+  NewsTopic,
   type OfferMessage,
   type PeerMessage,
   PeerQuestion,
-  type PeerReport,
   type PeerSender,
   type ReadMessage,
-  type TaskFields,
   type TurnedAwayMessage,
 } from './peerMessages.js';
-
-/** A report tells shares in whole parts of a hundred. */
-const PERCENT = 100;
+import { listOfReport, readReport } from './reportCodec.js';
+import { listOfTask, readTask } from './taskCodec.js';
 
 /** Renders a message as one frame: a list that begins with its kind. */
 export function encodeMessage(message: PeerMessage): Buffer {
@@ -46,8 +42,8 @@
       const { kind, revision, waitMs, base } = message.question;
       return [listOfSender(message.sender), kind, revision, Math.ceil(waitMs), base];
     }
-    case MessageKind.Crash:
-      return [listOfSender(message.sender), listOfNews(message.news), message.passesOn];
+    case MessageKind.News:
+      return [listOfSender(message.sender), message.topic, message.content, message.passesOn];
     case MessageKind.ReadResult:
       return [message.bytes];
     case MessageKind.TurnedAway: {
@@ -83,8 +79,8 @@
       return readAsk(content);
     case MessageKind.Read:
       return readRead(content);
-    case MessageKind.Crash:
-      return readCrash(content);
+    case MessageKind.News:
+      return readNews(content);
     case MessageKind.ReadResult: {
       const [bytes] = content;
       return Buffer.isBuffer(bytes) ? { kind, bytes } : undefined;
@@ -144,11 +140,17 @@
     : undefined;
 }
 
-function readCrash([sender, told, passesOn]: unknown[]): CrashMessage | undefined {
+function readNews([sender, topic, news, passesOn]: unknown[]): NewsMessage | undefined {
   const from = readSender(sender);
-  const news = readNews(told);
-  return from && news
-    ? { kind: MessageKind.Crash, sender: from, news, passesOn: passesOn === true }
+  const isKnown = Object.values(NewsTopic).includes(topic as NewsTopic);
+  return from && isKnown
+    ? {
+        kind: MessageKind.News,
+        sender: from,
+        topic: topic as NewsTopic,
+        content: news,
+        passesOn: passesOn === true,
+      }
     : undefined;
 }
 
@@ -195,91 +197,6 @@
     : undefined;
 }
 
-function listOfTask(task: TaskFields): unknown[] {
-  return [
-    task.service,
-    task.route,
-    task.callerService,
-    task.priority,
-    task.repeatable,
-    task.hasBody,
-    task.remainingMs,
-    task.targetMs,
-    task.requestId,
-    task.mayWait,
-    task.fingerprint,
-  ];
-}
-
-function readTask(value: unknown): TaskFields | undefined {
-  if (!Array.isArray(value)) {
-    return undefined;
-  }
-  const [
-    service,
-    route,
-    caller,
-    priority,
-    repeatable,
-    hasBody,
-    remaining,
-    target,
-    id,
-    mayWait,
-    fingerprint,
-  ] = value as unknown[];
-  if (typeof service !== 'string' || typeof id !== 'string') {
-    return undefined;
-  }
-  return {
-    service,
-    route: String(route),
-    callerService: String(caller),
-    priority: Number(priority),
-    repeatable: repeatable === true,
-    hasBody: hasBody === true,
-    remainingMs: Number(remaining),
-    targetMs: Number(target),
-    requestId: id,
-    mayWait: mayWait === true,
-    fingerprint: typeof fingerprint === 'string' ? fingerprint : NO_FINGERPRINT,
-  };
-}
-
-function listOfReport(report: PeerReport): unknown[] {
-  return [
-    report.service,
-    report.ready,
-    report.inFlight,
-    report.queued,
-    report.slots,
-    report.meanServiceMs === undefined ? undefined : Math.round(report.meanServiceMs),
-    report.version,
-    Math.round(report.failureShare * PERCENT),
-  ];
-}
-
-function readReport(value: unknown): PeerReport | undefined {
-  if (!Array.isArray(value)) {
-    return undefined;
-  }
-  const [service, ready, inFlight, queued, slots, meanServiceMs, version, failed] =
-    value as unknown[];
-  if (typeof version !== 'number') {
-    return undefined;
-  }
-  return {
-    service: typeof service === 'string' ? service : undefined,
-    ready: ready === true,
-    inFlight: Number(inFlight),
-    queued: Number(queued),
-    slots: Number(slots),
-    meanServiceMs: typeof meanServiceMs === 'number' ? meanServiceMs : undefined,
-    version,
-    failureShare: (Number(failed) || 0) / PERCENT,
-  };
-}
-
 function numberOrNone(value: unknown): number | undefined {
   return typeof value === 'number' ? value : undefined;
 }
--- a/src/peer/peerMessages.test.ts
+++ b/src/peer/peerMessages.test.ts
@@ -1,8 +1,9 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { FrameReader } from '../codec/frame.js';
+import { listOfNews } from '../quarantine/crashNewsCodec.js';
 import { decodeMessage, encodeMessage } from './peerCodec.js';
-import { MessageKind, type PeerMessage } from './peerMessages.js';
+import { MessageKind, NewsTopic, type PeerMessage } from './peerMessages.js';
 
 const report = fc.record({
   service: fc.option(fc.string(), { nil: undefined }),
@@ -13,6 +14,10 @@
   meanServiceMs: fc.option(fc.nat(), { nil: undefined }),
   version: fc.nat(),
   failureShare: fc.constantFrom(0, 0.25, 1),
+  backEndVersion: fc.option(fc.string(), { nil: undefined }),
+  bornAt: fc.option(fc.nat(), { nil: undefined }),
+  slowness: fc.constantFrom(0.5, 1, 2.75),
+  waiting: fc.nat(),
 });
 
 const bytes = fc.uint8Array({ maxLength: 200 }).map((array) => Buffer.from(array));
@@ -24,6 +29,7 @@
     service: fc.string(),
     route: fc.string(),
     callerService: fc.string(),
+    tenant: fc.option(fc.string(), { nil: undefined }),
     priority: fc.nat(),
     repeatable: fc.boolean(),
     hasBody: fc.boolean(),
@@ -55,19 +61,22 @@
 
 const keys = fc.array(fc.record({ fingerprint: fc.string(), caller: fc.string() }));
 
-const crash = fc.record({
-  kind: fc.constant(MessageKind.Crash as const),
+const news = fc.record({
+  kind: fc.constant(MessageKind.News as const),
   sender: fc.record({ address: fc.string(), version: fc.nat() }),
-  news: fc.record({
-    instance: fc.option(fc.string(), { nil: undefined }),
-    suspects: keys,
-    quarantined: keys,
-    cleared: keys,
-  }),
+  topic: fc.constantFrom(NewsTopic.Crashes, NewsTopic.Quotas, NewsTopic.RollOuts),
+  content: fc
+    .record({
+      instance: fc.option(fc.string(), { nil: undefined }),
+      suspects: keys,
+      quarantined: keys,
+      cleared: keys,
+    })
+    .map(listOfNews),
   passesOn: fc.boolean(),
 });
 
-const messages: fc.Arbitrary<PeerMessage> = fc.oneof(offer, answer, chunk, crash);
+const messages: fc.Arbitrary<PeerMessage> = fc.oneof(offer, answer, chunk, news);
 
 describe('messages between nodes', () => {
   it('come out as they went in, cut anywhere', () => {
--- a/src/peer/peerMessages.ts
+++ b/src/peer/peerMessages.ts
@@ -8,7 +8,6 @@
  */
 import type { OwnerNotRun, OwnerTask, OwnerUnknown } from '../owner/owner.js';
 import type { OwnerReport } from '../owner/owner-report.js';
-import type { CrashNews } from '../quarantine/crashLedger.js';
 import type { StoreQuestion } from '../source/object-store.js';
 
 /** What a message is. Numbers, since they travel with every message. */
@@ -25,8 +24,8 @@
   Read = 5,
   /** Either way: a chunk has been received. */
   ChunkReceived = 6,
-  /** What a node has found out about requests that crash back ends; answered like a ping. */
-  Crash = 7,
+  /** What a node has found out and all others are to know; answered like a ping. */
+  News = 7,
   /** Owner to ingress: the task waits. */
   Queued = 10,
   /** Owner to ingress: send the body. */
@@ -45,6 +44,16 @@
   ReadResult = 17,
 }
 
+/** What news is about. Numbers, since they travel with every message. */
+export enum NewsTopic {
+  /** Requests that crash back ends. */
+  Crashes = 1,
+  /** What tenants have used of their quotas. */
+  Quotas = 2,
+  /** How a roll-out goes. */
+  RollOuts = 3,
+}
+
 /** What may be asked of a node. */
 export enum PeerQuestion {
   Status = 'status',
@@ -63,6 +72,7 @@
   readonly service: string;
   readonly route: string;
   readonly callerService: string;
+  readonly tenant: string | undefined;
   readonly priority: number;
   readonly repeatable: boolean;
   readonly hasBody: boolean;
@@ -117,10 +127,12 @@
   readonly question: StoreQuestion;
 }
 
-export interface CrashMessage {
-  readonly kind: MessageKind.Crash;
+export interface NewsMessage {
+  readonly kind: MessageKind.News;
   readonly sender: PeerSender;
-  readonly news: CrashNews;
+  readonly topic: NewsTopic;
+  /** A value of CBOR; who listens to the topic reads and checks it. */
+  readonly content: unknown;
   /** True if the receiver is to pass it on to the nodes of its zone. */
   readonly passesOn: boolean;
 }
@@ -177,7 +189,7 @@
   | AnswerMessage
   | ToldMessage
   | ReadMessage
-  | CrashMessage
+  | NewsMessage
   | ReadResultMessage
   | PlainMessage;
 
@@ -187,6 +199,7 @@
     service: task.service,
     route: task.route,
     callerService: task.callerService,
+    tenant: task.tenant,
     priority: task.priority,
     repeatable: task.repeatable,
     hasBody: task.hasBody,
--- a/src/peer/peerServer.test.ts
+++ b/src/peer/peerServer.test.ts
@@ -23,7 +23,7 @@
     configuration: () => undefined,
     directory: () => undefined,
     read: () => Promise.reject(new Error('not used')),
-    onCrash: () => {},
+    onNews: () => {},
     onPeer: () => {},
   });
   const port = await server.listen('127.0.0.1', 0);
--- a/src/peer/peerServer.ts
+++ b/src/peer/peerServer.ts
@@ -14,8 +14,8 @@
 } from './peerConnection.js';
 import {
   type AskMessage,
-  type CrashMessage,
   MessageKind,
+  type NewsMessage,
   type OfferMessage,
   type PeerMessage,
   PeerQuestion,
@@ -38,8 +38,8 @@
   /** Answers a node that reads the store by way of this one. */
   readonly read: (question: StoreQuestion) => Promise<Buffer>;
   readonly traits?: ConnectionTraits;
-  /** Another node tells of requests that crash back ends. */
-  readonly onCrash: (message: CrashMessage) => void;
+  /** Another node tells news. */
+  readonly onNews: (message: NewsMessage) => void;
   /** Called with whatever another node says of itself. */
   readonly onPeer: (sender: PeerSender, report: PeerReport | undefined) => void;
 }
@@ -90,8 +90,8 @@
             connection.send({ kind: MessageKind.ReadResult, bytes });
           });
           return;
-        case MessageKind.Crash:
-          context.onCrash(message);
+        case MessageKind.News:
+          context.onNews(message);
           connection.send({ kind: MessageKind.Pong });
           return;
         case MessageKind.Ping:
--- /dev/null
+++ b/src/peer/reportCodec.ts
@@ -0,0 +1,61 @@
+/** How a node's report of itself travels: as a list, in a fixed order. */
+import type { PeerReport } from './peerMessages.js';
+
+/** A report tells shares and slowness in whole parts of a hundred. */
+const PERCENT = 100;
+
+/** Renders a report as a list. */
+export function listOfReport(report: PeerReport): unknown[] {
+  return [
+    report.service,
+    report.ready,
+    report.inFlight,
+    report.queued,
+    report.slots,
+    report.meanServiceMs === undefined ? undefined : Math.round(report.meanServiceMs),
+    report.version,
+    Math.round(report.failureShare * PERCENT),
+    report.backEndVersion,
+    report.bornAt,
+    Math.round(report.slowness * PERCENT),
+    report.waiting,
+  ];
+}
+
+/** Reads a list; undefined when it holds no report. */
+export function readReport(value: unknown): PeerReport | undefined {
+  if (!Array.isArray(value)) {
+    return undefined;
+  }
+  const [
+    service,
+    ready,
+    inFlight,
+    queued,
+    slots,
+    meanServiceMs,
+    version,
+    failed,
+    backEndVersion,
+    bornAt,
+    slowness,
+    waiting,
+  ] = value as unknown[];
+  if (typeof version !== 'number') {
+    return undefined;
+  }
+  return {
+    service: typeof service === 'string' ? service : undefined,
+    ready: ready === true,
+    inFlight: Number(inFlight),
+    queued: Number(queued),
+    slots: Number(slots),
+    meanServiceMs: typeof meanServiceMs === 'number' ? meanServiceMs : undefined,
+    version,
+    failureShare: (Number(failed) || 0) / PERCENT,
+    backEndVersion: typeof backEndVersion === 'string' ? backEndVersion : undefined,
+    bornAt: typeof bornAt === 'number' ? bornAt : undefined,
+    slowness: (Number(slowness) || PERCENT) / PERCENT,
+    waiting: Number(waiting) || 0,
+  };
+}
--- /dev/null
+++ b/src/quarantine/crashNewsCodec.test.ts
@@ -0,0 +1,29 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { listOfNews, readNews } from './crashNewsCodec.js';
+
+const keys = fc.array(fc.record({ fingerprint: fc.string(), caller: fc.string() }));
+
+const news = fc.record({
+  instance: fc.option(fc.string(), { nil: undefined }),
+  suspects: keys,
+  quarantined: keys,
+  cleared: keys,
+});
+
+describe('news of crashes', () => {
+  it('come out as they went in', () => {
+    fc.assert(
+      fc.property(news, (told) => {
+        expect(readNews(listOfNews(told))).toEqual(told);
+      }),
+      { seed: 13, numRuns: 200 },
+    );
+  });
+
+  it('are none when they are something else', () => {
+    for (const value of [undefined, 'i-1', [], ['i-1', [], []], ['i-1', [['f']], [], []]]) {
+      expect(readNews(value)).toBeUndefined();
+    }
+  });
+});
--- a/src/peer/crashNewsCodec.ts
+++ b/src/quarantine/crashNewsCodec.ts
@@ -1,5 +1,5 @@
 /** How news of crashes travels between nodes: the incarnation, then three lists of requests. */
-import type { CrashNews, RequestKey } from '../quarantine/crashLedger.js';
+import type { CrashNews, RequestKey } from './crashLedger.js';
 
 /** Renders news as a list. */
 export function listOfNews(news: CrashNews): unknown[] {
--- a/src/registry/back-end-registry.test.ts
+++ b/src/registry/back-end-registry.test.ts
@@ -8,6 +8,8 @@
   state: 'ready',
   coldUntil: 0,
   sequence: -1,
+  version: undefined,
+  bornAt: undefined,
 } as const;
 
 function beat(overrides: Partial<Heartbeat> = {}): Heartbeat {
@@ -19,6 +21,8 @@
     state: 'ready',
     coldRemainingMs: 0,
     sequence: 1,
+    version: 'v1',
+    bornAt: undefined,
     ...overrides,
   };
 }
--- a/src/registry/back-end-registry.ts
+++ b/src/registry/back-end-registry.ts
@@ -16,6 +16,10 @@
   readonly coldRemainingMs: number;
   /** Rises with each call of the same incarnation. */
   readonly sequence: number;
+  /** Version of its software; undefined when it tells none. */
+  readonly version: string | undefined;
+  /** Start of its present life, in Unix milliseconds of its own clock; undefined when it tells none. */
+  readonly bornAt: number | undefined;
 }
 
 /** The back end that the node may send work to, or that is leaving. */
@@ -28,6 +32,10 @@
   /** Steady time in milliseconds until which the back end is slow. */
   readonly coldUntil: number;
   readonly sequence: number;
+  /** Version of its software; undefined until a heartbeat has told it. */
+  readonly version: string | undefined;
+  /** Start of its present life, as its heartbeats tell it. */
+  readonly bornAt: number | undefined;
 }
 
 /** An answer to a health question that says "ready". */
@@ -154,5 +162,7 @@
     state: beat.state,
     coldUntil: now + beat.coldRemainingMs,
     sequence: beat.sequence,
+    version: beat.version,
+    bornAt: beat.bornAt,
   };
 }
--- a/src/routing/mesh-configuration.ts
+++ b/src/routing/mesh-configuration.ts
@@ -22,6 +22,8 @@
   priority: z.number().int().min(0).max(MAX_PRIORITY).default(1),
   maxAttempts: z.number().int().min(1).max(MAX_ATTEMPTS).default(1),
   split: z.array(z.object({ service: z.string().min(1), weight: z.number().min(0) })).min(1),
+  /** True if clients need no tenant's key here. */
+  isPublic: z.boolean().default(false),
   /** Names of the placement policies that must all allow an owner. */
   policies: z.array(z.string()).default([]),
   /** A secret that the back end gets in a header field. */
@@ -46,6 +48,18 @@
   maxConnections: z.number().int().positive().default(64),
 });
 
+const tenantSchema = z.object({
+  name: z.string().min(1),
+  /** Secrets: whoever sends one of them is the tenant. */
+  apiKeys: z.array(z.string().min(1)).default([]),
+  /** Goes before the priority of a route; 0 is the most urgent. */
+  priority: z.number().int().min(0).max(MAX_PRIORITY).optional(),
+  /** Requests a second, over all nodes; 0 is no limit. */
+  ratePerS: z.number().min(0).default(0),
+  /** Requests on top of the rate. */
+  burst: z.number().min(0).default(0),
+});
+
 const limitsSchema = z.object({
   maxHeaderBytes: z.number().int().positive().default(16_384),
   maxBodyBytes: z.number().positive().default(67_108_864),
@@ -60,6 +74,7 @@
   services: z.array(serviceSchema),
   policies: z.array(policySchema).default([]),
   secrets: z.array(secretSchema).default([]),
+  tenants: z.array(tenantSchema).default([]),
   limits: limitsSchema.prefault({}),
 });
 
@@ -67,6 +82,7 @@
 export type MeshService = z.infer<typeof serviceSchema>;
 export type MeshPolicy = z.infer<typeof policySchema>;
 export type MeshSecret = z.infer<typeof secretSchema>;
+export type MeshTenant = z.infer<typeof tenantSchema>;
 export type MeshLimits = z.infer<typeof limitsSchema>;
 
 /** A configuration that has passed every check. */
@@ -76,6 +92,8 @@
   readonly services: readonly MeshService[];
   readonly policies: readonly MeshPolicy[];
   readonly secrets: readonly MeshSecret[];
+  /** With any, requests on routes that are not public need a key. */
+  readonly tenants: readonly MeshTenant[];
   readonly limits: MeshLimits;
 }
 
--- a/src/sidecar/sidecar-settings.ts
+++ b/src/sidecar/sidecar-settings.ts
@@ -38,6 +38,41 @@
       slack: z.number().min(0).default(64),
     })
     .prefault({}),
+  /** Longest time, in milliseconds, after trouble in which nodes need not know of one another. */
+  contactMs: z.number().positive().default(3_000),
+  /** What the store's trouble, short of an outage, may add to the bounds of changes, in milliseconds. */
+  maxSkewMs: z.number().min(0).default(5_000),
+  /** Bounds of tenants' quotas; without them no tenant is limited. */
+  quota: z
+    .object({
+      /** Every span of this length counts, in milliseconds. */
+      windowMs: z.number().positive(),
+      /** Share by which the sum over all nodes may exceed a limit. */
+      overage: z.number().min(0),
+      /** Requests by which it may, besides. */
+      slack: z.number().min(0),
+    })
+    .optional(),
+  /** How keys that are taken away end. */
+  revocation: z
+    .object({
+      /** True if a node that may not know of it must refuse rather than serve with a key that may be gone. */
+      isStrict: z.boolean(),
+      /** Milliseconds until a key that was taken away is refused. */
+      withinMs: z.number().positive(),
+    })
+    .optional(),
+  /** Bounds of roll-outs; without them no order is followed. */
+  rollout: z
+    .object({
+      /** Largest share of a service's requests that a version may get before it has proved itself. */
+      exposureShare: z.number().min(0).max(1),
+      /** Requests that it may get besides. */
+      exposureSlack: z.number().min(0),
+      /** Milliseconds after its 50th bad answer within which a bad version must get nothing more. */
+      rollbackMs: z.number().positive(),
+    })
+    .optional(),
 });
 
 export type SidecarSettings = z.infer<typeof settingsSchema>;
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -1,10 +1,8 @@
-/** The parts of a sidecar, put together: to be read from top to bottom. */
-import type { DecisionLog } from '../diagnostics/decision-log.js';
 import { type LoadLine, startLoadLine } from '../diagnostics/loadLine.js';
-import type { SidecarMetrics } from '../diagnostics/sidecar-metrics.js';
-import { DirectorySync, NODE_KIND } from '../directory/directory-sync.js';
+import { DirectorySync } from '../directory/directory-sync.js';
+import { createNewsBroadcast } from '../directory/newsBroadcast.js';
 import { OwnerDirectory } from '../directory/owner-directory.js';
-import { OwnerEntry, type OwnerRecord } from '../directory/owner-entry.js';
+import type { OwnerRecord } from '../directory/owner-entry.js';
 import { createQuarantineSync, type QuarantineSync } from '../directory/quarantineSync.js';
 import { createSpillAllowance } from '../directory/spillAllowance.js';
 import { IngressServer } from '../ingress/ingress-server.js';
@@ -12,45 +10,25 @@
 import { createReturnTimes } from '../ingress/returnTimes.js';
 import { SharedRetryBudget } from '../ingress/shared-retry-budget.js';
 import { createAlarms } from '../model/alarms.js';
-import type { NodeClocks } from '../model/nodeClocks.js';
 import { LocalOwner } from '../owner/local-owner.js';
 import { bulkWindowOf } from '../peer/bodySender.js';
 import { PeerCaller } from '../peer/peerCaller.js';
 import { MessageKind, type PeerReport, type PeerSender } from '../peer/peerMessages.js';
 import { createPeerReads, type PeerReads } from '../peer/peerReads.js';
 import { PeerServer } from '../peer/peerServer.js';
-import { RemoteOwner } from '../peer/remoteOwner.js';
 import { type CrashLedger, createCrashLedger } from '../quarantine/crashLedger.js';
 import type { BackEnd } from '../registry/back-end-registry.js';
-import { createZoneRelay, type ZoneRelay } from '../relay/zoneRelay.js';
-import type { RouteMatcher } from '../routing/route-matcher.js';
-import { ConfigurationFollower } from '../source/configuration-follower.js';
-import { ObservedStore } from '../source/observed-store.js';
-import { createSupplier } from '../source/supplier.js';
+import type { ZoneRelay } from '../relay/zoneRelay.js';
+import type { ConfigurationFollower } from '../source/configuration-follower.js';
 import { recordNews, recordRequest, recordTask } from './decisionRecords.js';
-import type { Outside } from './outside.js';
-import type { SidecarSettings } from './sidecar-settings.js';
-import { createZoneMembership } from './zoneMembership.js';
+import { createOwnerEntries, ownRecordOf } from './ownerEntries.js';
+import type { SidecarPartsContext } from './sidecarPartsContext.js';
+import { createConfigurationPart, createRelayPart } from './storeParts.js';
 
 /** The directory's watch: its longest wait, and what comes within so long is taken together. */
 const DIRECTORY_WAIT_MS = 15_000;
 const DIRECTORY_SETTLE_MS = 500;
 
-/** A configuration is asked of another node for at the most this long, in milliseconds. */
-const PEER_CONFIGURATION_TIMEOUT_MS = 1_000;
-
-/** What the parts are given. */
-export interface SidecarPartsContext {
-  /** In force now: they may be reloaded. */
-  readonly settings: () => SidecarSettings;
-  readonly outside: Outside;
-  readonly clocks: NodeClocks;
-  readonly log: DecisionLog;
-  readonly metrics: SidecarMetrics;
-  /** A configuration has come into force. */
-  readonly onInForce: (routes: RouteMatcher, origin: string) => void;
-}
-
 export interface SidecarParts {
   readonly owner: LocalOwner;
   readonly directory: OwnerDirectory;
@@ -68,11 +46,11 @@
 }
 
 export function createSidecarParts(context: SidecarPartsContext): SidecarParts {
-  const { settings, outside, clocks, log, metrics, onInForce } = context;
+  const { settings, outside, clocks, log, metrics } = context;
   const { clock, beliefClock } = clocks;
   const alarms = createAlarms(clocks);
   const { names } = outside;
-  const { node, zone, configurationApplyMs } = settings();
+  const { zone } = settings();
 
   const load = startLoadLine(log);
   const onSent = (kind: MessageKind, bytes: number) => {
@@ -83,7 +61,7 @@
     load.noteReceived(kind, bytes);
   };
 
-  const record = () => recordOf(settings());
+  const record = () => ownRecordOf(settings());
   const sender = (): PeerSender => ({
     address: settings().listen.peers,
     version: configuration.version,
@@ -111,54 +89,25 @@
     onTask: (task) => recordTask({ log, metrics }, task, owner.report),
   });
 
-  const entryOf = (known: OwnerRecord): OwnerEntry => {
-    if (known.node === node) {
-      return new OwnerEntry(known, owner, report);
-    }
-    const remote = new RemoteOwner(known.address, {
-      clock,
-      sender,
-      traits: { onSent, window: bulkWindowOf(settings().linkMbps, known.linkMbps) },
-      onReply: (tookMs) => load.noteReply(tookMs),
-      onReport: (told) => {
-        entry.noteReport(told, clock.now());
-        configuration.noteVersion(known.address, told.version);
-      },
-      onFailure: (cause) => {
-        if (!entry.absence) {
-          log.event('owner', { owner: known.node, change: 'absent', detail: cause });
-        }
-        entry.makeAbsent('silent', clock.now());
-      },
-    });
-    const entry = new OwnerEntry(known, remote);
-    return entry;
-  };
+  const entryOf = createOwnerEntries({
+    settings,
+    clock,
+    log,
+    owner,
+    sender,
+    report,
+    onSent,
+    onReply: (tookMs) => load.noteReply(tookMs),
+    onVersion: (address, version) => configuration.noteVersion(address, version),
+  });
   const directory = new OwnerDirectory(zone, entryOf, Math.random, settings().linkMbps);
   directory.put(record());
 
   const reads = createPeerReads(sender, onSent);
-  const relay = createZoneRelay({
-    clock: beliefClock,
-    store: new ObservedStore(
-      outside.store,
-      () => clock.now(),
-      (operation, result) => metrics.storeCalled(operation, result),
-    ),
-    record: { kind: NODE_KIND, name: node },
-    hurriedKind: outside.configurationKind,
-    applyMs: configurationApplyMs,
-    zonePart: createZoneMembership({ clock, directory, own: record }),
-    readPeer: (address, question, timeoutMs) => reads.read(address, question, timeoutMs),
-    onReader: (reader, cause) => log.event('zone-reader', { reader, cause }),
-    onReach: (isReached, detail) => log.event('store-reach', { isReached, detail }),
-    onUntold: (kind, revision) => log.event('watch-silent', { kind, revision }),
-    onAnswer: (kind, bytes) => {
-      load.noteRelayed(kind, bytes);
-    },
-  });
+  const relay = createRelayPart({ ...context, load, directory, reads, record });
 
   const caller = new PeerCaller(sender, report, onSent);
+  const broadcast = createNewsBroadcast({ directory, caller, own: record });
   const sync = new DirectorySync({
     clock,
     store: relay.store,
@@ -179,7 +128,7 @@
     store: relay.store,
     ledger,
     directory,
-    caller,
+    broadcast,
     own: record,
     timing: { waitMs: DIRECTORY_WAIT_MS, settleMs: () => 0 },
     onConnected: onStore('quarantines'),
@@ -187,27 +136,11 @@
       log.event('quarantine', { fingerprint, caller: from, change, origin, crashes }),
   });
 
-  const configuration = new ConfigurationFollower({
-    clock: beliefClock,
-    store: relay.store,
-    provenAt: () => relay.store.answeredAt,
-    kind: outside.configurationKind,
-    name: outside.configurationName,
-    applyMs: configurationApplyMs,
-    settleMs: () => relay.settleMs(),
-    decode: outside.decodeConfiguration,
-    decodeBytes: outside.decodeConfigurationBytes,
-    askPeer: (address) => caller.configuration(address, PEER_CONFIGURATION_TIMEOUT_MS),
+  const configuration = createConfigurationPart({
+    ...context,
+    relay,
+    caller,
     onConnected: onStore('configuration'),
-    onInForce,
-    onHeldOff: (version, origin, findings) =>
-      log.event('configuration-held-off', { version, origin, findings }),
-    onShort: (version, shortage) => log.event('configuration-waits', { version, ...shortage }),
-    onUnreadable: (revision) => log.event('configuration-unreadable', { revision }),
-    supplier: createSupplier({
-      store: relay.store,
-      loadPolicyCompiler: outside.loadPolicyCompiler,
-    }),
   });
 
   const ingress = new IngressServer({
@@ -238,7 +171,7 @@
     configuration: () => configuration.bytes(),
     directory: () => sync.bytes(),
     read: (question) => relay.answer(question),
-    onCrash: ({ news, passesOn, sender: from }) => quarantines.take(news, passesOn, from.address),
+    onNews: broadcast.take,
     onPeer: (from, told) => {
       sync.notePeer(from, told);
       configuration.noteVersion(from.address, from.version);
@@ -278,16 +211,3 @@
     record,
   };
 }
-
-function recordOf(settings: SidecarSettings): OwnerRecord {
-  const { node, zone, service, listen, linkMbps, region, labels } = settings;
-  return {
-    node,
-    address: listen.peers,
-    zone,
-    service,
-    ...(linkMbps === undefined ? {} : { linkMbps }),
-    ...(region === undefined ? {} : { region }),
-    ...(labels === undefined ? {} : { labels }),
-  };
-}
--- a/test/fixtures.ts
+++ b/test/fixtures.ts
@@ -16,6 +16,10 @@
     meanServiceMs: 10,
     version: 1,
     failureShare: 0,
+    backEndVersion: 'v1',
+    bornAt: undefined,
+    slowness: 1,
+    waiting: 0,
     ...overrides,
   };
 }
@@ -31,6 +35,7 @@
     service: 'desk',
     route: 'read',
     callerService: 'desk',
+    tenant: undefined,
     priority: 1,
     repeatable: true,
     deadlineAt: 1_000,
