Tenants' keys decide who may ask: 401 without a key that one tenant holds

Cause: with tenants in the configuration no key was read, and it went on to the back end. Change: src/tenants holds the keyring (by digests) and the decision; the ingress asks it before anything else and again after a body has come in; the back end gets the tenant's name, never a key or a client's word for it. A tenant's priority goes before the route's. Without tenants nothing is read and nothing taken out.

--- a/src/cli/configurationDiff.ts
+++ b/src/cli/configurationDiff.ts
@@ -16,7 +16,7 @@
   readonly name: string;
 }
 
-const KINDS = ['routes', 'services', 'policies', 'secrets'] as const;
+const KINDS = ['routes', 'services', 'policies', 'secrets', 'tenants'] as const;
 
 /** Changes from one configuration to another; the version does not count. */
 export function configurationDiff(
--- a/src/ingress/client-answer.ts
+++ b/src/ingress/client-answer.ts
@@ -8,6 +8,8 @@
   | 'no-configuration'
   | 'configuration-behind'
   | 'no-route'
+  /** It carries no key, more than one, or one that no tenant holds. */
+  | 'unknown-key'
   | 'too-large'
   | 'head-too-large'
   | 'busy'
@@ -26,7 +28,7 @@
 /** A refusal; 503 promises that the request has not run and never will. */
 export interface ClientRefusal {
   readonly code: RefusalCode;
-  readonly status: 400 | 404 | 413 | 431 | 502 | 503 | 504;
+  readonly status: 400 | 401 | 404 | 413 | 431 | 502 | 503 | 504;
   /** Milliseconds after which to come back, for 503. */
   readonly retryAfterMs?: number;
 }
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -7,7 +7,13 @@
 import type { OwnerEntry } from '../directory/owner-entry.js';
 import type { SpillAllowance } from '../directory/spillAllowance.js';
 import type { Clock } from '../model/clock.js';
-import type { OwnerAnswer, OwnerNotRun, OwnerOutcome, OwnerTask } from '../owner/owner.js';
+import {
+  crashKeyOf,
+  type OwnerAnswer,
+  type OwnerNotRun,
+  type OwnerOutcome,
+  type OwnerTask,
+} from '../owner/owner.js';
 import { type CrashLedger, type RequestKey, Standing } from '../quarantine/crashLedger.js';
 import { type Attempt, SILENT, startAttempt } from './attempt.js';
 import type { ClientRefusal } from './client-answer.js';
@@ -74,7 +80,7 @@
     readonly mayServe?: OwnerWish['mayServe'],
   ) {
     this.choice = createOwnerChoice({ ...context, task, bodyBytes, mayServe });
-    this.key = { fingerprint: task.fingerprint, caller: task.callerService };
+    this.key = crashKeyOf(task);
     this.refusals = createDispatchRefusals({
       ...context,
       service: task.service,
--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -4,14 +4,16 @@
 import type { Alarms } from '../model/alarms.js';
 import type { Clock } from '../model/clock.js';
 import { Cancellation } from '../owner/cancellation.js';
-import type { HeaderNames } from '../owner/header-names.js';
 import type { MessageBody } from '../owner/message-body.js';
 import type { OwnerTask } from '../owner/owner.js';
 import { endToEndFields, withField } from '../owner/raw-headers.js';
 import { fingerprintOf } from '../quarantine/fingerprint.js';
 import type { MeshRoute } from '../routing/mesh-configuration.js';
 import type { MatchedRoute, RouteMatcher } from '../routing/route-matcher.js';
+import { AccessKind } from '../tenants/access.js';
+import type { MeshTenant } from '../tenants/tenant.js';
 import { type ClientRefusal, sendAnswer, sendRefusal } from './client-answer.js';
+import type { ClientAccess, ClientAccessContext } from './clientAccess.js';
 import { Dispatch, type DispatchContext, type OfferRecord } from './dispatch.js';
 import { type OwnerCheck, placementOf } from './placement.js';
 import { hasBody, headBytes, takeBody } from './requestMessage.js';
@@ -22,6 +24,12 @@
 /** Told while no configuration is known, or a newer one may exist, in milliseconds. */
 const NO_CONFIGURATION_RETRY_AFTER_MS = 250;
 
+const BEHIND: ClientRefusal = {
+  code: 'configuration-behind',
+  status: 503,
+  retryAfterMs: NO_CONFIGURATION_RETRY_AFTER_MS,
+};
+
 /** Told while the node stops, in milliseconds: others serve at once. */
 const STOPPING_RETRY_AFTER_MS = 20;
 
@@ -32,6 +40,8 @@
   readonly fingerprint: string;
   readonly route: string;
   readonly service: string;
+  /** Name of the tenant whose key it carried, if one was needed. */
+  readonly tenant: string | undefined;
   readonly version: number;
   /** Status that the client got; 0 when the client left first. */
   readonly status: number;
@@ -43,13 +53,10 @@
 }
 
 /** What the ingress needs of its node. */
-export interface IngressOptions extends DispatchContext {
+export interface IngressOptions extends DispatchContext, ClientAccessContext {
   readonly clock: Clock;
   readonly alarms: Alarms;
-  readonly names: HeaderNames;
   readonly routes: () => RouteMatcher | undefined;
-  /** True when there may be a newer configuration than the one in force here. */
-  readonly mayBeBehind: () => boolean;
   /** This node's own record. */
   readonly own: () => OwnerRecord;
   /** Service that runs on this machine. */
@@ -64,6 +71,9 @@
   private readonly requestId: string;
   private route: MeshRoute | undefined;
   private service = '';
+  private tenant: MeshTenant | undefined;
+  /** True if a configuration that decided about it has tenants. */
+  private hasTenants = false;
   private fingerprint = '';
   private version = 0;
   private allowedMs = 0;
@@ -73,8 +83,7 @@
 
   constructor(
     private readonly options: IngressOptions,
-    /** Names of header fields, in lower case, that clients may not set. */
-    private readonly reserved: ReadonlySet<string>,
+    private readonly access: ClientAccess,
     private readonly request: http.IncomingMessage,
     private readonly response: http.ServerResponse,
   ) {
@@ -105,11 +114,14 @@
       this.refuse(this.noRoute(), mayClose());
       return;
     }
+    this.route = matched.route;
+    if (!this.isAdmitted(routes, matched.route, mayClose)) {
+      return;
+    }
     if (headBytes(this.request) > routes.configuration.limits.maxHeaderBytes) {
       this.refuse({ code: 'head-too-large', status: 431 }, true);
       return;
     }
-    this.route = matched.route;
     this.service = matched.split.next();
     this.startTimer(matched.route, mayClose);
     if (this.startedAt + this.allowedMs > latestEnd) {
@@ -125,16 +137,37 @@
     const body = await takeBody(this.request, routes.configuration.limits);
     if (body === 'too-large') {
       this.refuse({ code: 'too-large', status: 413 }, true);
-    } else if (body && !this.isFinished) {
+    } else if (body && !this.isFinished && this.isStillAdmitted(routes, matched.route, mayClose)) {
       await this.bringToOwner(matched, body, placement.orDefault(undefined), mayClose);
     }
   }
 
   /** A node that may be behind does not say that a route does not exist: it may be a new one. */
   private noRoute(): ClientRefusal {
-    return this.options.mayBeBehind()
-      ? { code: 'configuration-behind', status: 503, retryAfterMs: NO_CONFIGURATION_RETRY_AFTER_MS }
-      : { code: 'no-route', status: 404 };
+    return this.options.mayBeBehind() ? BEHIND : { code: 'no-route', status: 404 };
+  }
+
+  /** Takes note of the tenant; refuses a request without a key that lets it in. */
+  private isAdmitted(routes: RouteMatcher, route: MeshRoute, mayClose: () => boolean): boolean {
+    const access = this.access.decide(this.request, routes, route);
+    this.hasTenants ||= routes.keyring.hasTenants;
+    if (access.kind === AccessKind.Granted) {
+      this.tenant = access.tenant;
+      return true;
+    }
+    const isDenied = access.kind === AccessKind.Denied;
+    this.refuse(isDenied ? { code: 'unknown-key', status: 401 } : BEHIND, mayClose());
+    return false;
+  }
+
+  /** While a body came in, a version may have taken the key away. */
+  private isStillAdmitted(
+    before: RouteMatcher,
+    route: MeshRoute,
+    mayClose: () => boolean,
+  ): boolean {
+    const routes = this.options.routes() ?? before;
+    return !hasBody(this.request) || this.isAdmitted(routes, route, mayClose);
   }
 
   private async bringToOwner(
@@ -166,7 +199,8 @@
 
   private taskOf({ route, credential }: MatchedRoute, body: MessageBody): OwnerTask {
     const { request, options } = this;
-    const fields = endToEndFields(request.rawHeaders, request.headers.connection, this.reserved);
+    const reserved = this.access.reservedFields(this.hasTenants);
+    const fields = endToEndFields(request.rawHeaders, request.headers.connection, reserved);
     const targetMs = Math.min(this.allowedMs, route.targetLatencyMs ?? this.allowedMs);
     const method = request.method ?? 'GET';
     const target = request.url ?? '/';
@@ -185,8 +219,8 @@
       service: this.service,
       route: route.name,
       callerService: options.callerService(),
-      tenant: undefined,
-      priority: route.priority,
+      tenant: this.tenant?.name,
+      priority: this.tenant?.priority ?? route.priority,
       repeatable: route.kind === 'safe' && body.kind === 'bytes',
       deadlineAt: this.startedAt + this.allowedMs,
       targetAt: this.startedAt + targetMs,
@@ -244,6 +278,7 @@
       fingerprint: this.fingerprint,
       route: this.route?.name ?? '',
       service: this.service,
+      tenant: this.tenant?.name,
       version: this.version,
       status,
       code,
--- a/src/ingress/ingress-server.ts
+++ b/src/ingress/ingress-server.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import { listenOn } from '../peer/listenOn.js';
 import type { MeshLimits } from '../routing/mesh-configuration.js';
+import { type ClientAccess, createClientAccess } from './clientAccess.js';
 import { type IngressOptions, IngressRequest } from './ingress-request.js';
 import { createPipelines } from './pipelines.js';
 
@@ -24,18 +25,14 @@
 /** One per node. */
 export class IngressServer {
   private readonly server: http.Server;
-  /** Names of header fields that clients may not set. */
-  private readonly reserved: ReadonlySet<string>;
+  private readonly access: ClientAccess;
   private readonly pipelines = createPipelines();
   private active = 0;
   private accepting = true;
   private stop: IngressStop | undefined;
 
   constructor(private readonly options: IngressOptions) {
-    const { names } = options;
-    this.reserved = new Set(
-      [names.deadline, names.expectInstance, names.callerService].map((name) => name.toLowerCase()),
-    );
+    this.access = createClientAccess(options);
     this.server = http.createServer(
       {
         requestTimeout: 0,
@@ -94,7 +91,7 @@
     response.on('close', () => this.pipelines.end(socket));
     this.active += 1;
     try {
-      const ingressRequest = new IngressRequest(this.options, this.reserved, request, response);
+      const ingressRequest = new IngressRequest(this.options, this.access, request, response);
       const mayClose = () => this.stop !== undefined && this.pipelines.closeIfLast(socket);
       await ingressRequest.run(mayClose, this.latestEnd());
     } catch {
--- a/src/owner/back-end-call.ts
+++ b/src/owner/back-end-call.ts
@@ -101,6 +101,7 @@
       backEnd.instance,
       names.callerService,
       this.task.callerService,
+      ...(this.task.tenant === undefined ? [] : [names.tenant, this.task.tenant]),
       ...this.framing(),
     ];
     return http.request({
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -9,6 +9,7 @@
 import { createFailureShare } from './failureShare.js';
 import type { MessageBody } from './message-body.js';
 import {
+  crashKeyOf,
   type NotRunReason,
   type Owner,
   type OwnerOutcome,
@@ -168,9 +169,9 @@
     return this.runAdmitted(task, request, times);
   }
 
-  private standingOf({ fingerprint, callerService: caller }: OwnerTask): Standing {
+  private standingOf(task: OwnerTask): Standing {
     const { ledger, clock } = this.options;
-    return ledger.standingOf({ fingerprint, caller }, clock.now());
+    return ledger.standingOf(crashKeyOf(task), clock.now());
   }
 
   private async runAdmitted(
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -3,6 +3,8 @@
  * hands a task to an owner, in the same process or over the network, and learns
  * exactly what is known about its fate.
  */
+
+import type { RequestKey } from '../quarantine/crashLedger.js';
 import type { Cancellation } from './cancellation.js';
 import type { BytesBody, MessageBody } from './message-body.js';
 
@@ -114,6 +116,20 @@
   close?(): void;
 }
 
+/**
+ * What the memory of crashes knows a task by. Tenants that send the same bytes are told apart, as the back
+ * end tells them apart: no tenant can have the requests of another one refused.
+ */
+export function crashKeyOf(
+  task: Pick<OwnerTask, 'fingerprint' | 'callerService' | 'tenant'>,
+): RequestKey {
+  const { fingerprint, callerService, tenant } = task;
+  return {
+    fingerprint,
+    caller: tenant === undefined ? callerService : `${tenant}@${callerService}`,
+  };
+}
+
 /** Builds the outcome for a task that was turned away before it reached a back end. */
 export function turnedAway(reason: NotRunReason, retryAfterMs?: number): OwnerNotRun {
   return {
--- a/src/owner/watchedCalls.ts
+++ b/src/owner/watchedCalls.ts
@@ -4,7 +4,7 @@
 import { type BackEndCallOptions, type BackEndCallResult, callBackEnd } from './back-end-call.js';
 import { createCrashWatch } from './crashWatch.js';
 import type { MessageBody } from './message-body.js';
-import type { OwnerTask } from './owner.js';
+import { crashKeyOf, type OwnerTask } from './owner.js';
 
 /** What is needed of the owner. */
 export interface WatchedCallsContext {
@@ -32,7 +32,7 @@
   return {
     call: async (task, body, options) => {
       const { instance, address } = options.backEnd;
-      const key = { fingerprint: task.fingerprint, caller: task.callerService };
+      const key = crashKeyOf(task);
       const hadCrashed = ledger.crashesOf(key.fingerprint) > 0;
       const run = { instance, address, request: { ...key, hadCrashed } };
       crashes.begin(run);
--- a/src/quarantine/crashLedger.ts
+++ b/src/quarantine/crashLedger.ts
@@ -12,11 +12,11 @@
 
 import { NO_FINGERPRINT } from './fingerprint.js';
 
-/** A request, whoever sent it, and the service that it came from. */
+/** A request, and who it came from. */
 export interface RequestKey {
   /** See `fingerprintOf`. */
   readonly fingerprint: string;
-  /** Service that runs on the machine where the request began. */
+  /** Service that runs on the machine where it began, and the tenant that sent it, if any. */
   readonly caller: string;
 }
 
--- a/src/routing/mesh-configuration.ts
+++ b/src/routing/mesh-configuration.ts
@@ -5,9 +5,9 @@
 import { type Either, Left, Right } from 'purify-ts';
 import * as z from 'zod';
 import type { Finding } from '../model/finding.js';
+import { MAX_PRIORITY, type MeshTenant, tenantFindings, tenantSchema } from '../tenants/tenant.js';
 
 const MAX_ATTEMPTS = 16;
-const MAX_PRIORITY = 255;
 
 const routeSchema = z.object({
   name: z.string().min(1),
@@ -48,18 +48,6 @@
   maxConnections: z.number().int().positive().default(64),
 });
 
-const tenantSchema = z.object({
-  name: z.string().min(1),
-  /** Secrets: whoever sends one of them is the tenant. */
-  apiKeys: z.array(z.string().min(1)).default([]),
-  /** Goes before the priority of a route; 0 is the most urgent. */
-  priority: z.number().int().min(0).max(MAX_PRIORITY).optional(),
-  /** Requests a second, over all nodes; 0 is no limit. */
-  ratePerS: z.number().min(0).default(0),
-  /** Requests on top of the rate. */
-  burst: z.number().min(0).default(0),
-});
-
 const limitsSchema = z.object({
   maxHeaderBytes: z.number().int().positive().default(16_384),
   maxBodyBytes: z.number().positive().default(67_108_864),
@@ -82,7 +70,6 @@
 export type MeshService = z.infer<typeof serviceSchema>;
 export type MeshPolicy = z.infer<typeof policySchema>;
 export type MeshSecret = z.infer<typeof secretSchema>;
-export type MeshTenant = z.infer<typeof tenantSchema>;
 export type MeshLimits = z.infer<typeof limitsSchema>;
 
 /** A configuration that has passed every check. */
@@ -132,6 +119,7 @@
         .ifLeft((bad) => findings.push(...bad));
     });
     const configuration = { ...frame.data, routes };
+    findings.push(...tenantFindings(configuration.tenants));
     findings.push(...(findings.length > 0 ? [] : danglingReferences(configuration)));
     if (findings.length > 0) {
       return Left(findings);
--- a/src/routing/route-matcher.ts
+++ b/src/routing/route-matcher.ts
@@ -1,5 +1,6 @@
 /** Finds the route of a request: the longest prefix of its path among the routes of its host. */
 import type { CompiledPolicy } from '../policy/placement-policy.js';
+import { createKeyring, type Keyring } from '../tenants/keyring.js';
 import { type Complements, NO_COMPLEMENTS } from './completeConfiguration.js';
 import type { MeshConfiguration, MeshRoute, MeshService } from './mesh-configuration.js';
 import { TrafficSplit } from './traffic-split.js';
@@ -18,6 +19,8 @@
 export class RouteMatcher {
   private readonly hosts = new Map<string, Map<string, MatchedRoute>>();
   private readonly services = new Map<string, MeshService>();
+  /** Who holds which key in this version. */
+  readonly keyring: Keyring;
 
   /** A route that is the same object in `previous` keeps the state of its split. */
   constructor(
@@ -36,6 +39,7 @@
       prefixes.set(route.pathPrefix, ready);
       this.hosts.set(host, prefixes);
     }
+    this.keyring = createKeyring(configuration.tenants);
     for (const service of configuration.services) {
       this.services.set(service.name, service);
     }
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -158,6 +158,10 @@
     ledger,
     routes: () => configuration.routes,
     mayBeBehind: () => configuration.mayBeBehind,
+    isOutdated: () => {
+      const { revocation } = settings();
+      return revocation?.isStrict === true && configuration.mostBehindMs > revocation.withinMs;
+    },
     callerService: () => settings().service,
     own: record,
     onFinished: (request) => recordRequest({ log, metrics }, request),
--- a/src/source/configuration-follower.ts
+++ b/src/source/configuration-follower.ts
@@ -44,6 +44,9 @@
  */
 const CURRENT_SHARE = 0.8;
 
+/** Part of the bound for which the word of a follower's reader may be older than its answer. */
+const READER_SHARE = 0.5;
+
 /** What the follower needs of its node. */
 export interface ConfigurationFollowerOptions {
   readonly clock: Clock;
@@ -127,9 +130,20 @@
    * of it, or nothing was heard for a while. Then the lack of a route proves nothing.
    */
   get mayBeBehind(): boolean {
-    const { clock, applyMs, provenAt } = this.options;
-    const currentAt = Math.max(this.currentAt, provenAt());
-    return this.heardVersion > this.version || clock.now() - currentAt > applyMs * CURRENT_SHARE;
+    return (
+      this.heardVersion > this.version || this.unheardMs > this.options.applyMs * CURRENT_SHARE
+    );
+  }
+
+  /** Milliseconds for which the version held may not have been the store's newest; infinite at first. */
+  get mostBehindMs(): number {
+    return this.unheardMs + this.options.applyMs * READER_SHARE;
+  }
+
+  /** Milliseconds since it was last heard that the version held is the newest. */
+  private get unheardMs(): number {
+    const { clock, provenAt } = this.options;
+    return clock.now() - Math.max(this.currentAt, provenAt());
   }
 
   /** The configuration in force as bytes for another node. */
--- a/test/layout.test.ts
+++ b/test/layout.test.ts
@@ -20,6 +20,7 @@
   'quarantine',
   'source',
   'routing',
+  'tenants',
   'policy',
   'charts',
   'codec',
