--- a/lab/sidecar-mesh.ts
+++ b/lab/sidecar-mesh.ts
@@ -9,7 +9,7 @@
 } from '../src/model/nodeClocks.js';
 import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
 import { SidecarNode } from '../src/sidecar/sidecar-node.js';
-import { checkSidecarSettings } from '../src/sidecar/sidecar-settings.js';
+import { checkSidecarSettings, type SidecarSettings } from '../src/sidecar/sidecar-settings.js';
 import type { ObjectStore } from '../src/source/object-store.js';
 import { ApplicationStandIn, type Run } from './application-stand-in.js';
 import { CONFIGURATION_KIND, CONFIGURATION_NAME, labOutside } from './labOutside.js';
@@ -36,12 +36,23 @@
   readonly split?: readonly { service: string; weight: number }[];
   readonly policies?: readonly string[];
   readonly credential?: { readonly header: string; readonly secret: string };
+  readonly isPublic?: boolean;
+}
+
+/** A tenant of a test; the rest has defaults. */
+export interface TestTenant {
+  readonly name: string;
+  readonly apiKeys: readonly string[];
+  readonly priority?: number;
+  readonly ratePerS?: number;
+  readonly burst?: number;
 }
 
 /** What a configuration of a test holds beside its routes. */
 export interface TestComplements {
   readonly policies?: readonly { readonly name: string; readonly allow: string }[];
   readonly secrets?: readonly { readonly name: string; readonly digest: string }[];
+  readonly tenants?: readonly TestTenant[];
 }
 
 /** What a test may choose for a machine. */
@@ -50,6 +61,8 @@
   readonly slots?: number;
   readonly graceMs?: number;
   readonly applyMs?: number;
+  /** Bounds that the platform holds, see the settings. */
+  readonly bounds?: Pick<Partial<SidecarSettings>, 'quota' | 'revocation'>;
   /** The machine's own client of a store, in place of a call to the store in memory. */
   readonly client?: ObjectStore;
 }
@@ -117,6 +130,7 @@
       drainMs: 1_000,
       graceMs: this.options.graceMs ?? DEFAULT_GRACE_MS,
       configurationApplyMs: this.options.applyMs ?? DEFAULT_APPLY_MS,
+      ...this.options.bounds,
     }).unsafeCoerce();
     const sink = (bytes: Buffer, done: () => void) => {
       for (const line of bytes.toString().trim().split('\n')) {
@@ -220,7 +234,7 @@
 /** A client's request. */
 export interface ClientCall {
   readonly method?: string;
-  readonly headers?: Record<string, string>;
+  readonly headers?: Record<string, string | string[]>;
   readonly body?: string | Buffer;
   readonly requestId?: string;
   readonly deadlineMs?: number;
--- a/src/relay/difference.test.ts
+++ b/src/relay/difference.test.ts
@@ -65,6 +65,30 @@
     expect(applyDifference(first, sent(difference))).toEqual(second);
   });
 
+  it('of a key that each of 77 tenants changes is as long as those tenants', () => {
+    const tenants = (key: string) =>
+      Array.from({ length: 77 }, (_, index) => [`tenant-${index}`, [`${key}-${index}`], 1, 40, 8]);
+    const routes = Array.from({ length: 200 }, (_, index) => [`route-${index}`, 'desk']);
+    const whole = (number: number, key: string) => ({
+      ...version(number, routes),
+      tenants: {
+        columns: ['name', 'api-keys', 'priority', 'rate-per-s', 'burst'],
+        rows: tenants(key),
+      },
+    });
+    const first = whole(1, 'first-key');
+    const all = shareStructure(first, copyOf(whole(2, 'other-key')));
+    const lengthOf = (next: unknown) => encodeValue({ ...differenceOf(first, next) }).length;
+    expect(lengthOf(all)).toBeLessThan(encodeValue(all.tenants).length + 150);
+    const rows = tenants('first-key').with(40, ['tenant-40', ['other-key'], 1, 40, 8]);
+    const one = shareStructure(first, {
+      ...copyOf(first),
+      tenants: { ...copyOf(first.tenants), rows: copyOf(rows) },
+    });
+    expect(lengthOf(one)).toBeLessThan(150);
+    expect(applyDifference(first, sent(differenceOf(first, all)))).toEqual(all);
+  });
+
   it('keeps the identity of what has not changed', () => {
     const first = version(1, rowsOf(3));
     const second = shareStructure(first, version(2, [...copyOf(rowsOf(3)), ['new', 'desk']]));
--- /dev/null
+++ b/test/tenants.test.ts
@@ -0,0 +1,196 @@
+/** Tenants' keys over real sockets: who is let in, until when, and what back ends see of it. */
+import http from 'node:http';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { call, type MachineOptions, SidecarMesh, waitFor } from '../lab/sidecar-mesh.js';
+
+const KEY = 'spindlepaddle-api-key';
+const TENANT = 'spindlepaddle-tenant';
+const ROUTES = [
+  { name: 'read', service: 'desk' },
+  { name: 'upload', service: 'desk', kind: 'upload' },
+  { name: 'open', service: 'desk', isPublic: true },
+  { name: 'store', service: 'vault' },
+] as const;
+const ACME = { name: 'acme', apiKeys: ['acme-key'] };
+const BETA = { name: 'beta', apiKeys: ['beta-key'], priority: 0 };
+
+let mesh: SidecarMesh;
+
+beforeEach(() => {
+  mesh = new SidecarMesh();
+});
+
+afterEach(() => {
+  mesh.close();
+});
+
+/** Two machines of which only the second serves `desk`, so that requests of the first take two hops. */
+async function twoMachines(options: MachineOptions = {}) {
+  const first = await mesh.add('vault', options);
+  const second = await mesh.add('desk', options);
+  mesh.configure(ROUTES, { tenants: [ACME, BETA] });
+  await mesh.settled();
+  return { first, second, address: first.node.addresses.clients };
+}
+
+/** Every value of every field that any back end got, one line each. */
+function everythingSeen(): string {
+  return JSON.stringify(mesh.runs().map(({ headers, target, body }) => [headers, target, body]));
+}
+
+describe('a request with a key', () => {
+  it('reaches the back end with the name of its tenant alone', async () => {
+    const { address } = await twoMachines();
+    const headers = { [KEY]: 'acme-key', [TENANT]: 'beta', Spindlepaddle_Tenant: 'beta' };
+    expect((await call(address, '/read/1', { headers })).status).toBe(200);
+    expect(mesh.runs()[0]?.headers[TENANT]).toBe('acme');
+    expect(everythingSeen()).not.toMatch(/acme-key|beta|api.key/i);
+  });
+
+  it.each([
+    ['none', {}],
+    ['an unknown one', { [KEY]: 'other' }],
+    ['two', { [KEY]: ['acme-key', 'acme-key'] }],
+    ['two in one field', { [KEY]: 'acme-key, beta-key' }],
+    ['it in another field', { authorization: 'acme-key', Spindlepaddle_Api_Key: 'acme-key' }],
+  ])('is refused at once with 401: %s', async (_case, headers) => {
+    const { first, address } = await twoMachines();
+    expect((await call(address, '/read/1', { headers })).status).toBe(401);
+    expect(mesh.runs()).toEqual([]);
+    const line = first.lines.find(({ event }) => event === 'request');
+    expect(line).toMatchObject({ code: 'unknown-key', route: 'read' });
+  });
+
+  it('on a public route passes no key and no claim on, once or twice', async () => {
+    const { address } = await twoMachines();
+    const headers = {
+      [KEY]: ['acme-key', 'beta-key'],
+      [TENANT]: ['beta', 'acme'],
+      'SPINDLEPADDLE_API-KEY': 'acme-key',
+    };
+    expect((await call(address, '/open/1', { headers })).status).toBe(200);
+    expect(mesh.runs()[0]?.headers[TENANT]).toBeUndefined();
+    expect(everythingSeen()).not.toMatch(/acme|beta/);
+  });
+
+  it('is passed on as it came where there are no tenants', async () => {
+    const { address } = await twoMachines();
+    const version = mesh.configure(ROUTES);
+    await waitFor(() => mesh.machines.every(({ node }) => node.status.version === version));
+    const headers = { [KEY]: 'acme-key', [TENANT]: 'beta' };
+    expect((await call(address, '/read/1', { headers })).status).toBe(200);
+    expect(mesh.runs()[0]?.headers).toMatchObject(headers);
+  });
+
+  it('leaves no key in any log line', async () => {
+    const { first, second, address } = await twoMachines();
+    await call(address, '/read/1', { headers: { [KEY]: 'unknown-key-value' } });
+    await call(address, '/read/1', { headers: { [KEY]: ['acme-key', 'beta-key'] } });
+    mesh.configure(ROUTES, { tenants: [ACME, { ...BETA, apiKeys: ['acme-key'] }] });
+    await waitFor(() => first.lines.some(({ event }) => event === 'configuration-held-off'));
+    const lines = JSON.stringify([...first.lines, ...second.lines]);
+    expect(lines).toContain('shared-key');
+    expect(lines).not.toMatch(/acme-key|beta-key|unknown-key-value/);
+  });
+});
+
+/** A request whose body does not end before `end` is called. */
+function heldUpload(address: string, agent: http.Agent) {
+  const [host, port] = address.split(':');
+  const headers = { host: 'mesh.example', [KEY]: 'acme-key', 'transfer-encoding': 'chunked' };
+  const request = http.request({ host, port, path: '/upload/1', method: 'POST', headers, agent });
+  const status = new Promise<number>((resolve) => {
+    request.on('error', () => resolve(0));
+    request.on('response', (response) => {
+      response.resume();
+      response.on('end', () => resolve(response.statusCode ?? 0));
+    });
+  });
+  request.write('begun');
+  return { end: () => request.end('ended'), status };
+}
+
+function readOn(address: string, agent: http.Agent, key: string): Promise<number> {
+  const [host, port] = address.split(':');
+  const headers = { host: 'mesh.example', [KEY]: key };
+  return new Promise((resolve, reject) => {
+    const request = http.get({ host, port, path: '/read/1', headers, agent });
+    request.on('error', reject);
+    request.on('response', (response) => {
+      response.resume();
+      response.on('end', () => resolve(response.statusCode ?? 0));
+    });
+  });
+}
+
+describe('a key that is taken away', () => {
+  it('is refused on connections that are open, in bodies that come in, and the new one is taken', async () => {
+    const { first, address } = await twoMachines();
+    const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+    const other = new http.Agent({ keepAlive: true });
+    expect(await readOn(address, agent, 'acme-key')).toBe(200);
+    expect(await readOn(address, agent, 'acme-next')).toBe(401);
+    const held = heldUpload(address, other);
+    await waitFor(() => first.node.status.inFlight === 1);
+    const version = mesh.configure(ROUTES, {
+      tenants: [{ ...ACME, apiKeys: ['acme-next'] }, BETA],
+    });
+    await waitFor(() => first.node.status.version === version);
+    const ranBefore = mesh.runs().length;
+    held.end();
+    expect(await held.status).toBe(401);
+    expect(await readOn(address, agent, 'acme-key')).toBe(401);
+    expect(await readOn(address, agent, 'acme-next')).toBe(200);
+    expect(mesh.runs().length).toBe(ranBefore + 1);
+    agent.destroy();
+    other.destroy();
+  });
+
+  it('is learnt of by way of another node when the store turns one away', async () => {
+    const { first, second, address } = await twoMachines();
+    first.view.failure = 'unavailable';
+    mesh.store.wake();
+    const startedAt = performance.now();
+    const version = mesh.configure(ROUTES, {
+      tenants: [{ ...ACME, apiKeys: ['acme-next'] }, BETA],
+    });
+    await waitFor(() => second.node.status.version === version);
+    const ask = (key: string) => call(address, '/read/1', { headers: { [KEY]: key } });
+    await waitFor(async () => (await ask('acme-next')).status === 200);
+    expect((await ask('acme-key')).status).not.toBe(200);
+    expect(performance.now() - startedAt).toBeLessThan(1_000);
+  });
+});
+
+describe('a node that hears nothing of the store', () => {
+  it.each([
+    ['refuses a key that it cannot prove', true, 503],
+    ['serves with the key that it knows', false, 200],
+  ])('%s (strict: %s)', async (_case, isStrict, expected) => {
+    const revocation = { isStrict, withinMs: 1_500 };
+    const { first, second, address } = await twoMachines({ bounds: { revocation } });
+    const ask = (key: string) => call(address, '/read/1', { headers: { [KEY]: key } });
+    expect((await ask('acme-key')).status).toBe(200);
+    for (const machine of mesh.machines) {
+      machine.view.failure = 'unavailable';
+    }
+    mesh.store.wake();
+    await waitFor(async () => (await ask('new-key')).status === 503);
+    await new Promise((resolve) => setTimeout(resolve, revocation.withinMs));
+    const found = await ask('acme-key');
+    expect(found.status).toBe(expected);
+    expect((await call(address, '/open/1')).status).toBe(200);
+    first.view.failure = undefined;
+    second.view.failure = undefined;
+    await waitFor(async () => (await ask('acme-key')).status === 200);
+    await waitFor(async () => (await ask('new-key')).status === 401);
+  });
+
+  it('knows no configuration: 503, never 401', async () => {
+    const machine = await mesh.add('desk');
+    const found = await call(machine.node.addresses.clients, '/read/1', {
+      headers: { [KEY]: 'any' },
+    });
+    expect(found.status).toBe(503);
+  });
+});
