Back ends' reports of load and slowness are kept fresh, and service times follow them while they hold true

Cause: each answer and health answer of some services carries running, waiting, slots and how long work takes now; the product read the third figure of a health answer at the start and nothing else, so a back end that slows down by a factor of 2.5 for half a second was judged by an average over its last ten tasks. Excluded: trusting the figure alone (it may be false): two predictions are kept, the measured average and the usual time at the told pace, and the one that was nearer to the truth lately is used. Change: loadReport reads a report strictly, backEndLoad keeps the newest with a half-life of 250 ms, serviceTimes predicts; reports to other nodes carry slowness and the back end's own queue.

--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -4,6 +4,7 @@
  * answered within its target latency; the most urgent go first.
  */
 
+import { createServiceTimes, type ServiceTimes } from './serviceTimes.js';
 import { createUrgencyMix } from './urgencyMix.js';
 
 /** What a task asks for. */
@@ -38,12 +39,6 @@
   | { readonly kind: 'wait' }
   | { readonly kind: 'busy'; readonly retryAfterMs: number };
 
-/** Weight of the newest service time in the moving averages. */
-const AVERAGE_WEIGHT = 0.1;
-
-/** Assumed service time, in milliseconds, until one has been seen. */
-const INITIAL_SERVICE_MS = 20;
-
 /** Waiting tasks for each slot, at the most. */
 const MAX_WAITING_PER_SLOT = 8;
 
@@ -53,13 +48,13 @@
 /** Owned by the local owner; the time is passed in. */
 export class AdmissionControl {
   private readonly waiting: Waiter[] = [];
-  private readonly routeMs = new Map<string, number>();
   private readonly mix = createUrgencyMix();
-  private overallMs = INITIAL_SERVICE_MS;
   private running = 0;
   private slots = 0;
   private hasAloneTask = false;
 
+  constructor(private readonly times: ServiceTimes = createServiceTimes()) {}
+
   get inFlight(): number {
     return this.running;
   }
@@ -73,7 +68,7 @@
    * milliseconds; undefined until it has finished one.
    */
   get meanServiceMs(): number | undefined {
-    return this.routeMs.size > 0 ? this.overallMs : undefined;
+    return this.times.meanMs;
   }
 
   get capacity(): number {
@@ -94,7 +89,7 @@
     }
     // Tasks that are more urgent go on arriving meanwhile and are served first.
     const left = 1 - this.mix.moreUrgentThan(request.priority);
-    const drainMs = request.runsAlone ? this.overallMs : 0;
+    const drainMs = request.runsAlone ? this.times.overallMs : 0;
     const waitMs = Math.max(this.expectedWaitMs(ahead) / left, drainMs);
     const inTime = now + waitMs + this.expectedServiceMs(request.route) <= horizonOf(request);
     if (!request.mayWait || !inTime || this.waiting.length >= this.slots * MAX_WAITING_PER_SLOT) {
@@ -109,19 +104,17 @@
     this.hasAloneTask = runsAlone;
   }
 
-  /** A task has ended; `serviceMs` is undefined when its time says nothing of the back end. */
-  finished(task: AdmittedTask, serviceMs: number | undefined, now: number): void {
+  /**
+   * A task has ended; `serviceMs` is undefined when its time says nothing of the back end, and `slowness`
+   * is what the back end told meanwhile.
+   */
+  finished(task: AdmittedTask, serviceMs: number | undefined, now: number, slowness = 1): void {
     const { route, priority } = task;
     this.running -= 1;
     this.hasAloneTask = false;
     if (serviceMs !== undefined) {
       this.mix.note(priority, serviceMs);
-      if (this.routeMs.size === 0) {
-        this.overallMs = serviceMs;
-      }
-      this.overallMs += (serviceMs - this.overallMs) * AVERAGE_WEIGHT;
-      const known = this.routeMs.get(route) ?? serviceMs;
-      this.routeMs.set(route, known + (serviceMs - known) * AVERAGE_WEIGHT);
+      this.times.note(route, serviceMs, slowness);
     }
     this.fill(now);
   }
@@ -177,12 +170,13 @@
   }
 
   private expectedWaitMs(ahead: number): number {
-    return this.slots === 0 ? this.overallMs : ((ahead + 1) * this.overallMs) / this.slots;
+    const { overallMs } = this.times;
+    return this.slots === 0 ? overallMs : ((ahead + 1) * overallMs) / this.slots;
   }
 
   /** Milliseconds that the back end is expected to take for a task of a route. */
   expectedServiceMs(route: string): number {
-    return this.routeMs.get(route) ?? this.overallMs;
+    return this.times.expectedMs(route);
   }
 
   /** Steady time in milliseconds by which a task must have begun to be in time. */
--- a/src/owner/back-end-call.ts
+++ b/src/owner/back-end-call.ts
@@ -7,6 +7,7 @@
 import type { Socket } from 'node:net';
 import type { BackEnd } from '../registry/back-end-registry.js';
 import type { HeaderNames } from './header-names.js';
+import { type LoadReport, readLoadReport } from './loadReport.js';
 import { collectBody, type MessageBody, sendBody } from './message-body.js';
 import type { OwnerOutcome, OwnerTask, UnknownReason } from './owner.js';
 import { endToEndFields } from './raw-headers.js';
@@ -37,6 +38,8 @@
   readonly outcome: OwnerOutcome;
   /** True when nothing listens at the back end's address any more. */
   readonly unreachable: boolean;
+  /** What the back end's answer told of its load, if there was one that did. */
+  readonly load?: LoadReport | undefined;
   /** True when a connection that was kept from earlier requests brought nothing until the end. */
   readonly keptWasSilent?: boolean;
 }
@@ -55,6 +58,7 @@
   private sent = false;
   private settled = false;
   private hasAnswer = false;
+  private load: LoadReport | undefined;
   private request: http.ClientRequest | undefined;
   private forget: () => void = () => {};
   private resolve: (result: BackEndCallResult) => void = () => {};
@@ -151,6 +155,7 @@
     const { names } = this.options;
     const { headers } = response;
     this.hasAnswer = true;
+    this.load = readLoadReport(headers[names.load.toLowerCase()]);
     if (headers[names.requestId.toLowerCase()] !== this.task.requestId) {
       request.destroy();
       this.unknown('foreign-answer');
@@ -237,7 +242,7 @@
     if (!this.settled) {
       this.settled = true;
       this.forget();
-      this.resolve(result);
+      this.resolve({ ...result, load: this.load });
     }
   }
 }
--- a/src/owner/health-question.ts
+++ b/src/owner/health-question.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import type { HealthReport } from '../registry/back-end-registry.js';
 import type { HeaderNames } from './header-names.js';
+import { readLoadReport } from './loadReport.js';
 
 /** An answer that takes longer, in milliseconds, counts as none. */
 const TIMEOUT_MS = 600;
@@ -27,15 +28,9 @@
       response.on('error', () => {});
       response.resume();
       const instance = response.headers[names.instance.toLowerCase()];
+      const load = response.headers[names.load.toLowerCase()];
       const isReady = response.statusCode === 200 && typeof instance === 'string';
-      resolve(isReady ? { instance, slots: slotsOf(response, names) } : undefined);
+      resolve(isReady ? { instance, slots: readLoadReport(load)?.slots } : undefined);
     });
   });
 }
-
-/** The third number of a load report: running, waiting, slots. */
-function slotsOf(response: http.IncomingMessage, names: HeaderNames): number | undefined {
-  const load = response.headers[names.load.toLowerCase()];
-  const slots = typeof load === 'string' ? Number(load.split(',')[2]) : Number.NaN;
-  return Number.isInteger(slots) && slots > 0 ? slots : undefined;
-}
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -6,6 +6,7 @@
 import { AdmissionControl, type AdmissionRequest } from './admission-control.js';
 import { BackEndConnections } from './back-end-agent.js';
 import { BackEndPresence, type BackEndPresenceOptions } from './back-end-presence.js';
+import { createBackEndLoad } from './backEndLoad.js';
 import { createFailureShare } from './failureShare.js';
 import type { MessageBody } from './message-body.js';
 import {
@@ -17,6 +18,7 @@
   turnedAway,
 } from './owner.js';
 import type { OwnerReport, TaskRecord } from './owner-report.js';
+import { createServiceTimes } from './serviceTimes.js';
 import { waitForSlot } from './slotWait.js';
 import { createWatchedCalls, type WatchedCalls, type WatchedCallsContext } from './watchedCalls.js';
 
@@ -33,16 +35,19 @@
   readonly onTask: (record: TaskRecord) => void;
 }
 
-/** Steady times of one task, in milliseconds. */
+/** Steady times of one task, in milliseconds, and the back end's pace. */
 interface TaskTimes {
   readonly arrivedAt: number;
   admittedAt?: number;
   sentAt?: number;
+  /** How long work took the back end as the task was sent, as a multiple of what is usual. */
+  slowness?: number;
 }
 
 /** One per node. */
 export class LocalOwner implements Owner {
-  private readonly admission = new AdmissionControl();
+  private readonly load = createBackEndLoad();
+  private readonly admission: AdmissionControl;
   private readonly presence: BackEndPresence;
   private readonly connections = new BackEndConnections();
   private readonly failures = createFailureShare();
@@ -52,6 +57,8 @@
   private distrustUntil = 0;
 
   constructor(private readonly options: LocalOwnerOptions) {
+    const slowness = () => this.load.slowness(options.clock.now());
+    this.admission = new AdmissionControl(createServiceTimes(slowness));
     this.calls = createWatchedCalls(options);
     this.presence = new BackEndPresence(options, {
       onReady: (backEnd) => this.onReady(backEnd),
@@ -64,6 +71,7 @@
     if (backEnd.instance !== this.instance) {
       this.instance = backEnd.instance;
       this.failures.reset();
+      this.load.reset();
       this.calls.onIncarnation(backEnd.instance);
     }
     this.admission.setSlots(backEnd.slots, this.options.clock.now());
@@ -107,8 +115,8 @@
       failureShare: this.failures.value,
       backEndVersion: this.presence.backEnd?.version,
       bornAt: this.presence.backEnd?.bornAt,
-      slowness: 1,
-      waiting: 0,
+      slowness: this.load.slowness(this.options.clock.now()),
+      waiting: this.load.waiting(this.options.clock.now()),
     };
   }
 
@@ -191,32 +199,38 @@
         return outcome;
       }
       times.sentAt = clock.now();
+      times.slowness = this.load.slowness(times.sentAt);
       outcome = await this.send(task, body);
       return outcome;
     } catch {
       // The body broke off before anything was sent to the back end.
       return outcome;
     } finally {
-      const { sentAt } = times;
+      const { sentAt, slowness = 1 } = times;
       const tells = sentAt !== undefined && outcome.kind === 'answer';
       const serviceMs = tells ? clock.now() - sentAt : undefined;
       if (sentAt !== undefined) {
         const usualMs = this.admission.expectedServiceMs(task.route);
         this.failures.note(outcome, clock.now() - sentAt, usualMs);
       }
-      this.admission.finished(request, serviceMs, clock.now());
+      // It has changed meanwhile: what the task met lies between.
+      const met = (slowness + this.load.slowness(clock.now())) / 2;
+      this.admission.finished(request, serviceMs, clock.now(), met);
     }
   }
 
   private async send(task: OwnerTask, body: MessageBody): Promise<OwnerOutcome> {
     const { clock, names } = this.options;
     const backEnd = this.presence.backEnd as BackEnd;
-    const { outcome, unreachable, keptWasSilent } = await this.calls.call(task, body, {
+    const { outcome, unreachable, keptWasSilent, load } = await this.calls.call(task, body, {
       backEnd,
       names,
       agent: this.agentFor(task),
       remainingMs: task.deadlineAt - clock.now(),
     });
+    if (load) {
+      this.load.note(load, clock.now());
+    }
     if (unreachable) {
       this.presence.noteUnreachable(backEnd);
     }
