Runs that a back end never answers are told from long ones, and reads among them are tried elsewhere

Cause: some services' back ends never answer what they cannot queue, and ill ones leave part of their requests without an answer; each held its slot to the client's deadline and was counted as a failure only then. Excluded: a fixed time limit, which would hit long work and slow machines alike: only a run that a whole round of later runs has overtaken, or one at a back end that answers nobody, is overdue.

--- a/src/owner/failureShare.ts
+++ b/src/owner/failureShare.ts
@@ -21,6 +21,8 @@
   readonly value: number;
   /** A task that was sent has ended; times in milliseconds. */
   note(outcome: OwnerOutcome, tookMs: number, usualMs: number): void;
+  /** A task has had no answer for so long that none is likely. */
+  noteOverdue(): void;
   /** Another back end is there. */
   reset(): void;
 }
@@ -37,6 +39,9 @@
         share += (failed - share) * WEIGHT;
       }
     },
+    noteOverdue: () => {
+      share += (1 - share) * WEIGHT;
+    },
     reset: () => {
       share = 0;
     },
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -6,8 +6,11 @@
 import { AdmissionControl, type AdmissionRequest } from './admission-control.js';
 import { BackEndConnections } from './back-end-agent.js';
 import { BackEndPresence, type BackEndPresenceOptions } from './back-end-presence.js';
-import { createBackEndLoad } from './backEndLoad.js';
-import { createFailureShare } from './failureShare.js';
+import {
+  type BackEndObservations,
+  createBackEndObservations,
+  type ObservedRun,
+} from './backEndObservations.js';
 import type { MessageBody } from './message-body.js';
 import {
   crashKeyOf,
@@ -18,7 +21,6 @@
   turnedAway,
 } from './owner.js';
 import type { OwnerReport, TaskRecord } from './owner-report.js';
-import { createServiceTimes } from './serviceTimes.js';
 import { waitForSlot } from './slotWait.js';
 import { createWatchedCalls, type WatchedCalls, type WatchedCallsContext } from './watchedCalls.js';
 
@@ -35,30 +37,27 @@
   readonly onTask: (record: TaskRecord) => void;
 }
 
-/** Steady times of one task, in milliseconds, and the back end's pace. */
+/** Steady times of one task, in milliseconds. */
 interface TaskTimes {
   readonly arrivedAt: number;
   admittedAt?: number;
   sentAt?: number;
-  /** How long work took the back end as the task was sent, as a multiple of what is usual. */
-  slowness?: number;
 }
 
 /** One per node. */
 export class LocalOwner implements Owner {
-  private readonly load = createBackEndLoad();
   private readonly admission: AdmissionControl;
   private readonly presence: BackEndPresence;
   private readonly connections = new BackEndConnections();
-  private readonly failures = createFailureShare();
+  private readonly observations: BackEndObservations;
   private readonly calls: WatchedCalls;
   private instance: string | undefined;
   private stopping = false;
   private distrustUntil = 0;
 
   constructor(private readonly options: LocalOwnerOptions) {
-    const slowness = () => this.load.slowness(options.clock.now());
-    this.admission = new AdmissionControl(createServiceTimes(slowness));
+    this.observations = createBackEndObservations(options);
+    this.admission = new AdmissionControl(this.observations.times);
     this.calls = createWatchedCalls(options);
     this.presence = new BackEndPresence(options, {
       onReady: (backEnd) => this.onReady(backEnd),
@@ -70,8 +69,7 @@
   private onReady(backEnd: BackEnd): void {
     if (backEnd.instance !== this.instance) {
       this.instance = backEnd.instance;
-      this.failures.reset();
-      this.load.reset();
+      this.observations.reset();
       this.calls.onIncarnation(backEnd.instance);
     }
     this.admission.setSlots(backEnd.slots, this.options.clock.now());
@@ -112,11 +110,11 @@
       queued: this.admission.queued,
       slots: this.admission.capacity,
       meanServiceMs: this.admission.meanServiceMs,
-      failureShare: this.failures.value,
+      failureShare: this.observations.failureShare,
       backEndVersion: this.presence.backEnd?.version,
       bornAt: this.presence.backEnd?.bornAt,
-      slowness: this.load.slowness(this.options.clock.now()),
-      waiting: this.load.waiting(this.options.clock.now()),
+      slowness: this.observations.slowness,
+      waiting: this.observations.waiting,
     };
   }
 
@@ -190,6 +188,7 @@
     const { clock } = this.options;
     times.admittedAt = clock.now();
     let outcome: OwnerOutcome = turnedAway('cancelled');
+    let run: ObservedRun | undefined;
     try {
       task.onProgress('admitted');
       const body = await task.loadBody();
@@ -199,23 +198,15 @@
         return outcome;
       }
       times.sentAt = clock.now();
-      times.slowness = this.load.slowness(times.sentAt);
+      run = this.observations.begin(task, this.admission.capacity);
       outcome = await this.send(task, body);
       return outcome;
     } catch {
       // The body broke off before anything was sent to the back end.
       return outcome;
     } finally {
-      const { sentAt, slowness = 1 } = times;
-      const tells = sentAt !== undefined && outcome.kind === 'answer';
-      const serviceMs = tells ? clock.now() - sentAt : undefined;
-      if (sentAt !== undefined) {
-        const usualMs = this.admission.expectedServiceMs(task.route);
-        this.failures.note(outcome, clock.now() - sentAt, usualMs);
-      }
-      // It has changed meanwhile: what the task met lies between.
-      const met = (slowness + this.load.slowness(clock.now())) / 2;
-      this.admission.finished(request, serviceMs, clock.now(), met);
+      const observed = run?.end(outcome);
+      this.admission.finished(request, observed?.serviceMs, clock.now(), observed?.slowness);
     }
   }
 
@@ -229,7 +220,7 @@
       remainingMs: task.deadlineAt - clock.now(),
     });
     if (load) {
-      this.load.note(load, clock.now());
+      this.observations.noteLoad(load);
     }
     if (unreachable) {
       this.presence.noteUnreachable(backEnd);
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -49,7 +49,7 @@
 
 /**
  * How far a task has come at an owner. `silent`: the owner has the task and does not say that it is
- * there; its answer may still come.
+ * there, or its back end does not seem to answer; an answer may still come.
  */
 export type OwnerStage = 'queued' | 'admitted' | 'silent';
 
--- a/src/peer/peerCodec.ts
+++ b/src/peer/peerCodec.ts
@@ -102,6 +102,7 @@
     case MessageKind.Pong:
     case MessageKind.Queued:
     case MessageKind.Admitted:
+    case MessageKind.Overdue:
     case MessageKind.ChunkReceived:
       return { kind };
     default:
--- a/src/peer/peerMessages.ts
+++ b/src/peer/peerMessages.ts
@@ -42,6 +42,8 @@
   Told = 16,
   /** Answer to a read. */
   ReadResult = 17,
+  /** Owner to ingress: the back end does not seem to answer the task. */
+  Overdue = 18,
 }
 
 /** What news is about. Numbers, since they travel with every message. */
@@ -177,6 +179,7 @@
     | MessageKind.Pong
     | MessageKind.Queued
     | MessageKind.Admitted
+    | MessageKind.Overdue
     | MessageKind.ChunkReceived;
 }
 
--- a/src/peer/peerServer.ts
+++ b/src/peer/peerServer.ts
@@ -180,6 +180,9 @@
         if (stage === 'queued' && !heldBody) {
           this.connection.send({ kind: MessageKind.Queued });
         }
+        if (stage === 'silent') {
+          this.connection.send({ kind: MessageKind.Overdue });
+        }
       },
     };
   }
--- a/src/peer/remoteRun.ts
+++ b/src/peer/remoteRun.ts
@@ -104,6 +104,9 @@
       case MessageKind.Admitted:
         void this.commit();
         return;
+      case MessageKind.Overdue:
+        this.task.onProgress('silent');
+        return;
       case MessageKind.Pong:
         return;
       case MessageKind.TurnedAway:
