--- a/src/diagnostics/sidecar-metrics.ts
+++ b/src/diagnostics/sidecar-metrics.ts
@@ -16,6 +16,8 @@
   readonly owner_slots: number;
   readonly owner_ready: number;
   readonly owner_failure_share: number;
+  readonly owner_back_end_slowness: number;
+  readonly owner_back_end_waiting: number;
   readonly owners_present: number;
   readonly owners_absent: number;
   readonly quarantined_requests: number;
@@ -51,6 +53,12 @@
     help: 'Crashes of the back end here while requests were under way',
     registers: [this.registry],
   });
+  private readonly overdueRuns = new Counter({
+    name: 'spindlepaddle_runs_overdue_total',
+    help: 'Runs that the back end here did not answer while it answered later ones, or answered nobody',
+    labelNames: ['route'],
+    registers: [this.registry],
+  });
   private readonly storeCalls = new Counter({
     name: 'spindlepaddle_store_calls_total',
     help: 'Calls to the store by operation and result',
@@ -106,6 +114,11 @@
     this.crashes.inc();
   }
 
+  /** The back end here does not seem to answer a task. */
+  runOverdue(route: string): void {
+    this.overdueRuns.inc({ route });
+  }
+
   /** The store has answered, or not. */
   storeCalled(operation: string, result: string): void {
     this.storeCalls.inc({ operation, result });
--- a/src/owner/backEndObservations.ts
+++ b/src/owner/backEndObservations.ts
@@ -6,13 +6,24 @@
 import { createHangWatch } from './hangWatch.js';
 import type { LoadReport } from './loadReport.js';
 import type { OwnerOutcome, OwnerTask } from './owner.js';
-import { watchRun } from './runWatch.js';
+import { type RunWatch, watchRun } from './runWatch.js';
 import { createServiceTimes, type ServiceTimes } from './serviceTimes.js';
 
 /** What is needed of the owner. */
 export interface BackEndObservationsContext {
   readonly clock: Clock;
   readonly alarms: Alarms;
+  /** The back end does not seem to answer a run. */
+  readonly onOverdue: (run: OverdueRun) => void;
+}
+
+/** A run that the back end does not seem to answer. */
+export interface OverdueRun {
+  readonly requestId: string;
+  readonly route: string;
+  /** Milliseconds that tasks of this route usually take. */
+  readonly usualMs: number;
+  readonly waitedMs: number;
 }
 
 /** What a run has shown. */
@@ -23,6 +34,9 @@
   readonly slowness: number;
 }
 
+/** What the observations take of a task. */
+export type ObservedTask = Pick<OwnerTask, 'requestId' | 'route' | 'repeatable' | 'onProgress'>;
+
 /** A run that the back end works on. */
 export interface ObservedRun {
   end(outcome: OwnerOutcome): RunObservation;
@@ -38,7 +52,7 @@
   readonly waiting: number;
   noteLoad(report: LoadReport): void;
   /** A task is about to be sent to a back end of so many slots. */
-  begin(task: Pick<OwnerTask, 'route' | 'repeatable' | 'onProgress'>, slots: number): ObservedRun;
+  begin(task: ObservedTask, slots: number): ObservedRun;
   /** Another back end is there. */
   reset(): void;
 }
@@ -54,23 +68,31 @@
   const times = createServiceTimes(slowness);
 
   /** Undefined until it is known how long the back end usually takes. */
-  const watch = ({ route, repeatable, onProgress }: Parameters<typeof begin>[0], slots: number) =>
-    times.meanMs === undefined
-      ? undefined
-      : watchRun({
-          ...context,
-          hangs,
-          usualMs: times.expectedMs(route),
-          slots,
-          onOverdue: () => failures.noteOverdue(),
-          onHung: () => {
-            if (repeatable) {
-              onProgress('silent');
-            }
-          },
-        });
+  const watch = (task: ObservedTask, slots: number): RunWatch | undefined => {
+    if (times.meanMs === undefined) {
+      return undefined;
+    }
+    const { requestId, route, repeatable, onProgress } = task;
+    const sentAt = clock.now();
+    const usualMs = times.expectedMs(route);
+    return watchRun({
+      ...context,
+      hangs,
+      usualMs,
+      slots,
+      onOverdue: () => {
+        failures.noteOverdue();
+        context.onOverdue({ requestId, route, usualMs, waitedMs: clock.now() - sentAt });
+      },
+      onHung: () => {
+        if (repeatable) {
+          onProgress('silent');
+        }
+      },
+    });
+  };
 
-  const begin: BackEndObservations['begin'] = (task, slots) => {
+  const begin = (task: ObservedTask, slots: number): ObservedRun => {
     const sentAt = clock.now();
     const slownessAtStart = slowness();
     const watched = watch(task, slots);
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -1,6 +1,5 @@
 /** The gate to the back end on this machine: admits tasks, sends them, and reports its load. */
 import type http from 'node:http';
-import type { Alarms } from '../model/alarms.js';
 import { Standing } from '../quarantine/crashLedger.js';
 import type { BackEnd, Heartbeat } from '../registry/back-end-registry.js';
 import { AdmissionControl, type AdmissionRequest } from './admission-control.js';
@@ -8,6 +7,7 @@
 import { BackEndPresence, type BackEndPresenceOptions } from './back-end-presence.js';
 import {
   type BackEndObservations,
+  type BackEndObservationsContext,
   createBackEndObservations,
   type ObservedRun,
 } from './backEndObservations.js';
@@ -31,8 +31,10 @@
 const DEADLINE_SLACK_MS = 50;
 
 /** What the local owner is told at its start. */
-export interface LocalOwnerOptions extends BackEndPresenceOptions, WatchedCallsContext {
-  readonly alarms: Alarms;
+export interface LocalOwnerOptions
+  extends BackEndPresenceOptions,
+    WatchedCallsContext,
+    BackEndObservationsContext {
   readonly onBackEnd: (backEnd: BackEnd | undefined, cause: string) => void;
   readonly onTask: (record: TaskRecord) => void;
 }
--- a/src/sidecar/decisionRecords.ts
+++ b/src/sidecar/decisionRecords.ts
@@ -2,6 +2,7 @@
 import type { DecisionLog } from '../diagnostics/decision-log.js';
 import type { SidecarMetrics } from '../diagnostics/sidecar-metrics.js';
 import type { RequestRecord } from '../ingress/ingress-request.js';
+import type { OverdueRun } from '../owner/backEndObservations.js';
 import type { OwnerReport, TaskRecord } from '../owner/owner-report.js';
 import type { CrashNews } from '../quarantine/crashLedger.js';
 
@@ -61,3 +62,14 @@
     quarantined: quarantined.length,
   });
 }
+
+/** The back end here does not seem to answer a task. */
+export function recordOverdue({ log, metrics }: RecordSinks, run: OverdueRun): void {
+  metrics.runOverdue(run.route);
+  const { usualMs, waitedMs, ...rest } = run;
+  log.decision('overdue', {
+    ...rest,
+    usualMs: Math.round(usualMs),
+    waitedMs: Math.round(waitedMs),
+  });
+}
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -207,6 +207,8 @@
       owner_slots: owner.slots,
       owner_ready: Number(owner.ready),
       owner_failure_share: owner.failureShare,
+      owner_back_end_slowness: owner.slowness,
+      owner_back_end_waiting: owner.waiting,
       owners_present: ownersPresent,
       owners_absent: ownersAbsent,
       quarantined_requests: this.parts.ledger.quarantined(this.clock.now()).length,
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -20,7 +20,7 @@
 import type { BackEnd } from '../registry/back-end-registry.js';
 import type { ZoneRelay } from '../relay/zoneRelay.js';
 import type { ConfigurationFollower } from '../source/configuration-follower.js';
-import { recordNews, recordRequest, recordTask } from './decisionRecords.js';
+import { recordNews, recordOverdue, recordRequest, recordTask } from './decisionRecords.js';
 import { createOwnerEntries, ownRecordOf } from './ownerEntries.js';
 import type { SidecarPartsContext } from './sidecarPartsContext.js';
 import { createConfigurationPart, createRelayPart } from './storeParts.js';
@@ -87,6 +87,7 @@
     drainMs: () => settings().drainMs,
     onBackEnd: (backEnd, cause) => onBackEnd(backEnd, cause),
     onTask: (task) => recordTask({ log, metrics }, task, owner.report),
+    onOverdue: (run) => recordOverdue({ log, metrics }, run),
   });
 
   const entryOf = createOwnerEntries({
