--- a/lab/application-stand-in.ts
+++ b/lab/application-stand-in.ts
@@ -1,7 +1,9 @@
 /** A back end beside a node: slots, heartbeats, and the faults that back ends show. */
+
 import http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
+import { endpointOf } from '../src/model/endpoint.js';
 import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
 
 /** How a back end treats the next request. */
@@ -265,11 +267,9 @@
 }
 
 function postJson(address: string, body: unknown): Promise<number> {
-  const separator = address.lastIndexOf(':');
   return new Promise((resolve, reject) => {
     const request = http.request({
-      host: address.slice(0, separator),
-      port: Number(address.slice(separator + 1)),
+      ...endpointOf(address),
       method: 'POST',
       path: '/registrations',
       agent: false,
--- a/lab/costExperiment.ts
+++ b/lab/costExperiment.ts
@@ -3,10 +3,12 @@
  * a refusal; in the first requests of a process and later. Two real processes, their back end and
  * the clients in this one.
  */
+
 import { mkdtempSync, rmSync } from 'node:fs';
 import http from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { endpointOf } from '../src/model/endpoint.js';
 import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
 import { ApplicationStandIn } from './application-stand-in.js';
 import type { ExperimentResult, Row } from './experiment.js';
@@ -150,11 +152,9 @@
 
 function request({ agent, address, isUnsafe }: Client, path: string): Promise<void> {
   requests += 1;
-  const separator = address.lastIndexOf(':');
   return new Promise((resolve) => {
     const call = http.request({
-      host: address.slice(0, separator),
-      port: Number(address.slice(separator + 1)),
+      ...endpointOf(address),
       path: `/${path}/${requests}`,
       method: isUnsafe ? 'POST' : 'GET',
       agent,
--- a/lab/sidecar-mesh.ts
+++ b/lab/sidecar-mesh.ts
@@ -1,7 +1,9 @@
 /** Sidecars with their back ends in one process, on real sockets, for tests. */
+
 import http from 'node:http';
 import { DecisionLog } from '../src/diagnostics/decision-log.js';
 import { SidecarMetrics } from '../src/diagnostics/sidecar-metrics.js';
+import { endpointOf } from '../src/model/endpoint.js';
 import {
   type ClockSources,
   createNodeClocks,
@@ -250,7 +252,6 @@
   path: string,
   options: ClientCall = {},
 ): Promise<ClientResult> {
-  const separator = address.lastIndexOf(':');
   const startedAt = performance.now();
   requests += 1;
   const requestId = options.requestId ?? `request-${requests}`;
@@ -258,8 +259,7 @@
     const none = (): void =>
       resolve({ status: 0, body: '', headers: {}, tookMs: performance.now() - startedAt });
     const request = http.request({
-      host: address.slice(0, separator),
-      port: Number(address.slice(separator + 1)),
+      ...endpointOf(address),
       path,
       method: options.method ?? 'GET',
       agent: false,
--- a/lab/soakTraffic.ts
+++ b/lab/soakTraffic.ts
@@ -1,5 +1,7 @@
 /** What the clients of a soak ask for, and one request of theirs. */
+
 import http from 'node:http';
+import { endpointOf } from '../src/model/endpoint.js';
 import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
 
 const HOST = 'mesh.example';
@@ -39,12 +41,10 @@
 
 /** Sends one request; status 0 when there is no whole answer. */
 export function send(call: Call): Promise<{ status: number; answer: string }> {
-  const separator = call.address.lastIndexOf(':');
   return new Promise((resolve) => {
     const lost = () => resolve({ status: 0, answer: '' });
     const request = http.request({
-      host: call.address.slice(0, separator),
-      port: Number(call.address.slice(separator + 1)),
+      ...endpointOf(call.address),
       path: call.path,
       method: call.method,
       agent: call.agent,
--- a/src/owner/back-end-call.ts
+++ b/src/owner/back-end-call.ts
@@ -3,8 +3,10 @@
  * request's id, be whole, and bear the back end's signature. Says exactly what
  * is known when there is no such answer.
  */
+
 import http from 'node:http';
 import type { Socket } from 'node:net';
+import { endpointOf } from '../model/endpoint.js';
 import type { BackEnd } from '../registry/back-end-registry.js';
 import type { HeaderNames } from './header-names.js';
 import { type LoadReport, readLoadReport } from './loadReport.js';
@@ -96,7 +98,6 @@
 
   private open(): http.ClientRequest {
     const { backEnd, names, agent, remainingMs } = this.options;
-    const separator = backEnd.address.lastIndexOf(':');
     const headers = [
       ...this.task.headers,
       names.deadline,
@@ -109,8 +110,7 @@
       ...this.framing(),
     ];
     return http.request({
-      host: backEnd.address.slice(0, separator),
-      port: Number(backEnd.address.slice(separator + 1)),
+      ...endpointOf(backEnd.address),
       method: this.task.method,
       path: this.task.target,
       headers: headers as unknown as http.OutgoingHttpHeaders,
--- a/src/owner/crashWatch.ts
+++ b/src/owner/crashWatch.ts
@@ -3,8 +3,10 @@
  * crashed. Nothing listens any more at the address of a back end that has crashed; one that has merely
  * reset a connection still does.
  */
+
 import net from 'node:net';
 import type { Clock } from '../model/clock.js';
+import { endpointOf } from '../model/endpoint.js';
 import type { RequestUnderWay } from '../quarantine/crashLedger.js';
 import type { OwnerOutcome } from './owner.js';
 
@@ -120,12 +122,8 @@
 }
 
 function listensAt(address: string): Promise<boolean> {
-  const separator = address.lastIndexOf(':');
   return new Promise((resolve) => {
-    const socket = net.connect({
-      host: address.slice(0, separator),
-      port: Number(address.slice(separator + 1)),
-    });
+    const socket = net.connect(endpointOf(address));
     const done = (listening: boolean) => {
       clearTimeout(timer);
       socket.destroy();
--- a/src/owner/health-question.ts
+++ b/src/owner/health-question.ts
@@ -1,5 +1,7 @@
 /** Asks a back end for its health: which incarnation it is and how many slots it has. */
+
 import http from 'node:http';
+import { endpointOf } from '../model/endpoint.js';
 import type { HealthReport } from '../registry/back-end-registry.js';
 import type { HeaderNames } from './header-names.js';
 import { readLoadReport } from './loadReport.js';
@@ -14,10 +16,8 @@
   names: HeaderNames,
 ): Promise<HealthReport | undefined> {
   return new Promise((resolve) => {
-    const separator = address.lastIndexOf(':');
     const request = http.get({
-      host: address.slice(0, separator),
-      port: Number(address.slice(separator + 1)),
+      ...endpointOf(address),
       path,
       agent: false,
     });
--- a/src/peer/peerCaller.ts
+++ b/src/peer/peerCaller.ts
@@ -1,5 +1,7 @@
 /** Short calls to other nodes: their status, their configuration, the owners they know, news. */
+
 import net from 'node:net';
+import { endpointOf } from '../model/endpoint.js';
 import { createPeerConnection, type SentObserver } from './peerConnection.js';
 import {
   MessageKind,
@@ -75,14 +77,9 @@
     timeoutMs: number,
   ): Promise<PeerMessage | undefined> {
     return new Promise((resolve) => {
-      const separator = address.lastIndexOf(':');
-      const connection = createPeerConnection(
-        net.connect({
-          host: address.slice(0, separator),
-          port: Number(address.slice(separator + 1)),
-        }),
-        { onSent: this.onSent },
-      );
+      const connection = createPeerConnection(net.connect(endpointOf(address)), {
+        onSent: this.onSent,
+      });
       const timer = setTimeout(() => connection.destroy(), timeoutMs);
       connection.listen({
         onMessage: (reply) => {
--- a/src/peer/peerConnections.ts
+++ b/src/peer/peerConnections.ts
@@ -1,5 +1,7 @@
 /** Kept connections to one other node: each carries one exchange at a time, the rest are idle. */
+
 import net from 'node:net';
+import { endpointOf } from '../model/endpoint.js';
 import {
   type ConnectionTraits,
   createPeerConnection,
@@ -24,9 +26,7 @@
   address: string,
   traits: ConnectionTraits = {},
 ): PeerConnections {
-  const separator = address.lastIndexOf(':');
-  const host = address.slice(0, separator);
-  const port = Number(address.slice(separator + 1));
+  const { host, port } = endpointOf(address);
   const idle: PeerConnection[] = [];
   const forget = (connection: PeerConnection) => {
     const index = idle.indexOf(connection);
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -1,7 +1,9 @@
 /** The life of a node beside one back end: its start, its state, its reload and its end. */
+
 import type { DecisionLog } from '../diagnostics/decision-log.js';
 import type { SidecarGauges, SidecarMetrics } from '../diagnostics/sidecar-metrics.js';
 import type { Clock } from '../model/clock.js';
+import { endpointOf } from '../model/endpoint.js';
 import type { NodeClocks } from '../model/nodeClocks.js';
 import type { OwnerReport } from '../owner/owner-report.js';
 import type { RouteMatcher } from '../routing/route-matcher.js';
@@ -231,8 +233,6 @@
   server: { listen(host: string, port: number): Promise<number> },
   address: string,
 ): Promise<string> {
-  const separator = address.lastIndexOf(':');
-  const host = address.slice(0, separator);
-  const port = await server.listen(host, Number(address.slice(separator + 1)));
-  return `${host}:${port}`;
+  const { host, port } = endpointOf(address);
+  return `${host}:${await server.listen(host, port)}`;
 }
