A back end may start again under its id: what is believed of it belongs to one life

Cause: the id was taken for one life. Heartbeats of a new life, whose count starts anew, were old ones until they had passed the count before; an id that had drained was fenced for ever; a crash and restart under the same id was a lost connection, and further crashes under a request were the same one.

BackEndLife (id and birth) is now the identity in the registry, the presence, the drain fence, the crash watch, crash records and failure shares; endedLives bars a life and those before it, not the id. A later birth is applied at once: it proves that the known life has ended. Connections that lead to the life before are not used again. Runs that began after the last loss are not blamed for the crash before. Who tells no birth is taken for the life that is known, as until now.

Excluded: comparing lives of different back ends (clocks differ), and asking the health answer first (it tells the id alone).

The event order test found that a leave told the birth of a back end that was known by its health answer alone, and that this was not kept.

--- a/lab/application-stand-in.ts
+++ b/lab/application-stand-in.ts
@@ -24,6 +24,8 @@
 export interface Run {
   readonly requestId: string;
   readonly instance: string;
+  /** Birth of the life that ran it. */
+  readonly bornAt: number;
   readonly method: string;
   readonly target: string;
   /** See `keptBodyBytes`. */
@@ -45,21 +47,29 @@
 /** Pause before a heartbeat that was not acknowledged is sent again, in milliseconds. */
 const ANNOUNCE_RETRY_MS = 100;
 
-/** A back end that has crashed is back, as another incarnation at the same port, after this time. */
+/** A back end that has crashed is back, at the same port, after this time. */
 const SHORTEST_DOWN_MS = 2_500;
 export const LONGEST_DOWN_MS = 4_000;
 
 /** Listens until closed. */
 export class ApplicationStandIn {
-  /** Of the present incarnation. */
+  /** Id, which a later life may have too. */
   instance: string;
+  /** Start of the present life, in Unix milliseconds. */
+  bornAt = Date.now();
+  /** True if it starts again under the id that it had. */
+  keepsId = false;
+  /** True if it listens at another port when it starts again. */
+  moves = false;
+  /** Of its software. */
+  version = 'v1';
   readonly runs: Run[] = [];
   /** True for a request that crashes the back end {@link crashAfterMs} after it has begun to run. */
   crashesUnder: (run: Run) => boolean = () => false;
   crashAfterMs = 45;
   /** Steady time in milliseconds of each crash. */
   readonly crashes: number[] = [];
-  /** Called when another incarnation listens after a crash. */
+  /** Called when another life listens after a crash. */
   onBack: () => void = () => {};
   /** Behaviours of the next requests; then {@link Behaviour} `serve`. */
   readonly behaviours: Behaviour[] = [];
@@ -123,17 +133,24 @@
     if (this.isClosed) {
       return;
     }
-    this.instance = nextInstance();
+    this.beginLife();
+    await this.start(this.moves ? 0 : this.port);
+    this.onBack();
+  }
+
+  /** It holds and knows nothing of before, and may have been away for less than a millisecond. */
+  private beginLife(): void {
+    this.instance = this.keepsId ? this.instance : nextInstance();
+    this.bornAt = Math.max(Date.now(), this.bornAt + 1);
     this.sequence = 0;
     this.running = 0;
-    await this.start(this.port);
-    this.onBack();
+    this.draining = false;
   }
 
   /** Sends heartbeats until one is acknowledged. */
   async announce(registrations: () => string): Promise<void> {
-    const { instance } = this;
-    while (!this.isClosed && this.isListening && this.instance === instance) {
+    const { bornAt } = this;
+    while (!this.isClosed && this.isListening && this.bornAt === bornAt) {
       if ((await this.heartbeat(registrations()).catch(() => 0)) === 200) {
         return;
       }
@@ -144,22 +161,37 @@
   /** Sends one heartbeat to its node. */
   heartbeat(registrations: string, sequence?: number): Promise<number> {
     this.sequence += 1;
-    return postJson(registrations, {
+    return postJson(registrations, this.nextBeat(sequence));
+  }
+
+  /** What the next heartbeat says; it may be sent late with {@link sendLate}. */
+  nextBeat(sequence = this.sequence): unknown {
+    return {
       kind: 'heartbeat',
       beat: {
         instance: this.instance,
+        bornAt: this.bornAt,
+        version: this.version,
         service: this.service,
         address: this.address,
         slots: this.slots,
         state: this.draining ? 'draining' : 'ready',
         coldRemainingMs: 0,
-        sequence: sequence ?? this.sequence,
+        sequence,
       },
-    });
+    };
+  }
+
+  /** Sends what was to be said in an earlier life. */
+  sendLate(registrations: string, call: unknown): Promise<number> {
+    return postJson(registrations, call);
   }
 
   deregister(registrations: string): Promise<number> {
-    return postJson(registrations, { kind: 'deregister', instance: this.instance });
+    return postJson(registrations, {
+      kind: 'deregister',
+      life: { instance: this.instance, bornAt: this.bornAt },
+    });
   }
 
   private serve(request: http.IncomingMessage, response: http.ServerResponse): void {
@@ -204,6 +236,7 @@
     const run: Run = {
       requestId,
       instance: this.instance,
+      bornAt: this.bornAt,
       method: request.method ?? '',
       target: request.url ?? '',
       body: whole.subarray(0, this.keptBodyBytes).toString(),
@@ -218,13 +251,13 @@
         run.cutAt = performance.now();
       }
     });
-    const { instance } = this;
+    const { bornAt } = this;
     if (this.crashesUnder(run)) {
-      setTimeout(() => this.instance === instance && this.crash(), this.crashAfterMs);
+      setTimeout(() => this.bornAt === bornAt && this.crash(), this.crashAfterMs);
       return;
     }
     await delay(this.serviceMs);
-    if (this.instance !== instance) {
+    if (this.bornAt !== bornAt) {
       return;
     }
     this.running -= 1;
--- a/src/directory/quarantineSync.ts
+++ b/src/directory/quarantineSync.ts
@@ -24,7 +24,7 @@
 import type { OwnerDirectory } from './owner-directory.js';
 import type { OwnerRecord } from './owner-entry.js';
 
-/** Kind of the records of crashes; each has the name of the incarnation. */
+/** Kind of the records of crashes; each has the name of the back end's life that ended. */
 export const CRASH_KIND = 'spindlepaddle-crashes';
 
 /** Pause before a record that could not be written is written again, in milliseconds. */
@@ -199,8 +199,8 @@
     tell: (news) => {
       broadcast.tell(NewsTopic.Crashes, listOfNews(news));
       noteQuarantined(news.quarantined, 'own');
-      if (news.instance !== undefined) {
-        void write(news.instance, news);
+      if (news.life !== undefined) {
+        void write(news.life, news);
       }
       for (const key of news.cleared) {
         note(key, 'cleared', 'own');
--- a/src/owner/back-end-agent.ts
+++ b/src/owner/back-end-agent.ts
@@ -12,6 +12,8 @@
 /** Keeps connections for requests that may be repeated. */
 class GuardedAgent extends http.Agent {
   private readonly guards = new WeakMap<Socket, () => void>();
+  /** False once another life of the back end is there: what is open leads to the one before. */
+  keeps = true;
 
   constructor() {
     super({ keepAlive: true, timeout: IDLE_LIMIT_MS, scheduling: 'lifo' });
@@ -19,7 +21,7 @@
 
   /** Called by Node when a request has left its connection free. */
   override keepSocketAlive(socket: Socket): boolean {
-    const keep = super.keepSocketAlive(socket as never) as unknown as boolean;
+    const keep = this.keeps && (super.keepSocketAlive(socket as never) as unknown as boolean);
     const guard = () => socket.destroy();
     this.guards.set(socket, guard);
     socket.on('data', guard);
@@ -39,7 +41,7 @@
 
 /** The connections of one node to its back ends. */
 export class BackEndConnections {
-  private readonly kept = new GuardedAgent();
+  private kept = new GuardedAgent();
   private readonly fresh = new http.Agent({ keepAlive: false });
 
   /**
@@ -60,6 +62,13 @@
     }
   }
 
+  /** Another life of the back end is there: what leads to the one before is not used again. */
+  renew(): void {
+    this.closeIdle();
+    this.kept.keeps = false;
+    this.kept = new GuardedAgent();
+  }
+
   /** Closes what is idle. */
   close(): void {
     this.kept.destroy();
--- a/src/owner/back-end-presence.ts
+++ b/src/owner/back-end-presence.ts
@@ -9,6 +9,7 @@
   type HealthReport,
   type Heartbeat,
 } from '../registry/back-end-registry.js';
+import { type BackEndLife, isSameLife } from '../registry/backEndLife.js';
 import type { HeaderNames } from './header-names.js';
 import { askHealth } from './health-question.js';
 import type { NotRunReason } from './owner.js';
@@ -38,7 +39,9 @@
 
 /** Hears of the back end's comings and goings. */
 export interface BackEndPresenceListener {
-  /** Another incarnation, or other slots: work may be sent. */
+  /** Another life of the back end, or another back end, is there; called before the others. */
+  onNewLife(life: BackEndLife): void;
+  /** Another life, or other slots: work may be sent. */
   onReady(backEnd: BackEnd): void;
   /** Tasks that wait must not be sent any more. */
   onClosed(): void;
@@ -48,7 +51,9 @@
 
 /** One per node. */
 export class BackEndPresence {
-  private readonly registry = new BackEndRegistry((backEnd) => this.onBackEnd(backEnd));
+  private readonly registry = new BackEndRegistry((backEnd, isNewLife) =>
+    this.onBackEnd(backEnd, isNewLife),
+  );
   private unreachable = false;
   /** Steady time in milliseconds after which nothing may be sent to a back end that leaves. */
   private sendUntil = Number.POSITIVE_INFINITY;
@@ -99,23 +104,27 @@
     const result = this.registry.heartbeat(beat, this.options.beliefClock.now());
     if (result === 'unverified') {
       this.askIfNeeded();
-    } else if (result === 'applied' && beat.instance === this.backEnd?.instance) {
+    } else if (result === 'applied' && this.isPresent(beat)) {
       this.setReachable(true);
     }
   }
 
   /** Takes a deregistration; it is fenced before this returns. */
-  deregister(instance: string): void {
-    this.registry.deregister(instance);
+  deregister(life: BackEndLife): void {
+    this.registry.deregister(life);
   }
 
-  /** Nothing listens at the address of this incarnation. */
-  noteUnreachable(backEnd: BackEnd): void {
-    if (backEnd.instance === this.backEnd?.instance) {
+  /** Nothing listened at the address of this life; a later one may be there already. */
+  noteUnreachable(life: BackEndLife): void {
+    if (this.isPresent(life)) {
       this.setReachable(false);
     }
   }
 
+  private isPresent(life: BackEndLife): boolean {
+    return this.backEnd !== undefined && isSameLife(life, this.backEnd);
+  }
+
   private setReachable(reachable: boolean): void {
     if (this.unreachable !== reachable) {
       return;
@@ -127,10 +136,14 @@
     this.listener.onChange(this.backEnd, reachable ? 'reachable' : 'unreachable');
   }
 
-  private onBackEnd(backEnd: BackEnd | undefined): void {
+  private onBackEnd(backEnd: BackEnd, isNewLife: boolean): void {
     const { beliefClock, drainMs } = this.options;
+    // The drain of the life before does not bind the next one.
     clearTimeout(this.fence);
-    if (backEnd?.state === 'ready') {
+    if (isNewLife) {
+      this.listener.onNewLife(backEnd);
+    }
+    if (backEnd.state === 'ready') {
       this.sendUntil = Number.POSITIVE_INFINITY;
       this.unreachable = false;
       this.listener.onReady(backEnd);
@@ -138,7 +151,7 @@
       this.fence = setTimeout(() => this.listener.onClosed(), drainMs() * DRAIN_QUEUE_SHARE);
       this.sendUntil = beliefClock.now() + drainMs() * DRAIN_SEND_SHARE;
     }
-    this.listener.onChange(backEnd, backEnd?.state ?? 'none');
+    this.listener.onChange(backEnd, backEnd.state);
   }
 
   /** Asks the back end who it is while that is not known. */
--- a/src/owner/crashWatch.test.ts
+++ b/src/owner/crashWatch.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import type { BackEndLife } from '../registry/backEndLife.js';
 import { createCrashWatch } from './crashWatch.js';
 import type { OwnerOutcome } from './owner.js';
 
@@ -6,6 +7,10 @@
 const LEFT: OwnerOutcome = { kind: 'unknown', reason: 'cancelled' };
 const TURNED_AWAY: OwnerOutcome = { kind: 'not-run', reason: 'busy', arrived: true };
 
+function lifeOf(instance: string, bornAt?: number): BackEndLife {
+  return { instance, bornAt };
+}
+
 /** A watch over a back end that listens or not, with a clock that the test sets. */
 function watchOver() {
   const world = { now: 0, isListening: true, looks: 0 };
@@ -16,12 +21,12 @@
       world.looks += 1;
       return world.isListening;
     },
-    onCrash: (instance, underWay) =>
+    onCrash: ({ instance }, underWay) =>
       crashes.push({ instance, requests: underWay.map(({ fingerprint }) => fingerprint) }),
   });
-  const run = (fingerprint: string, instance = 'i-1') => {
+  const run = (fingerprint: string, instance = 'i-1', bornAt?: number) => {
     const started = {
-      instance,
+      life: { instance, bornAt },
       address: 'a:1',
       request: { fingerprint, caller: 'desk', hadCrashed: false },
     };
@@ -63,25 +68,43 @@
     expect(crashes[0]?.requests).toEqual(['left', 'lost']);
   });
 
-  it('finds a crash by the next incarnation where the port was taken again at once', async () => {
+  it('finds a crash by the next life where the port was taken again at once', async () => {
     const { world, crashes, watch, run } = watchOver();
     await watch.end(run('a'), LOST);
     world.now = 1_000;
-    watch.onIncarnation('i-1');
+    watch.onLife(lifeOf('i-1'));
     expect(crashes).toEqual([]);
-    watch.onIncarnation('i-2');
-    watch.onIncarnation('i-2');
+    watch.onLife(lifeOf('i-2'));
+    watch.onLife(lifeOf('i-2'));
     expect(crashes).toEqual([{ instance: 'i-1', requests: ['a'] }]);
   });
 
+  it('tells a crash from a lost connection by the birth of a back end that is back under its id', async () => {
+    const { world, crashes, watch, run } = watchOver();
+    const running = run('b', 'i-1', 100);
+    await watch.end(run('a', 'i-1', 100), LOST);
+    world.now = 50;
+    // Sent to the new life, which is not known yet.
+    const later = run('c', 'i-1', 100);
+    world.now = 90;
+    watch.onLife(lifeOf('i-1', 200));
+    expect(crashes).toEqual([{ instance: 'i-1', requests: ['a', 'b'] }]);
+    world.isListening = false;
+    await watch.end(running, LOST);
+    expect(crashes).toHaveLength(1);
+    await watch.end(later, LOST);
+    await watch.end(run('d', 'i-1', 200), LOST);
+    expect(crashes.at(-1)).toEqual({ instance: 'i-1', requests: ['d'] });
+  });
+
   it('does not blame callers that left before a back end was replaced', async () => {
     const { world, crashes, watch, run } = watchOver();
     await watch.end(run('a'), LEFT);
     world.now = 100;
-    watch.onIncarnation('i-2');
+    watch.onLife(lifeOf('i-2'));
     await watch.end(run('b', 'i-2'), LOST);
     world.now = 9_000;
-    watch.onIncarnation('i-3');
+    watch.onLife(lifeOf('i-3'));
     expect(crashes).toEqual([]);
   });
 });
--- a/src/owner/crashWatch.ts
+++ b/src/owner/crashWatch.ts
@@ -6,6 +6,7 @@
 import net from 'node:net';
 import type { Clock } from '../model/clock.js';
 import type { RequestUnderWay } from '../quarantine/crashLedger.js';
+import { type BackEndLife, isSameLife } from '../registry/backEndLife.js';
 import type { OwnerOutcome } from './owner.js';
 
 /** A port on the same machine takes or refuses a connection within this time, in milliseconds. */
@@ -18,27 +19,29 @@
 const LEFT_BEHIND_MS = 1_000;
 
 /**
- * A back end that is back sooner than its port was looked at shows by a new incarnation within this
- * time, in milliseconds, that it had crashed: heartbeats come every second or two.
+ * A back end that is back sooner than its port was looked at shows by a new life within this time, in
+ * milliseconds, that it had crashed, be it under the same id: heartbeats come every second or two.
  */
 const LOST_MS = 5_000;
 
 /** What is needed of the owner. */
 export interface CrashWatchContext {
   readonly clock: Clock;
-  /** An incarnation has crashed while these requests, and no others, were under way. */
-  readonly onCrash: (instance: string, underWay: readonly RequestUnderWay[]) => void;
+  /** A life has ended in a crash while these requests, and no others, were under way. */
+  readonly onCrash: (life: BackEndLife, underWay: readonly RequestUnderWay[]) => void;
   /** True if something listens at an address; for tests. */
   readonly listens?: (address: string) => Promise<boolean>;
 }
 
 /** A run that a back end may have begun. */
 export interface WatchedRun {
-  readonly instance: string;
+  /** The life that is known when the run begins. */
+  readonly life: BackEndLife;
   readonly address: string;
   readonly request: RequestUnderWay;
 }
 
+/** A run that has ended without an answer. */
 interface EndedRun extends WatchedRun {
   /** Steady time in milliseconds since which nobody waits for it. */
   readonly endedAt: number;
@@ -47,47 +50,51 @@
 }
 
 export interface CrashWatch {
-  /** A request is about to be sent to an incarnation. */
+  /** A request is about to be sent. */
   begin(run: WatchedRun): void;
   /**
    * The run has ended in this way. Resolves, within the limit of one connection, with true if nothing
    * listens any more at the back end's address.
    */
   end(run: WatchedRun, outcome: OwnerOutcome): Promise<boolean>;
-  /** This incarnation is there: the one before has crashed if runs were lost with it lately. */
-  onIncarnation(instance: string): void;
+  /** This life is there: the one before has crashed if runs were lost with it lately. */
+  onLife(life: BackEndLife): void;
 }
 
 export function createCrashWatch(context: CrashWatchContext): CrashWatch {
   const { clock, onCrash, listens = listensAt } = context;
-  const underWay = new Set<WatchedRun>();
+  /** Steady times in milliseconds at which the runs that go on began. */
+  const underWay = new Map<WatchedRun, number>();
   /** Without an answer, the oldest first. */
   let ended: EndedRun[] = [];
-  let crashed: string | undefined;
+  let crashed: BackEndLife | undefined;
   let look: Promise<boolean> | undefined;
 
-  const noteCrash = (instance: string): void => {
-    if (instance === crashed) {
+  /** What began after `begunUntil` ran on a later life, though it was not yet known. */
+  const noteCrash = (life: BackEndLife, begunUntil = Number.POSITIVE_INFINITY): void => {
+    if (crashed && isSameLife(life, crashed)) {
       return;
     }
-    crashed = instance;
-    const gone = ended.filter((run) => run.instance === instance);
-    ended = ended.filter((run) => run.instance !== instance);
+    crashed = life;
+    const gone = ended.filter((run) => isSameLife(run.life, life));
+    ended = ended.filter((run) => !gone.includes(run));
     const crashedAt = gone.at(-1)?.endedAt ?? clock.now();
     const atTheEnd = gone.filter(({ endedAt }) => crashedAt - endedAt < LEFT_BEHIND_MS);
-    const running = [...underWay].filter((run) => run.instance === instance);
+    const running = [...underWay]
+      .filter(([run, begunAt]) => isSameLife(run.life, life) && begunAt <= begunUntil)
+      .map(([run]) => run);
     onCrash(
-      instance,
+      life,
       [...atTheEnd, ...running].map(({ request }) => request),
     );
   };
 
   /** One look for all the runs that end at the same moment. */
-  const lookAt = ({ instance, address }: WatchedRun): Promise<boolean> => {
+  const lookAt = ({ life, address }: WatchedRun): Promise<boolean> => {
     look ??= listens(address).then((listening) => {
       look = undefined;
       if (!listening) {
-        noteCrash(instance);
+        noteCrash(life);
       }
       return !listening;
     });
@@ -96,7 +103,7 @@
 
   return {
     begin: (run) => {
-      underWay.add(run);
+      underWay.set(run, clock.now());
     },
     end: async (run, outcome) => {
       underWay.delete(run);
@@ -109,16 +116,24 @@
       ended.push({ ...run, endedAt: now, isLost });
       return isLost && lookAt(run);
     },
-    onIncarnation: (instance) => {
+    onLife: (life) => {
       const now = clock.now();
       const lost = ended.findLast(({ isLost, endedAt }) => isLost && now - endedAt < LOST_MS);
-      if (lost && lost.instance !== instance) {
-        noteCrash(lost.instance);
+      // A birth that was not told when the run began is that of the life before: this one is new.
+      if (lost && !isOfLife(lost, life)) {
+        noteCrash(lost.life, lost.endedAt);
+      }
+      if (crashed && isSameLife(crashed, life)) {
+        crashed = undefined;
       }
     },
   };
 }
 
+function isOfLife(run: WatchedRun, life: BackEndLife): boolean {
+  return run.life.instance === life.instance && run.life.bornAt === life.bornAt;
+}
+
 function listensAt(address: string): Promise<boolean> {
   const separator = address.lastIndexOf(':');
   return new Promise((resolve) => {
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -3,6 +3,7 @@
 import type { Alarms } from '../model/alarms.js';
 import { Standing } from '../quarantine/crashLedger.js';
 import type { BackEnd, Heartbeat } from '../registry/back-end-registry.js';
+import type { BackEndLife } from '../registry/backEndLife.js';
 import { AdmissionControl, type AdmissionRequest } from './admission-control.js';
 import { BackEndConnections } from './back-end-agent.js';
 import { BackEndPresence, type BackEndPresenceOptions } from './back-end-presence.js';
@@ -47,26 +48,24 @@
   private readonly connections = new BackEndConnections();
   private readonly failures = createFailureShare();
   private readonly calls: WatchedCalls;
-  private instance: string | undefined;
   private stopping = false;
   private distrustUntil = 0;
 
   constructor(private readonly options: LocalOwnerOptions) {
     this.calls = createWatchedCalls(options);
     this.presence = new BackEndPresence(options, {
-      onReady: (backEnd) => this.onReady(backEnd),
+      onNewLife: (life) => this.onNewLife(life),
+      onReady: ({ slots }) => this.admission.setSlots(slots, options.clock.now()),
       onClosed: () => this.admission.turnAllAway(),
       onChange: (backEnd, cause) => options.onBackEnd(backEnd, cause),
     });
   }
 
-  private onReady(backEnd: BackEnd): void {
-    if (backEnd.instance !== this.instance) {
-      this.instance = backEnd.instance;
-      this.failures.reset();
-      this.calls.onIncarnation(backEnd.instance);
-    }
-    this.admission.setSlots(backEnd.slots, this.options.clock.now());
+  /** What is known of the service's times stays: they are those of its requests, on this machine. */
+  private onNewLife(life: BackEndLife): void {
+    this.failures.reset();
+    this.connections.renew();
+    this.calls.onLife(life);
   }
 
   /** Begins to look for the back end. */
@@ -118,8 +117,8 @@
   }
 
   /** Takes a deregistration; it is fenced before this returns. */
-  deregister(instance: string): void {
-    this.presence.deregister(instance);
+  deregister(life: BackEndLife): void {
+    this.presence.deregister(life);
   }
 
   async run(task: OwnerTask): Promise<OwnerOutcome> {
--- a/src/owner/watchedCalls.ts
+++ b/src/owner/watchedCalls.ts
@@ -1,6 +1,7 @@
 /** Calls to the back end whose ends tell which requests crash it, and which do not. */
 import type { Clock } from '../model/clock.js';
 import type { CrashLedger, CrashNews } from '../quarantine/crashLedger.js';
+import { type BackEndLife, nameOfLife } from '../registry/backEndLife.js';
 import { type BackEndCallOptions, type BackEndCallResult, callBackEnd } from './back-end-call.js';
 import { createCrashWatch } from './crashWatch.js';
 import type { MessageBody } from './message-body.js';
@@ -10,6 +11,8 @@
 export interface WatchedCallsContext {
   readonly clock: Clock;
   readonly ledger: CrashLedger;
+  /** The back end has crashed; called before `onNews`. */
+  readonly onCrash: (life: BackEndLife, news: CrashNews) => void;
   /** The back end has crashed, or a suspect has run to its end: other nodes are to know. */
   readonly onNews: (news: CrashNews) => void;
 }
@@ -20,21 +23,26 @@
    * resolves: the task may be offered to one of them next.
    */
   call(task: OwnerTask, body: MessageBody, options: BackEndCallOptions): Promise<BackEndCallResult>;
-  /** This incarnation is there. */
-  onIncarnation(instance: string): void;
+  /** This life is there; the one before has ended. */
+  onLife(life: BackEndLife): void;
 }
 
-export function createWatchedCalls({ clock, ledger, onNews }: WatchedCallsContext): WatchedCalls {
+export function createWatchedCalls(context: WatchedCallsContext): WatchedCalls {
+  const { clock, ledger, onCrash, onNews } = context;
   const crashes = createCrashWatch({
     clock,
-    onCrash: (instance, underWay) => onNews(ledger.noteCrash(instance, underWay, clock.now())),
+    onCrash: (life, underWay) => {
+      const news = ledger.noteCrash(nameOfLife(life), underWay, clock.now());
+      onCrash(life, news);
+      onNews(news);
+    },
   });
   return {
     call: async (task, body, options) => {
-      const { instance, address } = options.backEnd;
+      const { instance, bornAt, address } = options.backEnd;
       const key = crashKeyOf(task);
       const hadCrashed = ledger.crashesOf(key.fingerprint) > 0;
-      const run = { instance, address, request: { ...key, hadCrashed } };
+      const run = { life: { instance, bornAt }, address, request: { ...key, hadCrashed } };
       crashes.begin(run);
       const result = await callBackEnd(task, body, options);
       const news =
@@ -45,6 +53,6 @@
       const hasCrashed = await crashes.end(run, result.outcome);
       return { ...result, unreachable: result.unreachable || hasCrashed };
     },
-    onIncarnation: crashes.onIncarnation,
+    onLife: crashes.onLife,
   };
 }
--- a/src/peer/peerMessages.test.ts
+++ b/src/peer/peerMessages.test.ts
@@ -67,7 +67,7 @@
   topic: fc.constantFrom(NewsTopic.Crashes, NewsTopic.Quotas, NewsTopic.RollOuts),
   content: fc
     .record({
-      instance: fc.option(fc.string(), { nil: undefined }),
+      life: fc.option(fc.string(), { nil: undefined }),
       suspects: keys,
       quarantined: keys,
       cleared: keys,
--- a/src/quarantine/crashLedger.ts
+++ b/src/quarantine/crashLedger.ts
@@ -37,8 +37,8 @@
 
 /** What one node has found out and others are to know. */
 export interface CrashNews {
-  /** Incarnation that crashed, if one did. */
-  readonly instance: string | undefined;
+  /** Name of the back end's life that ended in a crash, if one did. */
+  readonly life: string | undefined;
   readonly suspects: readonly RequestKey[];
   readonly quarantined: readonly RequestKey[];
   /** Suspects that have run to their end. */
@@ -72,19 +72,19 @@
 /** Requests of which crashes are remembered: 1 MB at the most; one crash adds up to the slots of a back end. */
 const MAX_ENTRIES = 2_048;
 
-/** Incarnations that are told apart for one request: more make no difference. */
-const MAX_INSTANCES = 8;
+/** Lives of back ends that are told apart for one request: more make no difference. */
+const MAX_LIVES = 8;
 
 interface Entry {
-  /** Incarnations that crashed under the request. */
-  readonly instances: Set<string>;
+  /** Names of the lives that ended under the request. */
+  readonly lives: Set<string>;
   /** Callers whose request was under a crash. */
   readonly callers: Set<string>;
   /** Callers whose request ran to its end since. */
   readonly cleared: Set<string>;
   /** Callers whose request is quarantined, with the steady time of that in milliseconds. */
   readonly quarantined: Map<string, number>;
-  /** Crashes that were told without naming the incarnations. */
+  /** Crashes that were told without naming the lives. */
   toldCrashes: number;
   /** Steady time in milliseconds of the last crash that was heard of. */
   lastAt: number;
@@ -97,8 +97,8 @@
   quarantineLeftMs(key: RequestKey, now: number): number;
   /** A back end here has run the request to its end. Returns news if it was a suspect. */
   noteCompleted(key: RequestKey, now: number): CrashNews | undefined;
-  /** A back end here has crashed while these requests, and no others, were under way. */
-  noteCrash(instance: string, underWay: readonly RequestUnderWay[], now: number): CrashNews;
+  /** A back end's life here has ended in a crash while these requests, and no others, were under way. */
+  noteCrash(life: string, underWay: readonly RequestUnderWay[], now: number): CrashNews;
   /** Takes another node's news; returns what is quarantined since. */
   takeNews(news: CrashNews, now: number): readonly RequestKey[];
   /** The store holds a suspicion of so many crashes. */
@@ -154,10 +154,10 @@
     entries.delete(entries.keys().next().value as string);
   };
 
-  const blame = (instance: string, { fingerprint, caller }: RequestKey, now: number): Entry => {
+  const blame = (life: string, { fingerprint, caller }: RequestKey, now: number): Entry => {
     const entry = entryOf(fingerprint, now);
-    if (entry.instances.size < MAX_INSTANCES) {
-      entry.instances.add(instance);
+    if (entry.lives.size < MAX_LIVES) {
+      entry.lives.add(life);
     }
     entry.callers.add(caller);
     entry.cleared.delete(caller);
@@ -218,24 +218,24 @@
       clear(key);
       return isSuspect ? { ...NO_NEWS, cleared: [key] } : undefined;
     },
-    noteCrash: (instance, underWay, now) => {
+    noteCrash: (life, underWay, now) => {
       // The same request may run on a back end more than once at a time.
       const isAlone = new Set(underWay.map(nameOf)).size === 1;
       const suspects = uniqueOf(underWay).filter((key) => isAlone || !hasCompleted(key, now));
       for (const key of suspects) {
-        blame(instance, key, now);
+        blame(life, key, now);
       }
       const hadCrashed = underWay.some((request) => request.hadCrashed);
       const quarantined = isAlone && hadCrashed ? suspects : [];
       for (const key of quarantined) {
         quarantine(key, now);
       }
-      return { ...NO_NEWS, instance, suspects, quarantined };
+      return { ...NO_NEWS, life, suspects, quarantined };
     },
-    takeNews: ({ instance, suspects, quarantined, cleared }, now) => {
+    takeNews: ({ life, suspects, quarantined, cleared }, now) => {
       for (const key of suspects) {
-        if (instance !== undefined && !hasCompleted(key, now)) {
-          blame(instance, key, now);
+        if (life !== undefined && !hasCompleted(key, now)) {
+          blame(life, key, now);
         }
       }
       cleared.forEach(clear);
@@ -265,11 +265,11 @@
   };
 }
 
-const NO_NEWS: CrashNews = { instance: undefined, suspects: [], quarantined: [], cleared: [] };
+const NO_NEWS: CrashNews = { life: undefined, suspects: [], quarantined: [], cleared: [] };
 
 function newEntry(): Entry {
   return {
-    instances: new Set(),
+    lives: new Set(),
     callers: new Set(),
     cleared: new Set(),
     quarantined: new Map(),
@@ -278,8 +278,8 @@
   };
 }
 
-function crashesIn({ instances, toldCrashes }: Entry): number {
-  return Math.max(instances.size, toldCrashes);
+function crashesIn({ lives, toldCrashes }: Entry): number {
+  return Math.max(lives.size, toldCrashes);
 }
 
 function nameOf({ fingerprint, caller }: RequestKey): string {
--- a/src/quarantine/crashNewsCodec.test.ts
+++ b/src/quarantine/crashNewsCodec.test.ts
@@ -5,7 +5,7 @@
 const keys = fc.array(fc.record({ fingerprint: fc.string(), caller: fc.string() }));
 
 const news = fc.record({
-  instance: fc.option(fc.string(), { nil: undefined }),
+  life: fc.option(fc.string(), { nil: undefined }),
   suspects: keys,
   quarantined: keys,
   cleared: keys,
--- a/src/quarantine/crashNewsCodec.ts
+++ b/src/quarantine/crashNewsCodec.ts
@@ -1,10 +1,10 @@
-/** How news of crashes travels between nodes: the incarnation, then three lists of requests. */
+/** How news of crashes travels between nodes: the name of the life, then three lists of requests. */
 import type { CrashNews, RequestKey } from './crashLedger.js';
 
 /** Renders news as a list. */
 export function listOfNews(news: CrashNews): unknown[] {
   return [
-    news.instance,
+    news.life,
     listOfKeys(news.suspects),
     listOfKeys(news.quarantined),
     listOfKeys(news.cleared),
@@ -16,13 +16,13 @@
   if (!Array.isArray(value)) {
     return undefined;
   }
-  const [instance, ...lists] = value as unknown[];
+  const [life, ...lists] = value as unknown[];
   const [suspects, quarantined, cleared] = lists.map(readKeys);
   if (!suspects || !quarantined || !cleared) {
     return undefined;
   }
   return {
-    instance: typeof instance === 'string' ? instance : undefined,
+    life: typeof life === 'string' ? life : undefined,
     suspects,
     quarantined,
     cleared,
--- a/src/registry/back-end-registry.test.ts
+++ b/src/registry/back-end-registry.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { type BackEnd, BackEndRegistry, type Heartbeat } from './back-end-registry.js';
+import { nameOfLife } from './backEndLife.js';
 
 const FALLBACK = {
   service: 'catalogue',
@@ -60,7 +61,7 @@
 
   it('keeps an incarnation fenced that deregistered without draining', () => {
     const { registry } = registryWith();
-    registry.deregister('i-1');
+    registry.deregister({ instance: 'i-1', bornAt: undefined });
     expect(registry.current?.state).toBe('draining');
     expect(registry.heartbeat(beat({ sequence: 99 }), 20)).toBe('old');
     registry.verified({ instance: 'i-1', slots: 4 }, FALLBACK);
@@ -79,10 +80,113 @@
   it('does not take a drain of another incarnation for its own', () => {
     const { registry } = registryWith('i-2');
     registry.heartbeat(beat({ instance: 'i-1', state: 'draining', sequence: 3 }), 10);
-    registry.deregister('i-1');
+    registry.deregister({ instance: 'i-1', bornAt: undefined });
     expect(registry.current).toMatchObject({ instance: 'i-2', state: 'ready' });
   });
 
+  it('serves a back end that has drained and starts again under its id', () => {
+    const { registry, changes } = registryWith();
+    registry.heartbeat(beat({ bornAt: 100, sequence: 8 }), 10);
+    registry.heartbeat(beat({ bornAt: 100, sequence: 9, state: 'draining' }), 20);
+    registry.deregister({ instance: 'i-1', bornAt: 100 });
+    expect(registry.heartbeat(beat({ bornAt: 200, sequence: 1 }), 30)).toBe('applied');
+    expect(registry.current).toMatchObject({ state: 'ready', bornAt: 200, sequence: 1 });
+    expect(changes.at(-1)).toEqual(registry.current);
+  });
+
+  it('counts the heartbeats of each life anew, and tells that it is another one', () => {
+    const lives: boolean[] = [];
+    const registry = new BackEndRegistry((_backEnd, isNewLife) => lives.push(isNewLife));
+    registry.heartbeat(beat({ bornAt: 100, sequence: 50 }), 0);
+    registry.verified({ instance: 'i-1', slots: 4 }, FALLBACK);
+    registry.heartbeat(beat({ bornAt: 200, sequence: 1 }), 10);
+    expect(registry.heartbeat(beat({ bornAt: 200, sequence: 2 }), 20)).toBe('applied');
+    expect(registry.current).toMatchObject({ bornAt: 200, sequence: 2 });
+    expect(lives).toEqual([true, true]);
+  });
+
+  it('takes nothing late of a life that has ended, neither its state nor its leave', () => {
+    const { registry } = registryWith();
+    registry.heartbeat(beat({ bornAt: 100, sequence: 8 }), 10);
+    registry.heartbeat(beat({ bornAt: 200, sequence: 1 }), 20);
+    const late = beat({ bornAt: 100, sequence: 9, state: 'draining', slots: 1 });
+    expect(registry.heartbeat(late, 30)).toBe('old');
+    registry.deregister({ instance: 'i-1', bornAt: 100 });
+    expect(registry.current).toMatchObject({ state: 'ready', bornAt: 200, slots: 4 });
+  });
+
+  it('takes the birth of a back end that it knew from its health answer alone', () => {
+    const registry = new BackEndRegistry(() => {});
+    registry.verified({ instance: 'i-1', slots: 6 }, FALLBACK);
+    registry.heartbeat(beat({ bornAt: 200, sequence: 3 }), 0);
+    expect(registry.heartbeat(beat({ bornAt: 100, sequence: 9, state: 'draining' }), 5)).toBe(
+      'old',
+    );
+    expect(registry.current).toMatchObject({ state: 'ready', bornAt: 200, sequence: 3 });
+  });
+
+  it('follows a back end that starts again at another address, or comes back after another one', () => {
+    const { registry } = registryWith();
+    registry.heartbeat(beat({ bornAt: 100, sequence: 8 }), 10);
+    registry.heartbeat(beat({ bornAt: 200, sequence: 1, address: '127.0.0.1:2' }), 20);
+    expect(registry.current).toMatchObject({ address: '127.0.0.1:2', bornAt: 200 });
+    registry.heartbeat(beat({ instance: 'i-2', bornAt: 50 }), 30);
+    registry.verified({ instance: 'i-2', slots: 4 }, FALLBACK);
+    expect(registry.heartbeat(beat({ bornAt: 200, sequence: 9 }), 40)).toBe('old');
+    expect(registry.heartbeat(beat({ bornAt: 300, sequence: 1 }), 50)).toBe('unverified');
+    registry.verified({ instance: 'i-1', slots: 4 }, FALLBACK);
+    expect(registry.current).toMatchObject({ instance: 'i-1', bornAt: 300 });
+  });
+
+  it('binds the life that is known to a leave that does not tell its birth', () => {
+    const { registry } = registryWith();
+    registry.heartbeat(beat({ bornAt: 100, sequence: 8 }), 10);
+    registry.deregister({ instance: 'i-1', bornAt: undefined });
+    expect(registry.heartbeat(beat({ bornAt: 100, sequence: 9 }), 20)).toBe('old');
+    expect(registry.current?.state).toBe('draining');
+    registry.heartbeat(beat({ bornAt: 101, sequence: 1 }), 30);
+    expect(registry.current?.state).toBe('ready');
+  });
+
+  it('never makes a life ready that has left, nor holds a later one off, in any order of events', () => {
+    const event = fc.record({
+      kind: fc.constantFrom('ready', 'draining', 'deregister', 'verified'),
+      instance: fc.constantFrom('i-1', 'i-2'),
+      bornAt: fc.integer({ min: 1, max: 3 }),
+      sequence: fc.integer({ min: 1, max: 6 }),
+    });
+    fc.assert(
+      fc.property(fc.array(event, { maxLength: 30 }), (events) => {
+        const registry = new BackEndRegistry(() => {});
+        const left = new Set<string>();
+        for (const { kind, instance, bornAt, sequence } of events) {
+          if (kind === 'verified') {
+            registry.verified({ instance, slots: 2 }, FALLBACK);
+          } else if (kind === 'deregister') {
+            registry.deregister({ instance, bornAt });
+            left.add(nameOfLife({ instance, bornAt }));
+          } else {
+            const state = kind === 'draining' ? 'draining' : 'ready';
+            const result = registry.heartbeat(beat({ instance, bornAt, sequence, state }), 0);
+            if (state === 'draining' && result === 'applied') {
+              left.add(nameOfLife({ instance, bornAt }));
+            }
+          }
+          const { current } = registry;
+          if (current && left.has(nameOfLife(current))) {
+            expect(current.state).toBe('draining');
+          }
+        }
+        for (const instance of ['i-1', 'i-2']) {
+          registry.heartbeat(beat({ instance, bornAt: 4, sequence: 1 }), 0);
+          registry.verified({ instance, slots: 2 }, FALLBACK);
+          expect(registry.current).toMatchObject({ instance, bornAt: 4, state: 'ready' });
+        }
+      }),
+      { seed: 39, numRuns: 1_000 },
+    );
+  });
+
   it('never makes a fenced incarnation ready again, in any order of events', () => {
     const event = fc.record({
       kind: fc.constantFrom('ready', 'draining', 'deregister', 'verified'),
@@ -96,7 +200,7 @@
         for (const { kind, instance, sequence } of events) {
           const wasCurrent = registry.current?.instance === instance;
           if (kind === 'deregister') {
-            registry.deregister(instance);
+            registry.deregister({ instance, bornAt: undefined });
             fenced.add(instance);
           } else if (kind === 'verified') {
             registry.verified({ instance, slots: 2 }, FALLBACK);
--- a/src/registry/back-end-registry.ts
+++ b/src/registry/back-end-registry.ts
@@ -1,30 +1,28 @@
 /**
  * What this node believes of the back end on its machine, from heartbeats,
- * deregistrations and health answers. A drain that was acknowledged binds: an
- * incarnation that is leaving never becomes ready again, however late and in
- * whatever order its heartbeats arrive.
+ * deregistrations and health answers. A drain that was acknowledged binds: a
+ * life that is leaving never becomes ready again, however late and in whatever
+ * order its heartbeats arrive. A later life under the same id is not bound.
  */
+import { type BackEndLife, isLaterLife, isSameLife } from './backEndLife.js';
+import { createEndedLives } from './endedLives.js';
 
-/** A heartbeat as a back end sends it. */
-export interface Heartbeat {
-  readonly instance: string;
+/** A heartbeat as a back end sends it; its life is the present one. */
+export interface Heartbeat extends BackEndLife {
   readonly service: string;
   readonly address: string;
   readonly slots: number;
   readonly state: 'ready' | 'draining';
   /** Milliseconds for which the back end is still slow from its start. */
   readonly coldRemainingMs: number;
-  /** Rises with each call of the same incarnation. */
+  /** Rises with each call of the same life, and starts anew in the next. */
   readonly sequence: number;
   /** Version of its software; undefined when it tells none. */
   readonly version: string | undefined;
-  /** Start of its present life, in Unix milliseconds of its own clock; undefined when it tells none. */
-  readonly bornAt: number | undefined;
 }
 
 /** The back end that the node may send work to, or that is leaving. */
-export interface BackEnd {
-  readonly instance: string;
+export interface BackEnd extends BackEndLife {
   readonly service: string;
   readonly address: string;
   readonly slots: number;
@@ -34,8 +32,6 @@
   readonly sequence: number;
   /** Version of its software; undefined until a heartbeat has told it. */
   readonly version: string | undefined;
-  /** Start of its present life, as its heartbeats tell it. */
-  readonly bornAt: number | undefined;
 }
 
 /** An answer to a health question that says "ready". */
@@ -48,77 +44,93 @@
 /** What a heartbeat led to. */
 export type HeartbeatResult = 'applied' | 'old' | 'unverified';
 
-/** Incarnations that have ended are remembered, up to this many. */
-const MAX_RETIRED = 256;
+/** Hears of every change of the back end that may get work; `isNewLife` if it is another life than before. */
+export type BackEndListener = (backEnd: BackEnd, isNewLife: boolean) => void;
 
 /** Owned by the local owner; takes events, holds no sockets. */
 export class BackEndRegistry {
   private backEnd: BackEnd | undefined;
   private pending: { beat: Heartbeat; at: number } | undefined;
-  private readonly retired = new Set<string>();
+  private readonly ended = createEndedLives();
 
-  /** `onChange` is called after every change of the back end that may get work. */
-  constructor(private readonly onChange: (backEnd: BackEnd | undefined) => void) {}
+  constructor(private readonly onChange: BackEndListener) {}
 
   get current(): BackEnd | undefined {
     return this.backEnd;
   }
 
-  /** The incarnation that waits for its health answer, if there is one. */
+  /** The life that waits for its health answer, if there is one. */
   get unverified(): Heartbeat | undefined {
     return this.pending?.beat;
   }
 
-  /** Takes a heartbeat. One of an unknown incarnation waits for {@link verified}. */
+  /** Takes a heartbeat. One of an unknown id waits for {@link verified}. */
   heartbeat(beat: Heartbeat, now: number): HeartbeatResult {
-    if (this.retired.has(beat.instance)) {
+    if (this.ended.has(beat)) {
       return 'old';
     }
     if (beat.instance === this.backEnd?.instance) {
-      return this.update(this.backEnd, beat, now);
+      return this.takeOwn(this.backEnd, beat, now);
     }
     if (beat.state === 'draining') {
-      this.retire(beat.instance);
+      this.ended.add(beat);
       return 'applied';
     }
-    const pending = this.pending?.beat;
-    if (pending?.instance === beat.instance && beat.sequence <= pending.sequence) {
+    if (this.pending && !isNewer(beat, this.pending.beat)) {
       return 'old';
     }
     this.pending = { beat, at: now };
     return 'unverified';
   }
 
-  /** An incarnation says that it leaves for good. */
-  deregister(instance: string): void {
-    this.retire(instance);
-    if (this.pending?.beat.instance === instance) {
+  /** A life says that it leaves for good. */
+  deregister(life: BackEndLife): void {
+    const leaving = { ...life, bornAt: life.bornAt ?? this.knownBirth(life.instance) };
+    this.ended.add(leaving);
+    if (this.pending && this.ended.has(this.pending.beat)) {
       this.pending = undefined;
     }
-    if (this.backEnd?.instance === instance) {
-      this.change({ ...this.backEnd, state: 'draining' });
+    if (this.backEnd?.instance === life.instance && !isLaterLife(this.backEnd, leaving)) {
+      const bornAt = this.backEnd.bornAt ?? leaving.bornAt;
+      this.change({ ...this.backEnd, bornAt, state: 'draining' });
     }
   }
 
   /**
-   * A back end said itself which incarnation it is, and that it is ready.
+   * A back end said itself which it is, and that it is ready.
    * `fallback` describes it when no heartbeat of it has been heard yet.
    */
   verified(report: HealthReport, fallback: Omit<BackEnd, 'instance' | 'slots'>): void {
     const { instance } = report;
-    if (this.retired.has(instance) || this.backEnd?.instance === instance) {
+    if (this.backEnd?.instance === instance) {
       return;
     }
     const pending = this.pending?.beat.instance === instance ? this.pending : undefined;
     const slots = pending?.beat.slots ?? report.slots;
-    if (slots === undefined) {
+    const life = pending?.beat ?? { instance, bornAt: fallback.bornAt };
+    if (slots === undefined || this.ended.has(life)) {
       return;
     }
     if (this.backEnd) {
-      this.retire(this.backEnd.instance);
+      this.ended.add(this.backEnd);
     }
     this.pending = undefined;
-    this.change(pending ? backEndOf(pending.beat, pending.at) : { ...fallback, instance, slots });
+    const next = pending ? backEndOf(pending.beat, pending.at) : { ...fallback, instance, slots };
+    this.change(next, true);
+  }
+
+  /** A heartbeat under the id of the known back end: of the known life, or of a later or earlier one. */
+  private takeOwn(known: BackEnd, beat: Heartbeat, now: number): HeartbeatResult {
+    if (isLaterLife(known, beat)) {
+      return 'old';
+    }
+    if (!isLaterLife(beat, known)) {
+      return this.update(known, beat, now);
+    }
+    // Its birth proves that the known life has ended; no health answer could prove more.
+    this.ended.add(beat.state === 'draining' ? beat : known);
+    this.change(backEndOf(beat, now), true);
+    return 'applied';
   }
 
   private update(known: BackEnd, beat: Heartbeat, now: number): HeartbeatResult {
@@ -126,10 +138,11 @@
       return 'old';
     }
     const state = known.state === 'draining' ? 'draining' : beat.state;
+    const bornAt = beat.bornAt ?? known.bornAt;
+    const next = { ...backEndOf(beat, now), state, bornAt };
     if (state === 'draining') {
-      this.retire(beat.instance);
+      this.ended.add(next);
     }
-    const next = { ...backEndOf(beat, now), state };
     const isSame = next.state === known.state && next.slots === known.slots;
     if (isSame && next.address === known.address && next.service === known.service) {
       this.backEnd = next;
@@ -139,20 +152,21 @@
     return 'applied';
   }
 
-  private retire(instance: string): void {
-    this.retired.add(instance);
-    const oldest = this.retired.values().next().value;
-    if (this.retired.size > MAX_RETIRED && oldest !== undefined) {
-      this.retired.delete(oldest);
-    }
+  private knownBirth(instance: string): number | undefined {
+    const known = [this.backEnd, this.pending?.beat].find((life) => life?.instance === instance);
+    return known?.bornAt;
   }
 
-  private change(backEnd: BackEnd): void {
+  private change(backEnd: BackEnd, isNewLife = false): void {
     this.backEnd = backEnd;
-    this.onChange(backEnd);
+    this.onChange(backEnd, isNewLife);
   }
 }
 
+function isNewer(beat: Heartbeat, than: Heartbeat): boolean {
+  return isSameLife(beat, than) ? beat.sequence > than.sequence : !isLaterLife(than, beat);
+}
+
 function backEndOf(beat: Heartbeat, now: number): BackEnd {
   return {
     instance: beat.instance,
--- a/src/sidecar/decisionRecords.ts
+++ b/src/sidecar/decisionRecords.ts
@@ -4,6 +4,7 @@
 import type { RequestRecord } from '../ingress/ingress-request.js';
 import type { OwnerReport, TaskRecord } from '../owner/owner-report.js';
 import type { CrashNews } from '../quarantine/crashLedger.js';
+import type { BackEndLife } from '../registry/backEndLife.js';
 
 /** Statuses from here on are failures, of the back end or of this node. */
 const FIRST_ERROR_STATUS = 400;
@@ -49,14 +50,15 @@
 }
 
 /** The back end here has crashed; the lines of the tasks that it lost have the same fingerprints. */
-export function recordNews({ log, metrics }: RecordSinks, news: CrashNews): void {
-  const { instance, suspects, quarantined } = news;
-  if (instance === undefined) {
-    return;
-  }
+export function recordCrash(
+  { log, metrics }: RecordSinks,
+  { instance, bornAt }: BackEndLife,
+  { suspects, quarantined }: CrashNews,
+): void {
   metrics.backEndCrashed();
   log.event('crash', {
     instance,
+    bornAt,
     suspects: suspects.map(({ fingerprint }) => fingerprint),
     quarantined: quarantined.length,
   });
--- a/src/sidecar/outside.ts
+++ b/src/sidecar/outside.ts
@@ -1,6 +1,7 @@
 /** What a deployment brings to a sidecar: how the outside speaks. */
 import type { HeaderNames } from '../owner/header-names.js';
 import type { Heartbeat } from '../registry/back-end-registry.js';
+import type { BackEndLife } from '../registry/backEndLife.js';
 import type { PolicyCompiler } from '../routing/completeConfiguration.js';
 import type { ConfigurationCandidate } from '../source/configuration-holder.js';
 import type { ObjectStore } from '../source/object-store.js';
@@ -27,5 +28,5 @@
 /** What a back end says to its node. */
 export type Registration =
   | { readonly kind: 'heartbeat'; readonly beat: Heartbeat }
-  | { readonly kind: 'deregister'; readonly instance: string }
+  | { readonly kind: 'deregister'; readonly life: BackEndLife }
   | { readonly kind: 'unreadable'; readonly reason: string };
--- a/src/sidecar/sidecarCalls.ts
+++ b/src/sidecar/sidecarCalls.ts
@@ -48,7 +48,7 @@
         owner.heartbeat(registration.beat);
         return answerOf(200);
       case 'deregister':
-        owner.deregister(registration.instance);
+        owner.deregister(registration.life);
         return answerOf(200);
       default:
         log.event('registration-unreadable', { path, reason: registration.reason });
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -20,7 +20,7 @@
 import type { BackEnd } from '../registry/back-end-registry.js';
 import type { ZoneRelay } from '../relay/zoneRelay.js';
 import type { ConfigurationFollower } from '../source/configuration-follower.js';
-import { recordNews, recordRequest, recordTask } from './decisionRecords.js';
+import { recordCrash, recordRequest, recordTask } from './decisionRecords.js';
 import { createOwnerEntries, ownRecordOf } from './ownerEntries.js';
 import type { SidecarPartsContext } from './sidecarPartsContext.js';
 import { createConfigurationPart, createRelayPart } from './storeParts.js';
@@ -76,10 +76,8 @@
     beliefClock,
     alarms,
     ledger,
-    onNews: (news) => {
-      recordNews({ log, metrics }, news);
-      quarantines.tell(news);
-    },
+    onCrash: (life, news) => recordCrash({ log, metrics }, life, news),
+    onNews: (news) => quarantines.tell(news),
     names,
     service: () => settings().service,
     backEndAddress: () => settings().backEndAddress,
@@ -186,6 +184,8 @@
     const { ready, slots } = owner.report;
     log.event('back-end', {
       instance: backEnd?.instance,
+      bornAt: backEnd?.bornAt,
+      version: backEnd?.version,
       service: backEnd?.service,
       state: backEnd?.state,
       cause,
