A watch of the store that was sent before the zone was known ends as soon as a reader answers

Cause: a node that knows no other of its zone two seconds after its start watches the crash records itself. Nothing is written there, so this watch waited its whole 15 s, and while it waited the node proved its reach by calls of its own: the calls that two tests of the zone's reader counted now and then.

Once a reader of the zone has answered any question, watches of one's own that wait are ended without an answer, and asked of the reader from the same revision: nothing is missed, and the end is taken neither for an answer of the store nor for a node that reads by itself again.

Excluded: a shorter first watch (calls for nodes that are alone in their zone), a later one (a node would not hear of a quarantine meanwhile).

The new test of src/relay/relayedStore.test.ts fails without the change (its watch waits).

--- a/src/relay/aloneWatch.ts
+++ b/src/relay/aloneWatch.ts
@@ -17,7 +17,8 @@
   readonly reach: StoreReach;
   /** Milliseconds for which another zone's reader is asked to wait. */
   readonly paceMs: number;
-  readonly watchStore: AskChanges<never>;
+  /** Undefined when the watch was released: the caller asks anew, of a reader. */
+  readonly watchStore: AskChanges<undefined>;
   /** Undefined when no other zone can speak for the store. */
   readonly watchElsewhere: AskChanges<undefined>;
   /** The store itself has answered a watch. */
@@ -42,6 +43,9 @@
     waitMs: number,
   ) => {
     const result = await watchStore<Spec>(kind, revision, waitMs);
+    if (!result) {
+      return { ok: true, value: { events: [], revision } };
+    }
     if (result.ok || result.failure === 'history-gone') {
       onOwn();
       return result;
--- a/src/relay/ownWatches.test.ts
+++ b/src/relay/ownWatches.test.ts
@@ -80,7 +80,7 @@
     node.told.set('nodes', 8);
     node.watches.noteSeen(8);
     node.watches.noteSeen(8);
-    expect((await watch).ok).toBe(true);
+    expect((await watch)?.ok).toBe(true);
   });
 
   it('is found out again and again, whatever was found before', async () => {
@@ -89,7 +89,7 @@
       const watch = node.watches.watch(KIND, 3, 10_000);
       node.watches.noteSeen(6);
       node.watches.noteSeen(6);
-      expect((await watch).ok).toBe(true);
+      expect((await watch)?.ok).toBe(true);
     }
   });
 
--- a/src/relay/ownWatches.ts
+++ b/src/relay/ownWatches.ts
@@ -22,11 +22,14 @@
 }
 
 export interface OwnWatches {
+  /** Resolves with undefined if it was released. */
   watch<Spec>(
     kind: string,
     revision: number,
     waitMs: number,
-  ): Promise<StoreResult<StoreChanges<Spec>>>;
+  ): Promise<StoreResult<StoreChanges<Spec>> | undefined>;
+  /** Ends those that wait, without an answer: a reader of the zone is asked from now on. */
+  release(): void;
   /** Ends those that wait, as failed: they were sent on connections, or to a store, now in doubt. */
   abandon(): void;
   /** The store is at this revision. */
@@ -35,7 +38,7 @@
 
 interface Waiting {
   readonly revision: number;
-  readonly settle: (result: StoreResult<StoreChanges<never>>) => void;
+  readonly settle: (result: StoreResult<StoreChanges<never>> | undefined) => void;
   /** A revision that it had not told of at an earlier look. */
   untold: number | undefined;
   isChecked: boolean;
@@ -47,6 +50,12 @@
   const { store, toldRevision, onNothingMissed, onSilent } = context;
   const waiting = new Map<string, Waiting>();
 
+  const settleAll = (result: StoreError | undefined): void => {
+    for (const watch of [...waiting.values()]) {
+      watch.settle(result);
+    }
+  };
+
   const check = async (kind: string, watch: Waiting): Promise<void> => {
     watch.isChecked = true;
     // What rests in the pool may have gone silent with the watch, and would cost the question its time.
@@ -75,7 +84,7 @@
 
   return {
     watch: <Spec>(kind: string, revision: number, waitMs: number) =>
-      new Promise<StoreResult<StoreChanges<Spec>>>((resolve) => {
+      new Promise<StoreResult<StoreChanges<Spec>> | undefined>((resolve) => {
         const controller = new AbortController();
         const watch: Waiting = {
           revision,
@@ -92,11 +101,8 @@
         waiting.set(kind, watch);
         void store.watch<never>(kind, revision, waitMs, controller.signal).then(watch.settle);
       }),
-    abandon: () => {
-      for (const watch of [...waiting.values()]) {
-        watch.settle(ABANDONED);
-      }
-    },
+    release: () => settleAll(undefined),
+    abandon: () => settleAll(ABANDONED),
     noteSeen: (seen) => {
       for (const [kind, watch] of waiting) {
         const told = Math.max(watch.revision, toldRevision(kind) ?? 0);
--- a/src/relay/relayedStore.test.ts
+++ b/src/relay/relayedStore.test.ts
@@ -97,6 +97,30 @@
   });
 }
 
+it('a watch that was sent before the zone was known ends as soon as a reader answers, and misses nothing', async () => {
+  let role = ZoneRole.Reader;
+  const asked: string[] = [];
+  const { relayed, view } = nodeWith({
+    zonePart: () => ({ role, readers: [READER], elsewhere: () => [] }),
+    ask: async (_address, { kind, revision = 0 }) => {
+      asked.push(`${kind} ${revision}`);
+      return { ok: true, value: { events: [], revision } };
+    },
+  });
+  const early = relayed.watch('quarantines', 1, 10_000);
+  await vi.waitFor(() => expect(relayed.isAlone).toBe(true));
+  role = ZoneRole.Follower;
+  await relayed.watch(CONFIGURATION, 1, 10_000);
+  expect(await early).toEqual({ ok: true, value: { events: [], revision: 1 } });
+  // Not taken for an answer of the store, nor for a node that reads by itself again.
+  expect(relayed.answeredAt).toBe(Number.NEGATIVE_INFINITY);
+  expect(relayed).toMatchObject({ isFollowing: true, isAlone: false });
+  await relayed.watch('quarantines', 1, 10_000);
+  expect(asked).toEqual([`${CONFIGURATION} 1`, 'quarantines 1']);
+  // The store counts a watch when it answers it.
+  expect(view.calls).toBe(0);
+}, 2_000);
+
 it('a watch is not sent to a store in doubt: another zone is asked, until a proof is answered', async () => {
   const { relayed, view, reach } = aloneBeside(7);
   reach.noteSilence('a proof was not answered');
--- a/src/relay/relayedStore.ts
+++ b/src/relay/relayedStore.ts
@@ -134,9 +134,9 @@
     kind: string,
     revision: number,
     waitMs: number,
-  ): Promise<StoreResult<StoreChanges<Spec>>> => {
+  ): Promise<StoreResult<StoreChanges<Spec>> | undefined> => {
     const result = await watches.watch<Spec>(kind, revision, waitMs);
-    if (!result.ok) {
+    if (!result?.ok) {
       return result;
     }
     reach.noteAnswered();
@@ -175,6 +175,8 @@
     const result = await ask(from.address, { ...question, base }, timeoutMs);
     if (result?.ok || result?.failure === 'history-gone') {
       noteReader(from.node, 'answered');
+      // Those that were sent before the zone was known: each would cost the store calls for its whole wait.
+      watches.release();
       return result;
     }
     const cause = result ? 'unavailable' : 'silent';
