What another writer has made names no back end, no owner and no crash, and one line tells of it

Cause: objects of the store were taken as they came (one without metadata ended the list with an exception), records of owners and of crashes were looked at for some fields, reports of nodes turned what is no number into NaN, and a heartbeat of a service that nobody names took the place of the back end that was there. A node whose own record was written over did not write it again.

The store's answers, records of owners and of crashes are checked by schemas, entry by entry: one that cannot be read is passed over, and what was known before holds. A heartbeat of a service that neither the configuration nor the settings name is heard and not used, unless no configuration is known yet. The own record is written again when it is not the own one any more. The line `unreadable` (once in 10 s for each kind, with a count) takes the place of `registration-unreadable`.

--- a/src/cli/fleetStatus.ts
+++ b/src/cli/fleetStatus.ts
@@ -2,6 +2,7 @@
 import PQueue from 'p-queue';
 import { NODE_KIND } from '../directory/directory-sync.js';
 import type { OwnerRecord } from '../directory/owner-entry.js';
+import { isOwnerRecord } from '../directory/ownerRecord.js';
 import { PeerCaller } from '../peer/peerCaller.js';
 import type { PeerReport } from '../peer/peerMessages.js';
 import { type ObjectStore, Reading, type StoreFailure } from '../source/object-store.js';
@@ -50,7 +51,11 @@
 ): Promise<{ records: OwnerRecord[] } | { failure: StoreFailure }> {
   const listed = await store.list<OwnerRecord>(NODE_KIND, Reading.Now);
   return listed.ok
-    ? { records: listed.value.items.map(({ name, spec }) => ({ ...spec, node: name })) }
+    ? {
+        records: listed.value.items
+          .filter(({ spec }) => isOwnerRecord(spec))
+          .map(({ name, spec }) => ({ ...spec, node: name })),
+      }
     : { failure: listed.failure };
 }
 
--- a/src/cli/quarantineCommands.ts
+++ b/src/cli/quarantineCommands.ts
@@ -1,5 +1,5 @@
 /** Commands about requests that are refused because they have crashed back ends. */
-import { CRASH_KIND, type CrashRecord } from '../directory/quarantineSync.js';
+import { CRASH_KIND, type CrashRecord, isCrashRecord } from '../directory/crashRecord.js';
 import { type ObjectStore, Reading } from '../source/object-store.js';
 import type { CommandContext } from './commands.js';
 import { ExitCode } from './exitCode.js';
@@ -57,6 +57,12 @@
   return ExitCode.Ok;
 }
 
-function readCrashes(store: ObjectStore) {
-  return store.list<CrashRecord>(CRASH_KIND, Reading.Now);
+/** What another writer left among them is no record. */
+async function readCrashes(store: ObjectStore) {
+  const listed = await store.list<CrashRecord>(CRASH_KIND, Reading.Now);
+  if (!listed.ok) {
+    return listed;
+  }
+  const items = listed.value.items.filter(({ spec }) => isCrashRecord(spec));
+  return { ...listed, value: { ...listed.value, items } };
 }
--- /dev/null
+++ b/src/diagnostics/unreadableLog.test.ts
@@ -0,0 +1,35 @@
+import { expect, it } from 'vitest';
+import { createUnreadableLog, EntryKind } from './unreadableLog.js';
+
+it('has one line for a kind now and then, which counts what came since', () => {
+  const lines: unknown[] = [];
+  let now = 0;
+  const note = createUnreadableLog(
+    { now: () => now },
+    { event: (event, fields) => void lines.push({ event, ...fields }) },
+  );
+  for (now = 0; now < 10_000; now += 100) {
+    note(EntryKind.Heartbeat, `i-${now}`, 'not readable: state');
+  }
+  note(EntryKind.OwnerRecord, 'n'.repeat(1_000), 'not readable');
+  now = 10_000;
+  note(EntryKind.Heartbeat, 'i-last', 'not readable: slots');
+  const reason = 'not readable: state';
+  expect(lines).toEqual([
+    { event: 'unreadable', kind: 'heartbeat', name: 'i-0', reason, count: 1 },
+    {
+      event: 'unreadable',
+      kind: 'owner-record',
+      name: 'n'.repeat(120),
+      reason: 'not readable',
+      count: 1,
+    },
+    {
+      event: 'unreadable',
+      kind: 'heartbeat',
+      name: 'i-last',
+      reason: 'not readable: slots',
+      count: 100,
+    },
+  ]);
+});
--- a/src/directory/directory-sync.test.ts
+++ b/src/directory/directory-sync.test.ts
@@ -51,6 +51,7 @@
     onConnected: () => {},
     onOwner: () => {},
     onReport: () => {},
+    onUnreadable: () => {},
   });
   return { own, asked, directory, sync };
 }
--- a/src/directory/directory-sync.ts
+++ b/src/directory/directory-sync.ts
@@ -15,6 +15,7 @@
 import type { OwnerDirectory } from './owner-directory.js';
 import type { OwnerEntry, OwnerRecord } from './owner-entry.js';
 import { createOwnerProbes, type OwnerProbes } from './ownerProbes.js';
+import { isOwnerRecord, readOwnerRecords } from './ownerRecord.js';
 
 /** Kind of the objects by which nodes find one another. */
 export const NODE_KIND = 'spindlepaddle-nodes';
@@ -42,6 +43,8 @@
   readonly onConnected: CollectionHandler<unknown>['onConnected'];
   readonly onOwner: (node: string, change: string, detail: string) => void;
   readonly onReport: (address: string, report: PeerReport) => void;
+  /** The record of this name cannot be read. */
+  readonly onUnreadable: (name: string) => void;
   readonly random?: () => number;
 }
 
@@ -140,7 +143,7 @@
   /** Takes the owners that another node knows; the store's list, once it comes, replaces them. */
   private async askOwners(address: string): Promise<void> {
     const bytes = await this.options.caller.directory(address, DIRECTORY_TIMEOUT_MS);
-    const records = bytes && recordsOf(bytes);
+    const records = bytes && readOwnerRecords(bytes);
     if (!records || this.isListed) {
       return;
     }
@@ -221,6 +224,8 @@
     const own = this.options.own().node;
     if (!gone) {
       this.take(object);
+      // Another writer may have put something else in place of the own record.
+      void this.publish();
       return;
     }
     if (object.name === own) {
@@ -238,9 +243,10 @@
   }
 
   private take(object: StoredObject<OwnerRecord>): void {
-    const { directory, own } = this.options;
-    if (!isRecord(object.spec)) {
-      return;
+    const { directory, own, onUnreadable } = this.options;
+    const isReadable = isOwnerRecord(object.spec);
+    if (!isReadable) {
+      onUnreadable(object.name);
     }
     if (object.name === own().node) {
       if (object.revision >= (this.ownRevision ?? 0)) {
@@ -249,6 +255,10 @@
       }
       return;
     }
+    if (!isReadable) {
+      // What was known of the node holds.
+      return;
+    }
     this.missing.remove(object.name);
     directory.put({ ...object.spec, node: object.name });
   }
@@ -262,25 +272,3 @@
     this.options.onReport(entry.record.address, report);
   }
 }
-
-function recordsOf(bytes: Buffer): OwnerRecord[] | undefined {
-  try {
-    const records: unknown = JSON.parse(bytes.toString('utf8'));
-    return Array.isArray(records)
-      ? records.filter((record): record is OwnerRecord => isRecord(record) && 'node' in record)
-      : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
-function isRecord(value: unknown): value is OwnerRecord {
-  const record = value as Partial<OwnerRecord> | null;
-  return (
-    typeof record === 'object' &&
-    record !== null &&
-    typeof record.address === 'string' &&
-    typeof record.zone === 'string' &&
-    typeof record.service === 'string'
-  );
-}
--- a/src/directory/quarantineSync.ts
+++ b/src/directory/quarantineSync.ts
@@ -20,30 +20,17 @@
   type WatchTiming,
 } from '../source/collection-watcher.js';
 import type { ObjectStore, StoredObject } from '../source/object-store.js';
+import { CRASH_KIND, type CrashedRequest, type CrashRecord, isCrashRecord } from './crashRecord.js';
 import type { NewsBroadcast } from './newsBroadcast.js';
 import type { OwnerDirectory } from './owner-directory.js';
 import type { OwnerRecord } from './owner-entry.js';
 
-/** Kind of the records of crashes; each has the name of the back end's life that ended. */
-export const CRASH_KIND = 'spindlepaddle-crashes';
-
 /** Pause before a record that could not be written is written again, in milliseconds. */
 const WRITE_RETRY_MS = 1_000;
 
 /** Pause between two looks for records that are of no use any more, in milliseconds. */
 const CLEANING_MS = 30_000;
 
-/** A crash as the store keeps it: of what was under way, that which had been under a crash before. */
-export interface CrashRecord {
-  readonly suspects: readonly CrashedRequest[];
-  readonly quarantined: readonly CrashedRequest[];
-}
-
-export interface CrashedRequest extends RequestKey {
-  /** Back ends that had crashed under the request. */
-  readonly crashes: number;
-}
-
 /** What has become of a quarantine here, and who said so. */
 export type QuarantineChange = 'begun' | 'lifted' | 'cleared';
 
@@ -63,6 +50,8 @@
     origin: string,
     crashes: number,
   ) => void;
+  /** A record of this name, or news, cannot be read; `origin` is `store` or the address of a node. */
+  readonly onUnreadable: (name: string, origin: string) => void;
 }
 
 export interface QuarantineSync {
@@ -73,8 +62,8 @@
 }
 
 export function createQuarantineSync(context: QuarantineSyncContext): QuarantineSync {
-  const { clock, store, ledger, directory, broadcast, own, timing, onConnected, onQuarantine } =
-    context;
+  const { clock, store, ledger, directory, broadcast, own, timing, onConnected } = context;
+  const { onQuarantine, onUnreadable } = context;
   /** Records in the store, by their names. */
   const stored = new Map<string, StoredObject<CrashRecord>>();
   let isStopped = false;
@@ -131,7 +120,11 @@
   };
 
   const takeObject = ({ name, revision, spec }: StoredObject<unknown>): void => {
-    if (stored.has(name) || !isRecord(spec)) {
+    if (stored.has(name)) {
+      return;
+    }
+    if (!isCrashRecord(spec)) {
+      onUnreadable(name, 'store');
       return;
     }
     stored.set(name, { name, revision, spec });
@@ -183,6 +176,8 @@
     const news = readNews(content);
     if (news) {
       noteQuarantined(ledger.takeNews(news, clock.now()), from);
+    } else {
+      onUnreadable('news', from);
     }
   });
 
@@ -210,22 +205,6 @@
   };
 }
 
-function isRecord(value: unknown): value is CrashRecord {
-  const { suspects, quarantined } = (value ?? {}) as Partial<CrashRecord>;
-  return isList(suspects) && isList(quarantined);
-}
-
-function isList(value: unknown): boolean {
-  return Array.isArray(value) && value.every(isCrashedRequest);
-}
-
-function isCrashedRequest(value: unknown): boolean {
-  const { fingerprint, caller, crashes } = (value ?? {}) as Partial<CrashedRequest>;
-  return (
-    typeof fingerprint === 'string' && typeof caller === 'string' && typeof crashes === 'number'
-  );
-}
-
 function pause(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
--- a/src/owner/back-end-presence.ts
+++ b/src/owner/back-end-presence.ts
@@ -33,6 +33,8 @@
   readonly backEndAddress: () => string;
   /** Path of the health question, or undefined while no configuration is known. */
   readonly healthPath: (service: string) => string | undefined;
+  /** True unless the configuration is known and names no such service. */
+  readonly isNamed: (service: string) => boolean;
   /** Milliseconds after an acknowledged drain in which work may still begin. */
   readonly drainMs: () => number;
 }
@@ -99,14 +101,21 @@
     return this.options.beliefClock.now() >= this.sendUntil ? 'draining' : undefined;
   }
 
-  /** Takes a heartbeat; the drain it tells is fenced before this returns. */
-  heartbeat(beat: Heartbeat): void {
+  /**
+   * Takes a heartbeat; the drain it tells is fenced before this returns. False if it is of a service that
+   * nobody names: of no back end to use, and not in place of one that is known.
+   */
+  heartbeat(beat: Heartbeat): boolean {
+    if (beat.service !== this.backEnd?.service && !this.options.isNamed(beat.service)) {
+      return false;
+    }
     const result = this.registry.heartbeat(beat, this.options.beliefClock.now());
     if (result === 'unverified') {
       this.askIfNeeded();
     } else if (result === 'applied' && this.isPresent(beat)) {
       this.setReachable(true);
     }
+    return true;
   }
 
   /** Takes a deregistration; it is fenced before this returns. */
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -111,9 +111,9 @@
     };
   }
 
-  /** Takes a heartbeat; the drain it tells is fenced before this returns. */
-  heartbeat(beat: Heartbeat): void {
-    this.presence.heartbeat(beat);
+  /** Takes a heartbeat; the drain it tells is fenced before this returns. False if it is not used. */
+  heartbeat(beat: Heartbeat): boolean {
+    return this.presence.heartbeat(beat);
   }
 
   /** Takes a deregistration; it is fenced before this returns. */
--- a/src/peer/reportCodec.ts
+++ b/src/peer/reportCodec.ts
@@ -41,17 +41,18 @@
     slowness,
     waiting,
   ] = value as unknown[];
-  if (typeof version !== 'number') {
+  const counts = [inFlight, queued, slots, version];
+  if (!counts.every(isCount)) {
     return undefined;
   }
   return {
     service: typeof service === 'string' ? service : undefined,
     ready: ready === true,
-    inFlight: Number(inFlight),
-    queued: Number(queued),
-    slots: Number(slots),
+    inFlight: inFlight as number,
+    queued: queued as number,
+    slots: slots as number,
     meanServiceMs: typeof meanServiceMs === 'number' ? meanServiceMs : undefined,
-    version,
+    version: version as number,
     failureShare: (Number(failed) || 0) / PERCENT,
     backEndVersion: typeof backEndVersion === 'string' ? backEndVersion : undefined,
     bornAt: typeof bornAt === 'number' ? bornAt : undefined,
@@ -59,3 +60,7 @@
     waiting: Number(waiting) || 0,
   };
 }
+
+function isCount(value: unknown): value is number {
+  return typeof value === 'number' && value >= 0 && value < Number.POSITIVE_INFINITY;
+}
--- a/src/quarantine/crashNewsCodec.ts
+++ b/src/quarantine/crashNewsCodec.ts
@@ -18,11 +18,12 @@
   }
   const [life, ...lists] = value as unknown[];
   const [suspects, quarantined, cleared] = lists.map(readKeys);
-  if (!suspects || !quarantined || !cleared) {
+  const isNamed = typeof life === 'string' || life === undefined;
+  if (!isNamed || !suspects || !quarantined || !cleared) {
     return undefined;
   }
   return {
-    life: typeof life === 'string' ? life : undefined,
+    life,
     suspects,
     quarantined,
     cleared,
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -75,7 +75,9 @@
       metricsHandler(metrics, () => this.gauges(), this.parts.load.totals),
     );
     this.readiness = serve(readinessHandler(outside, () => this.isReady));
-    this.registrations = serve(registrationHandler(outside, this.parts.owner, log));
+    this.registrations = serve(
+      registrationHandler(outside, this.parts.owner, this.parts.noteUnreadable),
+    );
   }
 
   /** What the node believes now, for metrics and tests. */
--- a/src/sidecar/sidecarCalls.ts
+++ b/src/sidecar/sidecarCalls.ts
@@ -1,7 +1,7 @@
 /** What a sidecar answers to the small calls from outside: metrics, readiness, registrations. */
-import type { DecisionLog } from '../diagnostics/decision-log.js';
 import type { TrafficTotals } from '../diagnostics/loadLine.js';
 import type { SidecarGauges, SidecarMetrics } from '../diagnostics/sidecar-metrics.js';
+import { EntryKind, type NoteUnreadable } from '../diagnostics/unreadableLog.js';
 import type { LocalOwner } from '../owner/local-owner.js';
 import type { Outside } from './outside.js';
 import type { SmallAnswer, SmallHandler } from './small-server.js';
@@ -38,20 +38,23 @@
 /** Calls of the back end beside the node; what they tell is in force before they are answered. */
 export function registrationHandler(
   outside: Outside,
-  owner: LocalOwner,
-  log: DecisionLog,
+  owner: Pick<LocalOwner, 'heartbeat' | 'deregister'>,
+  noteUnreadable: NoteUnreadable,
 ): SmallHandler {
   return ({ method, path, body }) => {
     const registration = outside.decodeRegistration(method, path, body);
     switch (registration.kind) {
       case 'heartbeat':
-        owner.heartbeat(registration.beat);
+        if (!owner.heartbeat(registration.beat)) {
+          const { instance, service } = registration.beat;
+          noteUnreadable(EntryKind.Heartbeat, instance, `no service is named ${service}`);
+        }
         return answerOf(200);
       case 'deregister':
         owner.deregister(registration.life);
         return answerOf(200);
       default:
-        log.event('registration-unreadable', { path, reason: registration.reason });
+        noteUnreadable(EntryKind.Heartbeat, path, registration.reason);
         return answerOf(400);
     }
   };
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -1,4 +1,9 @@
 import { type LoadLine, startLoadLine } from '../diagnostics/loadLine.js';
+import {
+  createUnreadableLog,
+  EntryKind,
+  type NoteUnreadable,
+} from '../diagnostics/unreadableLog.js';
 import { DirectorySync } from '../directory/directory-sync.js';
 import { createNewsBroadcast } from '../directory/newsBroadcast.js';
 import { OwnerDirectory } from '../directory/owner-directory.js';
@@ -41,6 +46,7 @@
   readonly reads: PeerReads;
   readonly relay: ZoneRelay;
   readonly load: LoadLine;
+  readonly noteUnreadable: NoteUnreadable;
   /** This node's own record, as the other nodes get it. */
   readonly record: () => OwnerRecord;
 }
@@ -61,6 +67,10 @@
     load.noteReceived(kind, bytes);
   };
 
+  const noteUnreadable = createUnreadableLog(clock, log);
+  outside.store.onUnreadable = (kind, reason) =>
+    noteUnreadable(EntryKind.StoreObject, kind, reason);
+
   const record = () => ownRecordOf(settings());
   const sender = (): PeerSender => ({
     address: settings().listen.peers,
@@ -82,6 +92,10 @@
     service: () => settings().service,
     backEndAddress: () => settings().backEndAddress,
     healthPath: (service) => configuration.routes?.service(service)?.healthPath,
+    isNamed: (service) => {
+      const { routes } = configuration;
+      return !routes || service === settings().service || routes.service(service) !== undefined;
+    },
     drainMs: () => settings().drainMs,
     onBackEnd: (backEnd, cause) => onBackEnd(backEnd, cause),
     onTask: (task) => recordTask({ log, metrics }, task, owner.report),
@@ -119,6 +133,7 @@
     onConnected: onStore('directory'),
     onOwner: (name, change, detail) => log.event('owner', { owner: name, change, detail }),
     onReport: (address, told) => configuration.noteVersion(address, told.version),
+    onUnreadable: (name) => noteUnreadable(EntryKind.OwnerRecord, name, 'not readable'),
   });
 
   const quarantines = createQuarantineSync({
@@ -132,6 +147,7 @@
     onConnected: onStore('quarantines'),
     onQuarantine: ({ fingerprint, caller: from }, change, origin, crashes) =>
       log.event('quarantine', { fingerprint, caller: from, change, origin, crashes }),
+    onUnreadable: (name, origin) => noteUnreadable(EntryKind.CrashRecord, name, `from ${origin}`),
   });
 
   const configuration = createConfigurationPart({
@@ -212,6 +228,7 @@
     reads,
     relay,
     load,
+    noteUnreadable,
     record,
   };
 }
--- a/src/source/object-store.ts
+++ b/src/source/object-store.ts
@@ -76,6 +76,8 @@
 export interface ObjectStore {
   /** Set by its user: hears the size in bytes of each answer, with the kind of object it is about. */
   onReceived?: (kind: string, bytes: number) => void;
+  /** Set by its user: hears of an entry of a kind that cannot be read; the others are given all the same. */
+  onUnreadable?: (kind: string, reason: string) => void;
   list<Spec>(kind: string, reading: Reading): Promise<StoreResult<StoreListing<Spec>>>;
   /** One object as it is now. */
   get<Spec>(kind: string, name: string): Promise<StoreResult<StoredObject<Spec>>>;
--- a/test/operators.test.ts
+++ b/test/operators.test.ts
@@ -10,7 +10,7 @@
 import { readConfigurationFile } from '../src/cli/configurationFile.js';
 import { ExitCode } from '../src/cli/exitCode.js';
 import { runCli } from '../src/cli/runCli.js';
-import { CRASH_KIND } from '../src/directory/quarantineSync.js';
+import { CRASH_KIND } from '../src/directory/crashRecord.js';
 import { checkMeshConfiguration } from '../src/routing/mesh-configuration.js';
 
 let folder: string;
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -2,7 +2,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { call, type Machine, SidecarMesh, waitFor } from '../lab/sidecar-mesh.js';
-import { CRASH_KIND, type CrashRecord } from '../src/directory/quarantineSync.js';
+import { CRASH_KIND, type CrashRecord } from '../src/directory/crashRecord.js';
 
 /** A node tells the others what it has found out well within this time, in milliseconds. */
 const TOLD_MS = 300;
