--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -2,6 +2,7 @@
 import type http from 'node:http';
 import { Standing } from '../quarantine/crashLedger.js';
 import type { BackEnd, Heartbeat } from '../registry/back-end-registry.js';
+import type { BackEndLife } from '../registry/backEndLife.js';
 import { AdmissionControl, type AdmissionRequest } from './admission-control.js';
 import { BackEndConnections } from './back-end-agent.js';
 import { BackEndPresence, type BackEndPresenceOptions } from './back-end-presence.js';
@@ -53,7 +54,6 @@
   private readonly connections = new BackEndConnections();
   private readonly observations: BackEndObservations;
   private readonly calls: WatchedCalls;
-  private instance: string | undefined;
   private stopping = false;
   private distrustUntil = 0;
 
@@ -62,19 +62,18 @@
     this.admission = new AdmissionControl(this.observations.times);
     this.calls = createWatchedCalls(options);
     this.presence = new BackEndPresence(options, {
-      onReady: (backEnd) => this.onReady(backEnd),
+      onNewLife: (life) => this.onNewLife(life),
+      onReady: ({ slots }) => this.admission.setSlots(slots, options.clock.now()),
       onClosed: () => this.admission.turnAllAway(),
       onChange: (backEnd, cause) => options.onBackEnd(backEnd, cause),
     });
   }
 
-  private onReady(backEnd: BackEnd): void {
-    if (backEnd.instance !== this.instance) {
-      this.instance = backEnd.instance;
-      this.observations.reset();
-      this.calls.onIncarnation(backEnd.instance);
-    }
-    this.admission.setSlots(backEnd.slots, this.options.clock.now());
+  /** What is known of the service's times stays: they are those of its requests, on this machine. */
+  private onNewLife(life: BackEndLife): void {
+    this.observations.reset();
+    this.connections.renew();
+    this.calls.onLife(life);
   }
 
   /** Begins to look for the back end. */
@@ -120,14 +119,14 @@
     };
   }
 
-  /** Takes a heartbeat; the drain it tells is fenced before this returns. */
-  heartbeat(beat: Heartbeat): void {
-    this.presence.heartbeat(beat);
+  /** Takes a heartbeat; the drain it tells is fenced before this returns. False if it is not used. */
+  heartbeat(beat: Heartbeat): boolean {
+    return this.presence.heartbeat(beat);
   }
 
   /** Takes a deregistration; it is fenced before this returns. */
-  deregister(instance: string): void {
-    this.presence.deregister(instance);
+  deregister(life: BackEndLife): void {
+    this.presence.deregister(life);
   }
 
   async run(task: OwnerTask): Promise<OwnerOutcome> {
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -1,4 +1,9 @@
 import { type LoadLine, startLoadLine } from '../diagnostics/loadLine.js';
+import {
+  createUnreadableLog,
+  EntryKind,
+  type NoteUnreadable,
+} from '../diagnostics/unreadableLog.js';
 import { DirectorySync } from '../directory/directory-sync.js';
 import { createNewsBroadcast } from '../directory/newsBroadcast.js';
 import { OwnerDirectory } from '../directory/owner-directory.js';
@@ -20,7 +25,7 @@
 import type { BackEnd } from '../registry/back-end-registry.js';
 import type { ZoneRelay } from '../relay/zoneRelay.js';
 import type { ConfigurationFollower } from '../source/configuration-follower.js';
-import { recordNews, recordOverdue, recordRequest, recordTask } from './decisionRecords.js';
+import { recordCrash, recordOverdue, recordRequest, recordTask } from './decisionRecords.js';
 import { createOwnerEntries, ownRecordOf } from './ownerEntries.js';
 import type { SidecarPartsContext } from './sidecarPartsContext.js';
 import { createConfigurationPart, createRelayPart } from './storeParts.js';
@@ -41,6 +46,7 @@
   readonly reads: PeerReads;
   readonly relay: ZoneRelay;
   readonly load: LoadLine;
+  readonly noteUnreadable: NoteUnreadable;
   /** This node's own record, as the other nodes get it. */
   readonly record: () => OwnerRecord;
 }
@@ -61,6 +67,10 @@
     load.noteReceived(kind, bytes);
   };
 
+  const noteUnreadable = createUnreadableLog(clock, log);
+  outside.store.onUnreadable = (kind, reason) =>
+    noteUnreadable(EntryKind.StoreObject, kind, reason);
+
   const record = () => ownRecordOf(settings());
   const sender = (): PeerSender => ({
     address: settings().listen.peers,
@@ -76,14 +86,16 @@
     beliefClock,
     alarms,
     ledger,
-    onNews: (news) => {
-      recordNews({ log, metrics }, news);
-      quarantines.tell(news);
-    },
+    onCrash: (life, news) => recordCrash({ log, metrics }, life, news),
+    onNews: (news) => quarantines.tell(news),
     names,
     service: () => settings().service,
     backEndAddress: () => settings().backEndAddress,
     healthPath: (service) => configuration.routes?.service(service)?.healthPath,
+    isNamed: (service) => {
+      const { routes } = configuration;
+      return !routes || service === settings().service || routes.service(service) !== undefined;
+    },
     drainMs: () => settings().drainMs,
     onBackEnd: (backEnd, cause) => onBackEnd(backEnd, cause),
     onTask: (task) => recordTask({ log, metrics }, task, owner.report),
@@ -122,6 +134,7 @@
     onConnected: onStore('directory'),
     onOwner: (name, change, detail) => log.event('owner', { owner: name, change, detail }),
     onReport: (address, told) => configuration.noteVersion(address, told.version),
+    onUnreadable: (name) => noteUnreadable(EntryKind.OwnerRecord, name, 'not readable'),
   });
 
   const quarantines = createQuarantineSync({
@@ -135,6 +148,7 @@
     onConnected: onStore('quarantines'),
     onQuarantine: ({ fingerprint, caller: from }, change, origin, crashes) =>
       log.event('quarantine', { fingerprint, caller: from, change, origin, crashes }),
+    onUnreadable: (name, origin) => noteUnreadable(EntryKind.CrashRecord, name, `from ${origin}`),
   });
 
   const configuration = createConfigurationPart({
@@ -187,6 +201,8 @@
     const { ready, slots } = owner.report;
     log.event('back-end', {
       instance: backEnd?.instance,
+      bornAt: backEnd?.bornAt,
+      version: backEnd?.version,
       service: backEnd?.service,
       state: backEnd?.state,
       cause,
@@ -213,6 +229,7 @@
     reads,
     relay,
     load,
+    noteUnreadable,
     record,
   };
 }
