Roll-outs: commands start, status and watch; an owner that has fallen silent is waited for from its last report on

A decider lost midway was itself still counted as up, and the last step waited for its report for 3 s after it had begun: completed 11.1 s after an order of 10 s; now inside it.

--- a/lab/labOutside.ts
+++ b/lab/labOutside.ts
@@ -32,7 +32,12 @@
 
 /** For operators. */
 export function labOperatorOutside(connect: OperatorOutside['connect']): OperatorOutside {
-  return { ...CONFIGURATION, connect, encodeConfiguration: (configuration) => configuration };
+  return {
+    ...CONFIGURATION,
+    connect,
+    encodeConfiguration: (configuration) => configuration,
+    rollouts: PLATFORM_ROLLOUTS,
+  };
 }
 
 function decodeConfiguration(spec: unknown): ConfigurationCandidate | undefined {
--- a/src/cli/fleetStatus.ts
+++ b/src/cli/fleetStatus.ts
@@ -38,6 +38,8 @@
   readonly version: number | undefined;
   /** True while its back end takes work. */
   readonly ready: boolean;
+  /** Version of its back end; undefined until that has told it. */
+  readonly backEndVersion?: string | undefined;
 }
 
 export type FleetResult =
@@ -68,7 +70,14 @@
   const nodes = await queue.addAll(
     found.records.map(({ node, address, zone, service }) => async (): Promise<NodeStatus> => {
       const report = await caller.status(address, ANSWER_TIMEOUT_MS);
-      return { node, zone, service, version: report?.version, ready: report?.ready ?? false };
+      return {
+        node,
+        zone,
+        service,
+        version: report?.version,
+        ready: report?.ready ?? false,
+        backEndVersion: report?.backEndVersion,
+      };
     }),
   );
   const byZone = (left: NodeStatus, right: NodeStatus) =>
--- a/src/cli/operatorOutside.ts
+++ b/src/cli/operatorOutside.ts
@@ -1,4 +1,5 @@
 /** What a deployment brings to the operator's commands: its store and how that spells things. */
+import type { RolloutObjects } from '../directory/rolloutStatus.js';
 import type { MeshConfiguration } from '../routing/mesh-configuration.js';
 import type { ConfigurationCandidate } from '../source/configuration-holder.js';
 import type { ObjectStore } from '../source/object-store.js';
@@ -11,4 +12,6 @@
   readonly configurationName: string;
   readonly decodeConfiguration: (spec: unknown) => ConfigurationCandidate | undefined;
   readonly encodeConfiguration: (configuration: MeshConfiguration) => unknown;
+  /** How orders for roll-outs are spelled; left out where there are none. */
+  readonly rollouts?: RolloutObjects;
 }
--- /dev/null
+++ b/src/cli/rolloutCommands.ts
@@ -0,0 +1,232 @@
+/** Commands about roll-outs: each is one order in the store, whose status the sidecars write. */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { RolloutObjects } from '../directory/rolloutStatus.js';
+import type { Finding } from '../model/finding.js';
+import { hasEnded } from '../rollout/rolloutBook.js';
+import { type RolloutOrder, RolloutState } from '../rollout/rolloutOrder.js';
+import {
+  type ObjectStore,
+  Reading,
+  type StoredObject,
+  type StoreError,
+} from '../source/object-store.js';
+import type { CommandContext } from './commands.js';
+import { ExitCode } from './exitCode.js';
+import { refuse, unavailable } from './failures.js';
+import { readFleet } from './fleetStatus.js';
+import { type Output, tableOf } from './output.js';
+import { readStored } from './storedConfiguration.js';
+
+/**
+ * Shortest roll-out in milliseconds: the version is watched for two thirds of it, and a version may turn
+ * bad some seconds after its start; the last step takes some two seconds, and longer with long requests.
+ */
+const SHORTEST_MS = 8_000;
+
+/** Pause between two looks at an order that is watched, in milliseconds. */
+const WATCH_POLL_MS = 500;
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** What an operator asks for. */
+export interface AskedRollout {
+  readonly service: string;
+  readonly targetVersion: string;
+  readonly durationMs: number;
+  /** True to take the place of an order that runs. */
+  readonly replaces: boolean;
+}
+
+/** Orders a roll-out, unless one of the service runs or it cannot be carried out. */
+export async function startRollout(
+  context: CommandContext,
+  asked: AskedRollout,
+): Promise<ExitCode> {
+  const { store, output, outside } = context;
+  const { rollouts } = outside;
+  if (!rollouts) {
+    return refuse([NOT_FOLLOWED], output);
+  }
+  const read = await readStored(store, outside);
+  if (read.kind === 'unavailable') {
+    return unavailable(read.failure, output);
+  }
+  const services = read.stored?.configuration?.services.map(({ name }) => name);
+  const held = await readOrder(store, rollouts, asked.service);
+  if (held.failure !== undefined) {
+    return unavailable(held.failure, output);
+  }
+  const findings = [
+    ...findingsOf(asked, services),
+    ...(await versionFindings(store, asked)),
+    ...standingFindings(asked, held.order),
+  ];
+  if (findings.length > 0) {
+    return refuse(findings, output);
+  }
+  const spec = rollouts.encode(asked);
+  const result = held.object
+    ? await store.replace(rollouts.kind, { ...held.object, spec })
+    : await store.create(rollouts.kind, asked.service, spec);
+  return result.ok ? started(asked, output) : refusedWrite(result, output);
+}
+
+/** Prints the orders that the store holds, or that of one service. */
+export async function rolloutStatus(
+  { store, output, outside }: CommandContext,
+  service: string | undefined,
+): Promise<ExitCode> {
+  const { rollouts } = outside;
+  if (!rollouts) {
+    return refuse([NOT_FOLLOWED], output);
+  }
+  const listed = await store.list<unknown>(rollouts.kind, Reading.Now);
+  if (!listed.ok) {
+    return unavailable(listed.failure, output);
+  }
+  const orders = listed.value.items
+    .flatMap((object) => rollouts.decode(object) ?? [])
+    .filter((order) => service === undefined || order.service === service)
+    .map(shown);
+  output.result({ rollouts: orders }, () =>
+    orders.length === 0
+      ? 'No roll-out is ordered.'
+      : tableOf(
+          ['SERVICE', 'VERSION', 'SECONDS', 'STATE'],
+          orders.map((each) => Object.values(each)),
+        ),
+  );
+  return ExitCode.Ok;
+}
+
+/** Prints each state of an order until it ends; `TimedOut` if that takes too long. */
+export async function watchRollout(
+  { store, output, outside }: CommandContext,
+  service: string,
+  timeoutSeconds: number,
+): Promise<ExitCode> {
+  const { rollouts } = outside;
+  if (!rollouts) {
+    return refuse([NOT_FOLLOWED], output);
+  }
+  const until = performance.now() + timeoutSeconds * MILLISECONDS_PER_SECOND;
+  let last = '';
+  while (performance.now() < until) {
+    const { order } = await readOrder(store, rollouts, service);
+    const line = order && shown(order);
+    if (line && JSON.stringify(line) !== last) {
+      last = JSON.stringify(line);
+      output.result(line, () => `${line.service} to ${line.version}: ${line.state}`);
+    }
+    if (order && hasEnded(order)) {
+      return order.state === RolloutState.Completed ? ExitCode.Ok : ExitCode.Rejected;
+    }
+    await delay(WATCH_POLL_MS);
+  }
+  return ExitCode.TimedOut;
+}
+
+const NOT_FOLLOWED: Finding = {
+  code: 'no-roll-outs',
+  path: '',
+  message: 'this deployment knows no roll-outs',
+};
+
+/** Undefined services when no configuration can be read: then nothing is said of them. */
+function findingsOf(
+  { service, durationMs }: AskedRollout,
+  services: readonly string[] | undefined,
+): Finding[] {
+  const unknown: Finding = {
+    code: 'unknown-service',
+    path: 'service',
+    message: `the configuration has no service ${service}`,
+  };
+  const short: Finding = {
+    code: 'duration-too-short',
+    path: 'duration',
+    message: `${durationMs / MILLISECONDS_PER_SECOND} s are too short to judge a version: at least ${SHORTEST_MS / MILLISECONDS_PER_SECOND} s`,
+  };
+  return [
+    ...(services && !services.includes(service) ? [unknown] : []),
+    ...(durationMs >= SHORTEST_MS ? [] : [short]),
+  ];
+}
+
+/** A version that every back end of the service has leaves nothing to move. */
+async function versionFindings(store: ObjectStore, asked: AskedRollout): Promise<Finding[]> {
+  const fleet = await readFleet(store);
+  const owners =
+    fleet.kind === 'known' ? fleet.nodes.filter(({ service }) => service === asked.service) : [];
+  const versions = owners.flatMap(({ backEndVersion }) => backEndVersion ?? []);
+  const isMoved =
+    versions.length > 0 && versions.every((version) => version === asked.targetVersion);
+  return isMoved
+    ? [
+        {
+          code: 'already-there',
+          path: 'version',
+          message: `every back end of ${asked.service} has the version ${asked.targetVersion}`,
+        },
+      ]
+    : [];
+}
+
+function standingFindings({ replaces }: AskedRollout, order: RolloutOrder | undefined): Finding[] {
+  if (!order || hasEnded(order) || replaces) {
+    return [];
+  }
+  const message = `a roll-out to ${order.targetVersion} runs: --replace to end it with this one`;
+  return [{ code: 'roll-out-runs', path: 'service', message }];
+}
+
+interface HeldOrder {
+  readonly object?: StoredObject<unknown>;
+  readonly order?: RolloutOrder | undefined;
+  /** Set if the store did not answer. */
+  readonly failure?: StoreError['failure'];
+}
+
+async function readOrder(
+  store: ObjectStore,
+  rollouts: RolloutObjects,
+  service: string,
+): Promise<HeldOrder> {
+  const result = await store.get<unknown>(rollouts.kind, service);
+  if (result.ok) {
+    return { object: result.value, order: rollouts.decode(result.value) };
+  }
+  return result.failure === 'not-found' ? {} : { failure: result.failure };
+}
+
+function started({ service, targetVersion, durationMs }: AskedRollout, output: Output): ExitCode {
+  output.result(
+    { started: service, targetVersion, durationMs },
+    () => `The roll-out of ${service} to ${targetVersion} is ordered.`,
+  );
+  return ExitCode.Ok;
+}
+
+function refusedWrite({ failure }: StoreError, output: Output): ExitCode {
+  if (failure === 'conflict' || failure === 'not-found') {
+    output.failure({ kind: 'conflict' }, 'Somebody else has changed the order meanwhile.');
+    return ExitCode.Conflict;
+  }
+  if (failure === 'unknown') {
+    output.failure(
+      { kind: 'unknown' },
+      'It is not known whether the order was written: see status.',
+    );
+    return ExitCode.Unknown;
+  }
+  return unavailable(failure, output);
+}
+
+function shown({ service, targetVersion, durationMs, state }: RolloutOrder) {
+  return {
+    service,
+    version: targetVersion,
+    seconds: durationMs / MILLISECONDS_PER_SECOND,
+    state: state ?? 'ordered',
+  };
+}
--- a/src/cli/runCli.ts
+++ b/src/cli/runCli.ts
@@ -15,6 +15,7 @@
 import type { OperatorOutside } from './operatorOutside.js';
 import { createOutput, type Write } from './output.js';
 import { liftQuarantine, listQuarantines } from './quarantineCommands.js';
+import { addRolloutCommands } from './rolloutWords.js';
 
 const DEFAULT_WAIT_SECONDS = 30;
 
@@ -149,6 +150,9 @@
           .positional('name', { type: 'string', demandOption: true })
           .positional('file', { type: 'string', demandOption: true }),
       ({ name, file, ...rest }) => run(rest, (command) => putSecret(command, name, file)),
+    )
+    .command('rollout', 'Order a roll-out, or see how it goes', (options) =>
+      addRolloutCommands(withStore(options, context.defaultStore), run),
     );
   try {
     await parser.parseAsync();
--- a/src/directory/rolloutStatus.ts
+++ b/src/directory/rolloutStatus.ts
@@ -10,6 +10,10 @@
   readonly kind: string;
   /** Undefined for an object that is no order. */
   readonly decode: (object: StoredObject<unknown>) => RolloutOrder | undefined;
+  /** Renders an order. */
+  readonly encode: (
+    order: Pick<RolloutOrder, 'service' | 'targetVersion' | 'durationMs'>,
+  ) => unknown;
   readonly encodeStatus: (status: RolloutStatus) => unknown;
 }
 
--- a/src/rollout/rolloutDecider.ts
+++ b/src/rollout/rolloutDecider.ts
@@ -42,6 +42,8 @@
 export function createRolloutDecider(clock: Clock, targetVersion: string): RolloutDecider {
   const heard = new Map<string, Heard>();
   const comparison = createVersionComparison();
+  /** Since when reports have come. */
+  let begunAt: number | undefined;
 
   const lately = (): EvidenceNews[] =>
     [...heard.values()]
@@ -52,15 +54,18 @@
   const busyOthers = (
     reports: readonly EvidenceNews[],
     { up, contactMs }: ServiceOwners,
-    phaseAgeMs: number,
   ): number => {
+    const now = clock.now();
     const reporting = new Set(reports.map(({ node }) => node));
-    const silent = phaseAgeMs < contactMs ? up.filter((node) => !reporting.has(node)).length : 0;
+    const awaited = up.filter((node) => {
+      const heardAt = heard.get(node)?.at ?? begunAt ?? now;
+      return !reporting.has(node) && now - heardAt < contactMs;
+    });
     const busy = reports.filter(
       ({ version, readyMs, isFenced, load }) =>
         version !== targetVersion && (load > 0 || (readyMs !== undefined && !isFenced)),
     );
-    return silent + busy.length;
+    return awaited.length + busy.length;
   };
 
   const factsOf = (
@@ -85,12 +90,13 @@
       targets: targets.length,
       targetSlots: sum(targets.map(({ slots }) => slots)),
       demand: sum(reports.map(({ load }) => load)),
-      busyOthers: busyOthers(reports, owners, phaseAgeMs),
+      busyOthers: busyOthers(reports, owners),
     };
   };
 
   return {
     take: (report) => {
+      begunAt ??= clock.now();
       heard.set(report.node, { report, at: clock.now() });
       if (report.version !== undefined) {
         const isTarget = report.version === targetVersion;
--- a/test/rollouts.test.ts
+++ b/test/rollouts.test.ts
@@ -9,6 +9,7 @@
   waitFor,
 } from '../lab/sidecar-mesh.js';
 import { ROLLOUT_KIND } from '../platform/rollouts.js';
+import { rankNames } from '../src/model/rendezvous.js';
 
 const BOUNDS = { exposureShare: 0.1, exposureSlack: 50, rollbackMs: 5_000 };
 const OLD = 'v1';
@@ -127,6 +128,37 @@
     expect(states()).toEqual([undefined, 'running', 'completed']);
   }, 30_000);
 
+  it('ends an order once and goes on when its decider is lost midway', async () => {
+    const { old, fresh, clients, orderedAt } = await startRollout(10);
+    await new Promise((resolve) => setTimeout(resolve, 3_000));
+    const all = [...old, ...fresh];
+    const [name] = rankNames(
+      'rollout/desk',
+      all.map((machine) => machine.name),
+    );
+    const decider = all.find((machine) => machine.name === name) as Machine;
+    expect(decider.lines.some(({ change }) => change === 'decision')).toBe(true);
+    decider.node.close();
+    await waitFor(hasEnded);
+    await clients.stop();
+    expect(performance.now() - orderedAt).toBeLessThan(10_000);
+    expect(states()).toEqual([undefined, 'running', 'completed']);
+  }, 30_000);
+
+  it('leaves a version alone whose order is taken back, and judges the one that replaces it', async () => {
+    const { old, fresh, clients } = await startRollout(9);
+    mesh.store.delete(ROLLOUT_KIND, 'desk');
+    await new Promise((resolve) => setTimeout(resolve, 1_000));
+    const before = runsOf(fresh).length;
+    await new Promise((resolve) => setTimeout(resolve, 1_000));
+    expect(runsOf(fresh).length).toBe(before);
+    order(8);
+    await waitFor(hasEnded);
+    await clients.stop();
+    expect(statusOf()).toEqual({ 'target-version': NEW, state: 'completed' });
+    expect(runsOf(old).length).toBeGreaterThan(before);
+  }, 30_000);
+
   const kinds: [string, (at: number) => RunFate][] = [
     ['fails half of its requests', () => (Math.random() < 0.5 ? { status: 500 } : {})],
     [
