--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -234,7 +234,9 @@
       agent: this.agentFor(task),
       remainingMs: task.deadlineAt - clock.now(),
     });
-    this.noteRun({ task, backEnd, outcome, tookMs: clock.now() - sentAt });
+    // Other programs on its machine are not the fault of its version.
+    const tookMs = (clock.now() - sentAt) / Math.max(1, this.observations.slowness);
+    this.noteRun({ task, backEnd, outcome, tookMs });
     if (load) {
       this.observations.noteLoad(load);
     }
