--- a/lab/application-stand-in.ts
+++ b/lab/application-stand-in.ts
@@ -53,6 +53,14 @@
 const SHORTEST_DOWN_MS = 2_500;
 export const LONGEST_DOWN_MS = 4_000;
 
+/** What a version makes of a request. */
+export interface RunFate {
+  /** Of the answer; 200 when left out. */
+  readonly status?: number;
+  /** How many times as long as usual it takes. */
+  readonly slowness?: number;
+}
+
 /** Listens until closed. */
 export class ApplicationStandIn {
   /** Id, which a later life may have too. */
@@ -76,6 +84,8 @@
   /** Behaviours of the next requests; then {@link Behaviour} `serve`. */
   readonly behaviours: Behaviour[] = [];
   serviceMs = 5;
+  /** What its version makes of a request. */
+  fateOf: (run: Run) => RunFate = () => ({});
   /** Bytes that are kept of each body: a soak would run out of memory with all of them. */
   keptBodyBytes = Number.POSITIVE_INFINITY;
   draining = false;
@@ -258,19 +268,19 @@
       setTimeout(() => this.bornAt === bornAt && this.crash(), this.crashAfterMs);
       return;
     }
-    await delay(this.serviceMs);
+    const { slowness = 1, status = 200 } = this.fateOf(run);
+    await delay(this.serviceMs * slowness);
     if (this.bornAt !== bornAt) {
       return;
     }
     this.running -= 1;
-    this.answer(request, response, requestId, behaviour);
+    this.answer(request, response, { requestId, behaviour, status });
   }
 
   private answer(
     request: http.IncomingMessage,
     response: http.ServerResponse,
-    requestId: string,
-    behaviour: Behaviour,
+    { requestId, behaviour, status }: { requestId: string; behaviour: Behaviour; status: number },
   ): void {
     const fields = { [NAMES.signature]: this.instance, 'content-type': 'text/plain' };
     const body = `answer to ${requestId}`;
@@ -293,7 +303,7 @@
         response.write(body, () => request.socket.destroy());
         return;
       default:
-        response.writeHead(200, { ...fields, [NAMES.requestId]: requestId });
+        response.writeHead(status, { ...fields, [NAMES.requestId]: requestId });
         response.end(body);
     }
   }
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -27,6 +27,7 @@
 import type { ConfigurationFollower } from '../source/configuration-follower.js';
 import { recordCrash, recordOverdue, recordRequest, recordTask } from './decisionRecords.js';
 import { createOwnerEntries, ownRecordOf } from './ownerEntries.js';
+import { createRolloutParts, type RolloutParts } from './rolloutParts.js';
 import type { SidecarPartsContext } from './sidecarPartsContext.js';
 import { createConfigurationPart, createRelayPart } from './storeParts.js';
 
@@ -39,6 +40,8 @@
   readonly directory: OwnerDirectory;
   readonly sync: DirectorySync;
   readonly quarantines: QuarantineSync;
+  /** Undefined where no roll-outs are followed. */
+  readonly rollouts: RolloutParts | undefined;
   readonly ledger: CrashLedger;
   readonly configuration: ConfigurationFollower;
   readonly ingress: IngressServer;
@@ -98,6 +101,8 @@
     },
     drainMs: () => settings().drainMs,
     onBackEnd: (backEnd, cause) => onBackEnd(backEnd, cause),
+    onRun: (run) => rollouts?.sync.noteRun(run),
+    isFenced: () => rollouts?.sync.isFenced ?? false,
     onTask: (task) => recordTask({ log, metrics }, task, owner.report),
     onOverdue: (run) => recordOverdue({ log, metrics }, run),
   });
@@ -151,6 +156,19 @@
     onUnreadable: (name, origin) => noteUnreadable(EntryKind.CrashRecord, name, `from ${origin}`),
   });
 
+  const nodes = () => (sync.isListed ? directory.size : Number.POSITIVE_INFINITY);
+  const rollouts = createRolloutParts({
+    ...context,
+    relay,
+    directory,
+    broadcast,
+    caller,
+    owner,
+    record,
+    nodes,
+    onConnected: onStore('rollouts'),
+  });
+
   const configuration = createConfigurationPart({
     ...context,
     relay,
@@ -163,14 +181,12 @@
     alarms,
     names,
     directory,
-    budget: new SharedRetryBudget(
-      () => settings().retryBudget,
-      () => (sync.isListed ? directory.size : Number.POSITIVE_INFINITY),
-    ),
+    budget: new SharedRetryBudget(() => settings().retryBudget, nodes),
     spill: createSpillAllowance(),
     returns: createReturnTimes(),
     offerLimit: createOfferLimit(),
     ledger,
+    shares: rollouts?.shares,
     routes: () => configuration.routes,
     mayBeBehind: () => configuration.mayBeBehind,
     isOutdated: () => {
@@ -222,6 +238,7 @@
     directory,
     sync,
     quarantines,
+    rollouts,
     ledger,
     configuration,
     ingress,
