A follower's own watch ends once a reader can be asked, and the next reader is asked before the store

Cause, from a trace of a slow start: of nodes that start together one asks its reader before that has begun to read, hears "unavailable", and rests it for 300 ms. Within that its other watches go to the store with their whole wait of 12 and 15 s; and a third node, whose first reader rests as well, asks that node, which so reads for others for as long as it is asked.

Now the node's look at its reach (each 0.3 s) ends own watches whenever a reader can be asked instead, and a reader that says it does not read any more is followed by the next one, at once, before the store.

--- a/src/relay/relayedStore.test.ts
+++ b/src/relay/relayedStore.test.ts
@@ -97,7 +97,7 @@
   });
 }
 
-it('a watch that was sent before the zone was known ends as soon as a reader answers, and misses nothing', async () => {
+it('a watch that was sent before the zone was known ends as soon as a reader can be asked, and misses nothing', async () => {
   let role = ZoneRole.Reader;
   const asked: string[] = [];
   const { relayed, view } = nodeWith({
@@ -109,18 +109,61 @@
   });
   const early = relayed.watch('quarantines', 1, 10_000);
   await vi.waitFor(() => expect(relayed.isAlone).toBe(true));
+  relayed.releaseOwn();
+  expect(relayed.isAlone).toBe(true);
   role = ZoneRole.Follower;
-  await relayed.watch(CONFIGURATION, 1, 10_000);
+  relayed.releaseOwn();
   expect(await early).toEqual({ ok: true, value: { events: [], revision: 1 } });
   // Not taken for an answer of the store, nor for a node that reads by itself again.
   expect(relayed.answeredAt).toBe(Number.NEGATIVE_INFINITY);
-  expect(relayed).toMatchObject({ isFollowing: true, isAlone: false });
+  expect(relayed.isAlone).toBe(false);
   await relayed.watch('quarantines', 1, 10_000);
-  expect(asked).toEqual([`${CONFIGURATION} 1`, 'quarantines 1']);
+  expect(asked).toEqual(['quarantines 1']);
   // The store counts a watch when it answers it.
   expect(view.calls).toBe(0);
 }, 2_000);
 
+it('a watch of its own is left alone while the reader that could be asked has failed', async () => {
+  const { relayed } = followerOfSilentReader(1);
+  await relayed.watch(CONFIGURATION, 1, 10_000);
+  void relayed.watch(NODES, 1, 10_000);
+  await vi.waitFor(() => expect(relayed.isAlone).toBe(true));
+  relayed.releaseOwn();
+  expect(relayed.isAlone).toBe(true);
+});
+
+it('a follower whose reader has ceased to read for others asks the next one, not the store', async () => {
+  const spare = { node: 'spare', zone: 'a', address: '10.0.0.2:1' };
+  const { relayed, view } = nodeWith({
+    zonePart: () => ({ role: ZoneRole.Follower, readers: [READER, spare], elsewhere: () => [] }),
+    ask: async (address) =>
+      address === READER.address
+        ? { ok: false, failure: 'unavailable', detail: 'zone reader' }
+        : { ok: true, value: { events: [], revision: 1 } },
+  });
+  expect(await relayed.watch('quarantines', 1, 10_000)).toMatchObject({ ok: true });
+  expect(view.calls).toBe(0);
+  expect(relayed.isFollowing).toBe(true);
+});
+
+it('a follower’s own watch ends once its reader may be asked again', async () => {
+  let isFresh = false;
+  const { relayed } = nodeWith({
+    zonePart: () => ({ role: ZoneRole.Follower, readers: [READER], elsewhere: () => [] }),
+    ask: async () =>
+      isFresh
+        ? { ok: true, value: { events: [], revision: 1 } }
+        : { ok: false, failure: 'unavailable', detail: 'zone reader' },
+  });
+  await relayed.watch(CONFIGURATION, 1, 10_000);
+  const own = relayed.watch('quarantines', 1, 10_000);
+  await vi.waitFor(() => expect(relayed.isAlone).toBe(true));
+  isFresh = true;
+  const looks = setInterval(() => relayed.releaseOwn(), PACE_MS / 4);
+  expect(await own).toEqual({ ok: true, value: { events: [], revision: 1 } });
+  clearInterval(looks);
+}, 2_000);
+
 it('a watch is not sent to a store in doubt: another zone is asked, until a proof is answered', async () => {
   const { relayed, view, reach } = aloneBeside(7);
   reach.noteSilence('a proof was not answered');
--- a/src/relay/relayedStore.ts
+++ b/src/relay/relayedStore.ts
@@ -4,7 +4,6 @@
  * not answer it, and to the reader of another zone if the store does not answer itself either.
  * Writes, and lists that must be of now, always go to the store.
  */
-import { setTimeout as delay } from 'node:timers/promises';
 import type { Clock } from '../model/clock.js';
 import {
   type ObjectStore,
@@ -20,6 +19,7 @@
 import type { StoreCache } from './storeCache.js';
 import type { StoreReach } from './storeReach.js';
 import { type ZoneNode, type ZonePart, ZoneRole } from './zoneReaders.js';
+import { createZoneWait } from './zoneWait.js';
 
 /** A reader that did not answer is not asked again for so long, in milliseconds. */
 const SILENT_REST_MS = 5_000;
@@ -41,17 +41,7 @@
  */
 const DIRECTORY_PACES = 4;
 
-/**
- * Nodes that start together for the first time see none of the others in their first lists. The
- * watches of a node that knows no other of its zone begin this long after its start, in milliseconds:
- * the directory's first, so that the next one already knows whom to ask. Both are well inside the 3 s
- * or more that the users give a machine after its start.
- */
-const FIRST_WATCH_MS = 1_500;
-const LATER_WATCH_MS = 2_000;
-
-/** Pause between two looks whether the zone is known, in milliseconds. */
-const ZONE_TICK_MS = 50;
+type ReaderAnswer = StoreResult<StoreChanges<unknown>> | undefined;
 
 /** What is needed of the node. */
 export interface RelayedStoreContext {
@@ -75,7 +65,7 @@
     address: string,
     question: StoreQuestion,
     timeoutMs: number,
-  ) => Promise<StoreResult<StoreChanges<unknown>> | undefined>;
+  ) => Promise<ReaderAnswer>;
   /** The node now reads by way of another one (its name), or by itself, and why. */
   readonly onReader: (reader: string | undefined, cause: string) => void;
 }
@@ -92,6 +82,8 @@
   readonly isAlone: boolean;
   /** Steady time in milliseconds at which the store itself last answered this node. */
   readonly answeredAt: number;
+  /** Ends the node's own watches if a reader can be asked instead. */
+  releaseOwn(): void;
 }
 
 export function createRelayedStore(context: RelayedStoreContext): RelayedStore {
@@ -108,7 +100,6 @@
     zonePart,
     ask,
   } = context;
-  const startedAt = clock.now();
   const restingUntil = new Map<string, number>();
   /** Kinds whose reader no longer knows the changes since this node's revision. */
   const toList = new Set<string>();
@@ -151,13 +142,11 @@
     return { ok: true, value: cache.noteList(kind, result.value) } as const;
   };
 
-  /** Gives the nodes that start together the time to find one another. */
-  const zoneKnown = async (kind: string): Promise<void> => {
-    const until = startedAt + (kind === nodeKind ? FIRST_WATCH_MS : LATER_WATCH_MS);
-    while (zonePart().role === ZoneRole.Alone && clock.now() < until) {
-      await delay(ZONE_TICK_MS);
-    }
-  };
+  const zoneKnown = createZoneWait({
+    clock,
+    nodeKind,
+    isAlone: () => zonePart().role === ZoneRole.Alone,
+  });
 
   /** How long a follower's watch waits, in milliseconds: a silent reader is found out after that. */
   const longestWaitMs = (kind: string): number => {
@@ -167,15 +156,14 @@
     return kind === nodeKind ? paceMs * DIRECTORY_PACES : Number.POSITIVE_INFINITY;
   };
 
-  /** Undefined when the reader cannot speak for the store now. */
-  const askReader = async (from: ZoneNode, question: StoreQuestion) => {
+  /** Undefined when no reader can speak for the store now. */
+  const askReader = async (from: ZoneNode, question: StoreQuestion): Promise<ReaderAnswer> => {
     const isList = question.revision === undefined;
     const timeoutMs = isList ? LIST_PATIENCE_MS : question.waitMs + patienceMs;
     const base = cache.onlyRevision(question.kind);
     const result = await ask(from.address, { ...question, base }, timeoutMs);
     if (result?.ok || result?.failure === 'history-gone') {
       noteReader(from.node, 'answered');
-      // Those that were sent before the zone was known: each would cost the store calls for its whole wait.
       watches.release();
       return result;
     }
@@ -186,7 +174,9 @@
     }
     restingUntil.set(from.address, clock.now() + (result ? paceMs : SILENT_REST_MS));
     noteReader(undefined, `${from.node} ${cause}`);
-    return undefined;
+    // One that has ceased to read for others says so at once: the next one may still.
+    const next = result && readerToAsk();
+    return next && askReader(next, question);
   };
 
   /** The store has not answered this node: another zone's reader may have what it says. */
@@ -282,6 +272,11 @@
       reach.noteAnswered();
       return { ok: true, value: cache.noteObject(kind, result.value) };
     },
+    releaseOwn: () => {
+      if (readerToAsk()) {
+        watches.release();
+      }
+    },
     create: (kind, name, spec) => store.create(kind, name, spec),
     replace: (kind, object) => store.replace(kind, object),
     replaceStatus: (kind, object, status) => store.replaceStatus(kind, object, status),
--- a/src/relay/zoneRelay.ts
+++ b/src/relay/zoneRelay.ts
@@ -117,7 +117,11 @@
     reach,
     kind: record.kind,
     paceMs: applyMs * PACE_SHARE,
-    isWanted: () => store.isAlone,
+    isWanted: () => {
+      // Watches from before the zone was known, or from while others asked here, would cost calls to the end of their wait.
+      store.releaseOwn();
+      return store.isAlone;
+    },
     onSeen: watches.noteSeen,
   });
   // Followers that wait for the same change get the same bytes: packing is the dear part.
