Quotas of tenants: parts with holders, of which other nodes borrow

A tenant's limit is one token bucket that keeps the bound in every window, cut into parts that nodes hold by rendezvous hashing: all nodes for a large tenant, a few of each zone for a small one. A request takes from the part here or asks holders, at the most four in turn; else 429 with a Retry-After, before any offer. No part depends on hearing another node, so cuts, kills and restarts leave the bound as it is.

--- a/src/diagnostics/sidecar-metrics.ts
+++ b/src/diagnostics/sidecar-metrics.ts
@@ -1,6 +1,6 @@
 /** Metrics of a sidecar in the Prometheus text format. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
-import type { RequestRecord } from '../ingress/ingress-request.js';
+import type { RequestRecord } from '../ingress/requestRecord.js';
 import type { TaskRecord } from '../owner/owner-report.js';
 import type { TrafficTotals } from './loadLine.js';
 
--- a/src/ingress/client-answer.ts
+++ b/src/ingress/client-answer.ts
@@ -10,6 +10,8 @@
   | 'no-route'
   /** It carries no key, more than one, or one that no tenant holds. */
   | 'unknown-key'
+  /** Its tenant has sent more than its limit. */
+  | 'over-quota'
   | 'too-large'
   | 'head-too-large'
   | 'busy'
@@ -28,8 +30,8 @@
 /** A refusal; 503 promises that the request has not run and never will. */
 export interface ClientRefusal {
   readonly code: RefusalCode;
-  readonly status: 400 | 401 | 404 | 413 | 431 | 502 | 503 | 504;
-  /** Milliseconds after which to come back, for 503. */
+  readonly status: 400 | 401 | 404 | 413 | 429 | 431 | 502 | 503 | 504;
+  /** Milliseconds after which to come back, for 429 and 503. */
   readonly retryAfterMs?: number;
 }
 
--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -11,12 +11,14 @@
 import type { MeshRoute } from '../routing/mesh-configuration.js';
 import type { MatchedRoute, RouteMatcher } from '../routing/route-matcher.js';
 import { AccessKind } from '../tenants/access.js';
+import type { QuotaDecision, QuotaGate, QuotaSight } from '../tenants/quotaGate.js';
 import type { MeshTenant } from '../tenants/tenant.js';
 import { type ClientRefusal, sendAnswer, sendRefusal } from './client-answer.js';
 import type { ClientAccess, ClientAccessContext } from './clientAccess.js';
-import { Dispatch, type DispatchContext, type OfferRecord } from './dispatch.js';
+import { Dispatch, type DispatchContext } from './dispatch.js';
 import { type OwnerCheck, placementOf } from './placement.js';
 import { hasBody, headBytes, takeBody } from './requestMessage.js';
+import type { RequestRecord } from './requestRecord.js';
 
 /** A request without a deadline or a time-out is given up after this time, in milliseconds. */
 const LONGEST_REQUEST_MS = 300_000;
@@ -33,25 +35,6 @@
 /** Told while the node stops, in milliseconds: others serve at once. */
 const STOPPING_RETRY_AFTER_MS = 20;
 
-/** One finished request, for logs and metrics. */
-export interface RequestRecord {
-  readonly requestId: string;
-  /** See `fingerprintOf`; empty when the request was refused before its body was there. */
-  readonly fingerprint: string;
-  readonly route: string;
-  readonly service: string;
-  /** Name of the tenant whose key it carried, if one was needed. */
-  readonly tenant: string | undefined;
-  readonly version: number;
-  /** Status that the client got; 0 when the client left first. */
-  readonly status: number;
-  readonly code: string;
-  readonly offers: readonly OfferRecord[];
-  readonly durationMs: number;
-  /** Milliseconds that the client was ready to wait at arrival. */
-  readonly allowedMs: number;
-}
-
 /** What the ingress needs of its node. */
 export interface IngressOptions extends DispatchContext, ClientAccessContext {
   readonly clock: Clock;
@@ -61,6 +44,8 @@
   readonly own: () => OwnerRecord;
   /** Service that runs on this machine. */
   readonly callerService: () => string;
+  /** Without one, no tenant is limited. */
+  readonly quotas?: QuotaGate | undefined;
   readonly onFinished: (record: RequestRecord) => void;
 }
 
@@ -74,6 +59,9 @@
   private tenant: MeshTenant | undefined;
   /** True if a configuration that decided about it has tenants. */
   private hasTenants = false;
+  private quota: QuotaSight | undefined;
+  /** Gives back what was taken of the tenant's quota. */
+  private giveBack = (): void => {};
   private fingerprint = '';
   private version = 0;
   private allowedMs = 0;
@@ -134,6 +122,10 @@
       this.refuse({ code: 'ambiguous-path', status: 400 }, mayClose());
       return;
     }
+    const decision = this.tenant && (await this.options.quotas?.admit(this.tenant));
+    if (decision && !this.isWithinQuota(decision, mayClose)) {
+      return;
+    }
     const body = await takeBody(this.request, routes.configuration.limits);
     if (body === 'too-large') {
       this.refuse({ code: 'too-large', status: 413 }, true);
@@ -160,6 +152,17 @@
     return false;
   }
 
+  private isWithinQuota(decision: QuotaDecision, mayClose: () => boolean): boolean {
+    if (decision.isAdmitted) {
+      this.giveBack = decision.giveBack;
+      return true;
+    }
+    this.quota = decision.sight;
+    const { retryAfterMs } = decision;
+    this.refuse({ code: 'over-quota', status: 429, retryAfterMs }, mayClose());
+    return false;
+  }
+
   /** While a body came in, a version may have taken the key away. */
   private isStillAdmitted(
     before: RouteMatcher,
@@ -273,12 +276,16 @@
     }
     this.isFinished = true;
     this.cancelTimer();
+    if (!this.dispatch || (code !== 'answered' && this.dispatch.certainlyNotRun)) {
+      this.giveBack();
+    }
     this.options.onFinished({
       requestId: this.requestId,
       fingerprint: this.fingerprint,
       route: this.route?.name ?? '',
       service: this.service,
       tenant: this.tenant?.name,
+      quota: this.quota,
       version: this.version,
       status,
       code,
--- a/src/peer/peerCodec.ts
+++ b/src/peer/peerCodec.ts
@@ -12,6 +12,7 @@
   type PeerMessage,
   PeerQuestion,
   type PeerSender,
+  type QuotaAskMessage,
   type ReadMessage,
   type TurnedAwayMessage,
 } from './peerMessages.js';
@@ -46,6 +47,10 @@
       return [listOfSender(message.sender), message.topic, message.content, message.passesOn];
     case MessageKind.ReadResult:
       return [message.bytes];
+    case MessageKind.QuotaAsk:
+      return [listOfSender(message.sender), message.tenant, message.wanted];
+    case MessageKind.QuotaGranted:
+      return [message.granted, Math.ceil(message.dryMs)];
     case MessageKind.TurnedAway: {
       const { reason, arrived, retryAfterMs } = message.outcome;
       const waitMs = retryAfterMs === undefined ? undefined : Math.ceil(retryAfterMs);
@@ -85,6 +90,12 @@
       const [bytes] = content;
       return Buffer.isBuffer(bytes) ? { kind, bytes } : undefined;
     }
+    case MessageKind.QuotaAsk:
+      return readQuotaAsk(content);
+    case MessageKind.QuotaGranted: {
+      const [granted, dryMs] = content;
+      return isCount(granted) && isCount(dryMs) ? { kind, granted, dryMs } : undefined;
+    }
     case MessageKind.TurnedAway:
       return readTurnedAway(content);
     case MessageKind.Lost: {
@@ -164,6 +175,17 @@
   return { kind: MessageKind.Read, sender: from, question };
 }
 
+function readQuotaAsk([sender, tenant, wanted]: unknown[]): QuotaAskMessage | undefined {
+  const from = readSender(sender);
+  return from && typeof tenant === 'string' && isCount(wanted)
+    ? { kind: MessageKind.QuotaAsk, sender: from, tenant, wanted }
+    : undefined;
+}
+
+function isCount(value: unknown): value is number {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
 function readTurnedAway([reason, arrived, retryAfterMs, told]: unknown[]):
   | TurnedAwayMessage
   | undefined {
--- a/src/peer/peerMessages.ts
+++ b/src/peer/peerMessages.ts
@@ -26,6 +26,8 @@
   ChunkReceived = 6,
   /** What a node has found out and all others are to know; answered like a ping. */
   News = 7,
+  /** Asks a node that holds a part of a tenant's quota for requests. */
+  QuotaAsk = 8,
   /** Owner to ingress: the task waits. */
   Queued = 10,
   /** Owner to ingress: send the body. */
@@ -44,6 +46,8 @@
   ReadResult = 17,
   /** Owner to ingress: the back end does not seem to answer the task. */
   Overdue = 18,
+  /** Answer to a quota ask. */
+  QuotaGranted = 19,
 }
 
 /** What news is about. Numbers, since they travel with every message. */
@@ -139,6 +143,21 @@
   readonly passesOn: boolean;
 }
 
+export interface QuotaAskMessage {
+  readonly kind: MessageKind.QuotaAsk;
+  readonly sender: PeerSender;
+  readonly tenant: string;
+  /** Requests that wait. */
+  readonly wanted: number;
+}
+
+export interface QuotaGrantedMessage {
+  readonly kind: MessageKind.QuotaGranted;
+  readonly granted: number;
+  /** Milliseconds until there is more. */
+  readonly dryMs: number;
+}
+
 export interface ReadResultMessage {
   readonly kind: MessageKind.ReadResult;
   /** See `storeResultCodec`. */
@@ -194,6 +213,8 @@
   | ReadMessage
   | NewsMessage
   | ReadResultMessage
+  | QuotaAskMessage
+  | QuotaGrantedMessage
   | PlainMessage;
 
 /** The fields of a task as they travel; `now` is the present steady time in milliseconds. */
--- a/src/peer/peerReads.ts
+++ b/src/peer/peerReads.ts
@@ -1,13 +1,24 @@
-/** Reads of the store by way of other nodes, on connections that are kept. */
+/** Short calls to other nodes that come often, on connections that are kept: reads of the store, quotas. */
 import type { StoreQuestion } from '../source/object-store.js';
 import type { SentObserver } from './peerConnection.js';
 import { createPeerConnections, type PeerConnections } from './peerConnections.js';
-import { MessageKind, type PeerSender } from './peerMessages.js';
+import {
+  MessageKind,
+  type PeerMessage,
+  type PeerSender,
+  type QuotaGrantedMessage,
+} from './peerMessages.js';
 
 /** Asks other nodes for what they know of the store. */
 export interface PeerReads {
   /** The node's packed answer; undefined when it does not come in time. */
   read(address: string, question: StoreQuestion, timeoutMs: number): Promise<Buffer | undefined>;
+  /** Asks the holder of a part of a tenant's quota; undefined when it does not answer in time. */
+  askQuota(
+    address: string,
+    ask: { readonly tenant: string; readonly wanted: number },
+    timeoutMs: number,
+  ): Promise<QuotaGrantedMessage | undefined>;
   /** Closes the connections that are kept. */
   close(): void;
 }
@@ -24,33 +35,47 @@
       pool.close();
     }
   };
+  const exchange = (
+    address: string,
+    message: PeerMessage,
+    timeoutMs: number,
+  ): Promise<PeerMessage | undefined> =>
+    new Promise((resolve) => {
+      const pool = poolOf(address);
+      const connection = pool.take();
+      const timer = setTimeout(() => {
+        connection.destroy();
+        // Those that rest may have gone silent with this one: the next call gets a new one.
+        closeIdle();
+      }, timeoutMs);
+      connection.listen({
+        onMessage: (reply) => {
+          clearTimeout(timer);
+          if (reply.kind === MessageKind.ReadResult || reply.kind === MessageKind.QuotaGranted) {
+            pool.give(connection);
+            resolve(reply);
+          } else {
+            connection.destroy();
+          }
+        },
+        onClose: () => {
+          clearTimeout(timer);
+          resolve(undefined);
+        },
+      });
+      connection.send(message);
+    });
   return {
-    read: (address, question, timeoutMs) =>
-      new Promise((resolve) => {
-        const pool = poolOf(address);
-        const connection = pool.take();
-        const timer = setTimeout(() => {
-          connection.destroy();
-          // Those that rest may have gone silent with this one: the next read gets a new one.
-          closeIdle();
-        }, timeoutMs);
-        connection.listen({
-          onMessage: (message) => {
-            clearTimeout(timer);
-            if (message.kind === MessageKind.ReadResult) {
-              pool.give(connection);
-              resolve(message.bytes);
-            } else {
-              connection.destroy();
-            }
-          },
-          onClose: () => {
-            clearTimeout(timer);
-            resolve(undefined);
-          },
-        });
-        connection.send({ kind: MessageKind.Read, sender: sender(), question });
-      }),
+    read: async (address, question, timeoutMs) => {
+      const message = { kind: MessageKind.Read, sender: sender(), question } as const;
+      const reply = await exchange(address, message, timeoutMs);
+      return reply?.kind === MessageKind.ReadResult ? reply.bytes : undefined;
+    },
+    askQuota: async (address, ask, timeoutMs) => {
+      const message = { kind: MessageKind.QuotaAsk, sender: sender(), ...ask } as const;
+      const reply = await exchange(address, message, timeoutMs);
+      return reply?.kind === MessageKind.QuotaGranted ? reply : undefined;
+    },
     close: closeIdle,
   };
 }
--- a/src/peer/peerServer.test.ts
+++ b/src/peer/peerServer.test.ts
@@ -22,6 +22,7 @@
     report: () => peerReport(),
     configuration: () => undefined,
     directory: () => undefined,
+    grant: () => undefined,
     read: () => Promise.reject(new Error('not used')),
     onNews: () => {},
     onPeer: () => {},
--- a/src/peer/peerServer.ts
+++ b/src/peer/peerServer.ts
@@ -26,6 +26,9 @@
 /** A body up to this size, in bytes, is read whole before the back end gets it. */
 const MAX_HELD_BODY_BYTES = 1024 * 1024;
 
+/** Said by a node that holds no part of a quota: it is asked again after this time, in milliseconds. */
+const NO_PART = { granted: 0, dryMs: 250 };
+
 /** What the server needs of its node. */
 export interface PeerServerContext {
   readonly clock: Clock;
@@ -37,6 +40,11 @@
   readonly directory: () => Buffer | undefined;
   /** Answers a node that reads the store by way of this one. */
   readonly read: (question: StoreQuestion) => Promise<Buffer>;
+  /** Answers a node that asks for requests of a tenant; undefined where no part of its quota is held. */
+  readonly grant: (
+    tenant: string,
+    wanted: number,
+  ) => { readonly granted: number; readonly dryMs: number } | undefined;
   readonly traits?: ConnectionTraits;
   /** Another node tells news. */
   readonly onNews: (message: NewsMessage) => void;
@@ -90,6 +98,13 @@
             connection.send({ kind: MessageKind.ReadResult, bytes });
           });
           return;
+        case MessageKind.QuotaAsk:
+          context.onPeer(message.sender, undefined);
+          connection.send({
+            kind: MessageKind.QuotaGranted,
+            ...(context.grant(message.tenant, message.wanted) ?? NO_PART),
+          });
+          return;
         case MessageKind.News:
           context.onNews(message);
           connection.send({ kind: MessageKind.Pong });
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -122,6 +122,7 @@
     sync.start();
     quarantines.start();
     this.parts.rollouts?.sync.start();
+    this.parts.quotas.start();
     this.startConfiguration();
     owner.start();
     const { zone, service, drainMs, graceMs, configurationApplyMs } = this.settings;
@@ -165,6 +166,7 @@
     load.stop();
     this.parts.quarantines.stop();
     this.parts.rollouts?.sync.stop();
+    this.parts.quotas.stop();
     owner.close();
     ingress.close();
     peers.close();
@@ -201,6 +203,7 @@
     this.inForceSince = this.clock.now();
     ingress.setLimits(configuration.limits);
     owner.noteConfiguration();
+    this.parts.quotas.refresh();
     this.log.event('configuration', { version, origin, routes: configuration.routes.length });
   }
 
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -27,6 +27,7 @@
 import type { ConfigurationFollower } from '../source/configuration-follower.js';
 import { recordCrash, recordOverdue, recordRequest, recordTask } from './decisionRecords.js';
 import { createOwnerEntries, ownRecordOf } from './ownerEntries.js';
+import { createQuotaPart, type QuotaPart } from './quotaPart.js';
 import { createRolloutParts, type RolloutParts } from './rolloutParts.js';
 import type { SidecarPartsContext } from './sidecarPartsContext.js';
 import { createConfigurationPart, createRelayPart } from './storeParts.js';
@@ -50,6 +51,7 @@
   readonly relay: ZoneRelay;
   readonly load: LoadLine;
   readonly noteUnreadable: NoteUnreadable;
+  readonly quotas: QuotaPart;
   /** This node's own record, as the other nodes get it. */
   readonly record: () => OwnerRecord;
 }
@@ -176,6 +178,15 @@
     onConnected: onStore('configuration'),
   });
 
+  const quotas = createQuotaPart({
+    settings,
+    clock,
+    directory,
+    reads,
+    routes: () => configuration.routes,
+    isListed: () => sync.isListed,
+  });
+
   const ingress = new IngressServer({
     clock,
     alarms,
@@ -195,6 +206,7 @@
     },
     callerService: () => settings().service,
     own: record,
+    quotas: quotas.gate,
     onFinished: (request) => recordRequest({ log, metrics }, request),
   });
 
@@ -206,6 +218,7 @@
     configuration: () => configuration.bytes(),
     directory: () => sync.bytes(),
     read: (question) => relay.answer(question),
+    grant: quotas.grant,
     onNews: broadcast.take,
     onPeer: (from, told) => {
       sync.notePeer(from, told);
@@ -247,6 +260,7 @@
     relay,
     load,
     noteUnreadable,
+    quotas,
     record,
   };
 }
--- /dev/null
+++ b/src/tenants/quotaGate.test.ts
@@ -0,0 +1,174 @@
+/** Decisions of one node and of a few, without a network. */
+import { beforeEach, describe, expect, it } from 'vitest';
+import { createQuotaGate, type QuotaDecision, type QuotaGate } from './quotaGate.js';
+import {
+  holdersOf,
+  type QuotaBounds,
+  type QuotaMember,
+  quotaOf,
+  windowBound,
+} from './quotaParts.js';
+import { createQuotaPool, type QuotaGrant, type QuotaPool } from './quotaPool.js';
+import { type MeshTenant, tenantSchema } from './tenant.js';
+
+const BOUNDS: QuotaBounds = { windowMs: 5_000, overage: 0.1, slack: 20 };
+
+const tenantOf = (ratePerS: number, burst = ratePerS): MeshTenant =>
+  tenantSchema.parse({ name: 'acme', ratePerS, burst });
+
+function membersOf(sizes: readonly number[]): QuotaMember[] {
+  return sizes.flatMap((size, zone) =>
+    Array.from({ length: size }, (_, index) => ({ node: `z${zone}n${index}`, zone: `z${zone}` })),
+  );
+}
+
+describe('a quota', () => {
+  it.each([
+    ['a large tenant', tenantOf(600), BOUNDS],
+    ['a small one', tenantOf(2), BOUNDS],
+    ['bounds without overage or slack', tenantOf(10), { ...BOUNDS, overage: 0, slack: 0 }],
+    ['no burst, no overage, no slack', tenantOf(10, 0), { ...BOUNDS, overage: 0, slack: 0 }],
+    ['less than a request a window', tenantOf(0.1, 0), { ...BOUNDS, overage: 0, slack: 0 }],
+  ])('as one bucket keeps the bound in every window: %s', (_case, tenant, bounds) => {
+    const { tokensPerMs, depth } = quotaOf(tenant, bounds);
+    const most = depth + tokensPerMs * bounds.windowMs;
+    expect(Math.floor(most)).toBeLessThanOrEqual(Math.max(1, windowBound(tenant, bounds)));
+    expect(depth).toBeGreaterThanOrEqual(1);
+  });
+
+  it('is held by all nodes if it is large, by a few of each zone if it is small', () => {
+    const members = membersOf([30, 20, 10, 9]);
+    expect(holdersOf('acme', quotaOf(tenantOf(600), BOUNDS), members)).toEqual(members);
+    const few = holdersOf('acme', quotaOf(tenantOf(2), BOUNDS), members);
+    expect(few.length).toBeLessThan(8);
+    expect(new Set(few.map(({ zone }) => zone)).size).toBe(4);
+    expect(holdersOf('acme', quotaOf(tenantOf(2), BOUNDS), [...members].reverse())).toEqual(few);
+  });
+});
+
+describe('a gate', () => {
+  let now: number;
+  let pools: Map<string, QuotaPool>;
+  let asks: string[];
+  /** Milliseconds that each answer takes. */
+  let slowness: number;
+  let answer: (holder: string, wanted: number) => QuotaGrant | undefined;
+  let gate: QuotaGate;
+  const clock = { now: () => now };
+  const members = membersOf([2, 2]);
+  const tenant = tenantOf(40);
+
+  const refresh = (version: number, tenants: readonly MeshTenant[]): void => {
+    for (const pool of pools.values()) {
+      pool.refresh({ version, tenants, members, bounds: BOUNDS }, now);
+    }
+  };
+
+  beforeEach(() => {
+    now = 0;
+    asks = [];
+    slowness = 0;
+    pools = new Map(members.map(({ node }) => [node, createQuotaPool(node)]));
+    refresh(1, [tenant]);
+    answer = (holder, wanted) => pools.get(holder)?.grant('acme', wanted, now);
+    gate = createQuotaGate({
+      clock,
+      node: 'z0n0',
+      zone: 'z0',
+      windowMs: BOUNDS.windowMs,
+      pool: pools.get('z0n0') as QuotaPool,
+      ask: (holder, _tenant, wanted) => {
+        asks.push(holder.node);
+        return Promise.resolve(answer(holder.node, wanted)).then((grant) => {
+          now += slowness;
+          return grant;
+        });
+      },
+    });
+  });
+
+  const admitMany = async (count: number, of = tenant): Promise<QuotaDecision[]> =>
+    Promise.all(Array.from({ length: count }, () => gate.admit(of)));
+  const admittedOf = (decisions: readonly QuotaDecision[]): number =>
+    decisions.filter(({ isAdmitted }) => isAdmitted).length;
+
+  it('lets nothing through at the start, and all parts of the quota once they are full', async () => {
+    expect(admittedOf(await admitMany(10))).toBe(0);
+    now = 10_000;
+    asks = [];
+    const whole = quotaOf(tenant, BOUNDS).depth;
+    const admitted = admittedOf(await admitMany(200));
+    expect(admitted).toBeLessThanOrEqual(whole);
+    expect(admitted).toBeGreaterThan(whole - members.length);
+    expect(asks[0]).toBe('z0n1');
+    // The first one was asked for one request before the others had come.
+    expect(asks.length).toBeLessThanOrEqual(4);
+  });
+
+  it('asks nobody for what it holds itself, and never for a tenant without a limit', async () => {
+    now = 10_000;
+    expect(admittedOf(await admitMany(5))).toBe(5);
+    expect(admittedOf(await admitMany(500, tenantSchema.parse({ name: 'free' })))).toBe(500);
+    expect(asks).toEqual([]);
+  });
+
+  it('refuses without asking again while all are dry, and asks callers back one after the other', async () => {
+    now = 10_000;
+    await admitMany(200);
+    const before = asks.length;
+    now += 50;
+    const refused = (await admitMany(6)).filter((decision) => !decision.isAdmitted);
+    expect(asks.length).toBe(before);
+    const times = refused.map((decision) =>
+      'retryAfterMs' in decision ? decision.retryAfterMs : 0,
+    );
+    expect(times).toEqual([...times].sort((left, right) => left - right));
+    expect(Math.max(...times)).toBeLessThanOrEqual(BOUNDS.windowMs);
+    expect(refused[0]).toMatchObject({
+      sight: { ratePerS: 40, holders: 4, isHolder: true, dry: 3 },
+    });
+  });
+
+  it('goes past holders that are silent, and leaves them alone for a while', async () => {
+    now = 10_000;
+    answer = (holder, wanted) =>
+      holder === 'z0n1' ? undefined : pools.get(holder)?.grant('acme', wanted, now);
+    const whole = quotaOf(tenant, BOUNDS).depth;
+    expect(admittedOf(await admitMany(200))).toBeGreaterThan((whole * 3) / 4 - members.length);
+    expect(asks.filter((node) => node === 'z0n1').length).toBe(1);
+  });
+
+  it('lets nobody in by a grant that came too late', async () => {
+    now = 10_000;
+    slowness = 201;
+    answer = (_holder, wanted) => ({ granted: wanted, dryMs: 0 });
+    const own = admittedOf(await admitMany(200));
+    expect(own).toBeLessThanOrEqual(quotaOf(tenant, BOUNDS).depth / 4);
+  });
+
+  it('takes back at once what has not run, once, and nothing later', async () => {
+    now = 10_000;
+    answer = () => ({ granted: 0, dryMs: 1_000 });
+    const decisions = await admitMany(50);
+    const giveBack = decisions.map((each) => (each.isAdmitted ? each.giveBack : () => {}));
+    giveBack[0]?.();
+    giveBack[0]?.();
+    expect(admittedOf(await admitMany(5))).toBe(1);
+    now += 201;
+    const later = admittedOf(await admitMany(5));
+    giveBack[1]?.();
+    expect(later).toBeGreaterThan(0);
+    expect(admittedOf(await admitMany(5))).toBe(0);
+  });
+
+  it('takes a new limit with what it holds, and a first one with a whole burst', async () => {
+    now = 10_000;
+    refresh(2, [tenantOf(4)]);
+    const lowered = quotaOf(tenantOf(4), BOUNDS).depth;
+    expect(admittedOf(await admitMany(200))).toBeLessThanOrEqual(lowered);
+    refresh(3, []);
+    expect(admittedOf(await admitMany(200))).toBe(200);
+    refresh(4, [tenant]);
+    expect(admittedOf(await admitMany(200))).toBeGreaterThan(quotaOf(tenant, BOUNDS).depth - 4);
+  });
+});
--- /dev/null
+++ b/src/tenants/quotaParts.ts
@@ -0,0 +1,121 @@
+/**
+ * How a tenant's limit is cut into parts, and which nodes hold them. All nodes that know the same members
+ * name the same holders. The parts together keep the bound whoever uses them, so no node needs to hear
+ * another one for that.
+ */
+import { rankNames } from '../model/rendezvous.js';
+import type { MeshTenant } from './tenant.js';
+import type { BucketLimits } from './tokenBucket.js';
+
+/** What the sum of all nodes must keep. */
+export interface QuotaBounds {
+  /** Every span of this length counts, in milliseconds. */
+  readonly windowMs: number;
+  /** Share by which the sum over all nodes may exceed a limit. */
+  readonly overage: number;
+  /** Requests by which it may, besides. */
+  readonly slack: number;
+}
+
+/** A node that may hold parts. */
+export interface QuotaMember {
+  readonly node: string;
+  readonly zone: string;
+}
+
+/**
+ * Longest time, in milliseconds, from a holder's grant until its request is let through, or its token is
+ * back: a holder that has not answered by then is not waited for.
+ */
+export const GRANT_LIFETIME_MS = 200;
+
+/**
+ * A part holds so many requests at the least: with fewer, two callers that meet at one holder while
+ * others are full would find it dry.
+ */
+const PART_DEPTH = 4;
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** True for a tenant whose requests are limited. */
+export function isLimited(tenant: MeshTenant): boolean {
+  return tenant.ratePerS > 0;
+}
+
+/** Most requests that a tenant may send in a window, over all nodes. */
+export function windowBound(tenant: MeshTenant, bounds: QuotaBounds): number {
+  const windowS = bounds.windowMs / MILLISECONDS_PER_SECOND;
+  const limit = tenant.ratePerS * windowS + tenant.burst;
+  return limit * (1 + bounds.overage) + bounds.slack;
+}
+
+/**
+ * The limit as one bucket that keeps the bound in every window: what the bound allows beside the rate,
+ * burst, overage and slack alike, is its depth. What was granted just before a window may run in it.
+ */
+export function quotaOf(tenant: MeshTenant, bounds: QuotaBounds): BucketLimits {
+  const bound = windowBound(tenant, bounds);
+  const spanMs = bounds.windowMs + GRANT_LIFETIME_MS;
+  const tokensPerMs = tenant.ratePerS / MILLISECONDS_PER_SECOND;
+  const depth = bound - tokensPerMs * spanMs;
+  // Bounds that leave no room for one whole request beside the rate: the rate gives way.
+  return depth >= 1 || bound <= 1
+    ? { tokensPerMs, depth: Math.max(depth, 1) }
+    : { tokensPerMs: (bound - 1) / spanMs, depth: 1 };
+}
+
+/** One of the equal parts of a quota. */
+export function partOf(quota: BucketLimits, holders: number): BucketLimits {
+  return { tokensPerMs: quota.tokensPerMs / holders, depth: quota.depth / holders };
+}
+
+/**
+ * The holders of a tenant's parts: as many as leave each part deep enough, at the most all. Each zone has
+ * its share of them, so that one that is cut off has its share of the limit.
+ */
+export function holdersOf(
+  tenant: string,
+  quota: BucketLimits,
+  members: readonly QuotaMember[],
+): readonly QuotaMember[] {
+  const wanted = Math.max(1, Math.floor(quota.depth / PART_DEPTH));
+  if (wanted >= members.length) {
+    return members;
+  }
+  const known = ranks.get(members) ?? new Map<string, readonly QuotaMember[]>();
+  ranks.set(members, known);
+  const ranked = known.get(tenant) ?? rankMembers(tenant, members);
+  known.set(tenant, ranked);
+  return ranked.slice(0, wanted);
+}
+
+/** Ranks that have been worked out, by the list of members and the tenant: versions change, members stay. */
+const ranks = new WeakMap<readonly QuotaMember[], Map<string, readonly QuotaMember[]>>();
+
+function rankMembers(tenant: string, members: readonly QuotaMember[]): readonly QuotaMember[] {
+  const ranked = zonesOf(members).flatMap((zone) => {
+    const byName = new Map(zone.map((member) => [member.node, member]));
+    const names = rankNames(tenant, [...byName.keys()]);
+    return names.map((name, place) => ({
+      member: byName.get(name) as QuotaMember,
+      // Zones take turns by their sizes.
+      turn: (place + 0.5) / zone.length,
+    }));
+  });
+  ranked.sort((left, right) => left.turn - right.turn || compare(left.member, right.member));
+  return ranked.map(({ member }) => member);
+}
+
+function zonesOf(members: readonly QuotaMember[]): QuotaMember[][] {
+  const zones = new Map<string, QuotaMember[]>();
+  for (const member of members) {
+    const zone = zones.get(member.zone) ?? [];
+    zone.push(member);
+    zones.set(member.zone, zone);
+  }
+  return [...zones.values()];
+}
+
+function compare(left: QuotaMember, right: QuotaMember): number {
+  return left.node < right.node ? -1 : 1;
+}
