--- a/src/cli/runCli.ts
+++ b/src/cli/runCli.ts
@@ -16,6 +16,7 @@
 import { createOutput, type Write } from './output.js';
 import { liftQuarantine, listQuarantines } from './quarantineCommands.js';
 import { addRolloutCommands } from './rolloutWords.js';
+import { listTenants, showTenant } from './tenantCommands.js';
 
 const DEFAULT_WAIT_SECONDS = 30;
 
@@ -151,6 +152,18 @@
           .positional('file', { type: 'string', demandOption: true }),
       ({ name, file, ...rest }) => run(rest, (command) => putSecret(command, name, file)),
     )
+    .command(
+      'tenant <action> [name]',
+      'Print the tenants (list), or one of them (show), with their limits',
+      (options) =>
+        withStore(options, context.defaultStore)
+          .positional('action', { choices: ['list', 'show'] as const, demandOption: true })
+          .positional('name', { type: 'string' }),
+      ({ action, name, ...rest }) =>
+        run(rest, (command) =>
+          action === 'list' ? listTenants(command) : showTenant(command, name ?? ''),
+        ),
+    )
     .command('rollout', 'Order a roll-out, or see how it goes', (options) =>
       addRolloutCommands(withStore(options, context.defaultStore), run),
     );
--- a/src/diagnostics/sidecar-metrics.ts
+++ b/src/diagnostics/sidecar-metrics.ts
@@ -8,6 +8,12 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
+/** Tenants that are counted by name: each makes a series for every code. */
+const NAMED_TENANTS = 10;
+
+/** Label of all others. */
+const OTHER_TENANTS = 'other';
+
 /** Values read at the moment of a scrape; the name of each is the metric's. */
 export interface SidecarGauges {
   readonly requests_in_flight: number;
@@ -36,6 +42,14 @@
     labelNames: ['status', 'code'],
     registers: [this.registry],
   });
+  private readonly tenantRequests = new Counter({
+    name: 'spindlepaddle_tenant_requests_total',
+    help: 'Requests with a key by tenant, the ten with the highest limits by name, and code of the outcome',
+    labelNames: ['tenant', 'code'],
+    registers: [this.registry],
+  });
+  /** Tenants that have a label of their own: later versions add none, so that labels stay few. */
+  private namedTenants: ReadonlySet<string> | undefined;
   private readonly offers = new Counter({
     name: 'spindlepaddle_offers_total',
     help: 'Offers to owners by result',
@@ -92,9 +106,21 @@
   });
   private readonly gauges = new Map<string, Gauge>();
 
+  /** The tenants of the first configuration that has any. */
+  noteTenants(tenants: readonly { readonly name: string; readonly ratePerS: number }[]): void {
+    if (!this.namedTenants && tenants.length > 0) {
+      const largest = [...tenants].sort((left, right) => right.ratePerS - left.ratePerS);
+      this.namedTenants = new Set(largest.slice(0, NAMED_TENANTS).map(({ name }) => name));
+    }
+  }
+
   /** A client has its final answer, or has left. */
   requestFinished(record: RequestRecord): void {
     this.requests.inc({ status: `${Math.floor(record.status / 100)}xx`, code: record.code });
+    if (record.tenant !== undefined) {
+      const tenant = this.namedTenants?.has(record.tenant) ? record.tenant : OTHER_TENANTS;
+      this.tenantRequests.inc({ tenant, code: record.code });
+    }
     for (const offer of record.offers) {
       this.offers.inc({ result: offer.result });
     }
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -64,7 +64,10 @@
       clocks,
       log,
       metrics,
-      onInForce: (routes, origin) => this.onInForce(routes, origin),
+      onInForce: (routes, origin) => {
+        metrics.noteTenants(routes.configuration.tenants);
+        this.onInForce(routes, origin);
+      },
     });
     this.lifecycle = createLifecycle((state) => {
       log.event('lifecycle', { state, inFlight: this.parts.ingress.inFlight });
--- a/src/tenants/quotaGate.ts
+++ b/src/tenants/quotaGate.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock } from '../model/clock.js';
 import { rankNames } from '../model/rendezvous.js';
-import { GRANT_LIFETIME_MS, type QuotaMember } from './quotaParts.js';
+import { GRANT_LIFETIME_MS, isLimited, type QuotaMember } from './quotaParts.js';
 import type { QuotaGrant, QuotaPool, QuotaView } from './quotaPool.js';
 import type { MeshTenant } from './tenant.js';
 
@@ -82,6 +82,12 @@
   lastReturnAt: number;
 }
 
+/** The parts of a limit are not known yet: nobody is let in by it, and told to come back soon. */
+function unknown({ ratePerS, burst }: MeshTenant): QuotaDecision {
+  const none = { holders: 0, isHolder: false, askedAgoMs: undefined, dry: 0, silent: 0 };
+  return { isAdmitted: false, retryAfterMs: REST_MS, sight: { ratePerS, burst, ...none } };
+}
+
 const OPEN: QuotaDecision = { isAdmitted: true, giveBack: () => {} };
 
 export function createQuotaGate(context: QuotaGateContext): QuotaGate {
@@ -221,7 +227,7 @@
     admit: (tenant) => {
       const view = pool.view(tenant.name);
       if (!view) {
-        return OPEN;
+        return isLimited(tenant) ? unknown(tenant) : OPEN;
       }
       const now = clock.now();
       if (view.own && view.own.take(1, now) > 0) {
--- a/test/operators.test.ts
+++ b/test/operators.test.ts
@@ -261,6 +261,27 @@
   });
 });
 
+describe('tenants', () => {
+  it('are printed with their limits, one or all, and no key of them', async () => {
+    const mesh = new SidecarMesh();
+    mesh.configure([{ name: 'read', service: 'desk' }], {
+      tenants: [
+        { name: 'acme', apiKeys: ['acme-key'], ratePerS: 20, burst: 10 },
+        { name: 'beta', apiKeys: ['beta-key'], priority: 0 },
+      ],
+    });
+    const all = (await run(mesh.store, ['tenant', 'list'])).results;
+    expect(all).toMatchObject([
+      { version: 1, tenants: [{ name: 'acme', ratePerS: 20, burst: 10 }, { name: 'beta' }] },
+    ]);
+    expect(JSON.stringify(all)).not.toMatch(/acme-key|beta-key/);
+    const one = await run(mesh.store, ['tenant', 'show', 'beta']);
+    expect(one.results).toMatchObject([{ tenants: [{ name: 'beta', priority: 0 }] }]);
+    expect((await run(mesh.store, ['tenant', 'show', 'other'])).code).toBe(ExitCode.Rejected);
+    mesh.close();
+  });
+});
+
 describe('quarantines', () => {
   it('are printed, and lifted by the fingerprint', async () => {
     const store = new MemoryStore();
