--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -90,10 +90,7 @@
     this.response.on('close', () => this.onClose());
     const routes = this.options.routes();
     if (!routes) {
-      this.refuse(
-        { code: 'no-configuration', status: 503, retryAfterMs: NO_CONFIGURATION_RETRY_AFTER_MS },
-        mayClose(),
-      );
+      this.refuse({ ...BEHIND, code: 'no-configuration' }, mayClose());
       return;
     }
     this.version = routes.version;
@@ -155,7 +152,11 @@
   private isWithinQuota(decision: QuotaDecision, mayClose: () => boolean): boolean {
     if (decision.isAdmitted) {
       this.giveBack = decision.giveBack;
-      return true;
+      if (this.isFinished) {
+        // The client has left while holders were asked.
+        this.giveBack();
+      }
+      return !this.isFinished;
     }
     this.quota = decision.sight;
     const { retryAfterMs } = decision;
@@ -276,7 +277,8 @@
     }
     this.isFinished = true;
     this.cancelTimer();
-    if (!this.dispatch || (code !== 'answered' && this.dispatch.certainlyNotRun)) {
+    // 503 promises that it has not run; of a client that has left, an owner may still have the request.
+    if (!this.dispatch || (code !== 'answered' && status === 503)) {
       this.giveBack();
     }
     this.options.onFinished({
