--- a/src/tenants/quotaGate.test.ts
+++ b/src/tenants/quotaGate.test.ts
@@ -128,6 +128,7 @@
       'retryAfterMs' in decision ? decision.retryAfterMs : 0,
     );
     expect(times).toEqual([...times].sort((left, right) => left - right));
+    expect(Math.min(...times)).toBeGreaterThan(0);
     expect(Math.max(...times)).toBeLessThanOrEqual(BOUNDS.windowMs);
     expect(refused[0]).toMatchObject({
       sight: { ratePerS: 40, holders: 4, isHolder: true, dry: 3 },
--- a/src/tenants/quotaGate.ts
+++ b/src/tenants/quotaGate.ts
@@ -122,11 +122,11 @@
   const refused = (view: QuotaView, borrowing: Borrowing): QuotaDecision => {
     const now = clock.now();
     const { tenant, holders, own } = view;
-    const dryAt = Math.min(
-      own ? now + own.dryMs(now) : Number.POSITIVE_INFINITY,
-      ...borrowing.dryUntil.values(),
-    );
-    const first = Math.max(now, Number.isFinite(dryAt) ? dryAt : now + REST_MS);
+    const ownAt = own ? now + own.dryMs(now) : Number.POSITIVE_INFINITY;
+    const othersAt = Math.min(...borrowing.dryUntil.values());
+    // Others are not asked before the rest ends, whatever they have.
+    const borrowAt = Math.max(borrowing.restsUntil, Number.isFinite(othersAt) ? othersAt : now);
+    const first = Math.max(now, Math.min(ownAt, borrowAt));
     const spacingMs = (1_000 * holders.length) / tenant.ratePerS;
     const returnAt = Math.min(Math.max(first, borrowing.lastReturnAt + spacingMs), now + windowMs);
     borrowing.lastReturnAt = returnAt;
