--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -64,7 +64,10 @@
       clocks,
       log,
       metrics,
-      onInForce: (routes, origin) => this.onInForce(routes, origin),
+      onInForce: (routes, origin) => {
+        metrics.noteTenants(routes.configuration.tenants);
+        this.onInForce(routes, origin);
+      },
     });
     this.lifecycle = createLifecycle((state) => {
       log.event('lifecycle', { state, inFlight: this.parts.ingress.inFlight });
@@ -122,6 +125,7 @@
     sync.start();
     quarantines.start();
     this.parts.rollouts?.sync.start();
+    this.parts.quotas.start();
     this.startConfiguration();
     owner.start();
     const { zone, service, drainMs, graceMs, configurationApplyMs } = this.settings;
@@ -165,6 +169,7 @@
     load.stop();
     this.parts.quarantines.stop();
     this.parts.rollouts?.sync.stop();
+    this.parts.quotas.stop();
     owner.close();
     ingress.close();
     peers.close();
@@ -201,6 +206,7 @@
     this.inForceSince = this.clock.now();
     ingress.setLimits(configuration.limits);
     owner.noteConfiguration();
+    this.parts.quotas.refresh();
     this.log.event('configuration', { version, origin, routes: configuration.routes.length });
   }
 
