--- a/lab/application-stand-in.ts
+++ b/lab/application-stand-in.ts
@@ -3,24 +3,9 @@
 import http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
-import { endpointOf } from '../src/model/endpoint.js';
 import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
-
-/** How a back end treats the next request. */
-export type Behaviour =
-  | 'serve'
-  /** Runs it and never answers. */
-  | 'stay-silent'
-  /** Runs it and resets the connection. */
-  | 'reset'
-  /** Says that it did not run it. */
-  | 'turn-away'
-  /** Runs it and answers with another request's id. */
-  | 'answer-another'
-  /** Runs it and breaks its answer off. */
-  | 'cut-short'
-  /** Answers before it has read the body. */
-  | 'answer-early';
+import { answer, type Behaviour } from './applicationAnswer.js';
+import { postRegistration } from './postRegistration.js';
 
 /** One request that a back end has begun to work on. */
 export interface Run {
@@ -173,7 +158,7 @@
   /** Sends one heartbeat to its node. */
   heartbeat(registrations: string, sequence?: number): Promise<number> {
     this.sequence += 1;
-    return postJson(registrations, this.nextBeat(sequence));
+    return postRegistration(registrations, this.nextBeat(sequence));
   }
 
   /** What the next heartbeat says; it may be sent late with {@link sendLate}. */
@@ -196,11 +181,11 @@
 
   /** Sends what was to be said in an earlier life. */
   sendLate(registrations: string, call: unknown): Promise<number> {
-    return postJson(registrations, call);
+    return postRegistration(registrations, call);
   }
 
   deregister(registrations: string): Promise<number> {
-    return postJson(registrations, {
+    return postRegistration(registrations, {
       kind: 'deregister',
       life: { instance: this.instance, bornAt: this.bornAt },
     });
@@ -274,54 +259,6 @@
       return;
     }
     this.running -= 1;
-    this.answer(request, response, { requestId, behaviour, status });
-  }
-
-  private answer(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-    { requestId, behaviour, status }: { requestId: string; behaviour: Behaviour; status: number },
-  ): void {
-    const fields = { [NAMES.signature]: this.instance, 'content-type': 'text/plain' };
-    const body = `answer to ${requestId}`;
-    switch (behaviour) {
-      case 'stay-silent':
-        return;
-      case 'reset':
-        request.socket.resetAndDestroy();
-        return;
-      case 'answer-another':
-        response.writeHead(200, { ...fields, [NAMES.requestId]: 'another' });
-        response.end('answer to another');
-        return;
-      case 'cut-short':
-        response.writeHead(200, {
-          ...fields,
-          [NAMES.requestId]: requestId,
-          'content-length': body.length + 10,
-        });
-        response.write(body, () => request.socket.destroy());
-        return;
-      default:
-        response.writeHead(status, { ...fields, [NAMES.requestId]: requestId });
-        response.end(body);
-    }
+    answer(request, response, { requestId, behaviour, status, instance: this.instance });
   }
 }
-
-function postJson(address: string, body: unknown): Promise<number> {
-  return new Promise((resolve, reject) => {
-    const request = http.request({
-      ...endpointOf(address),
-      method: 'POST',
-      path: '/registrations',
-      agent: false,
-    });
-    request.on('error', reject);
-    request.on('response', (response) => {
-      response.resume();
-      response.on('end', () => resolve(response.statusCode ?? 0));
-    });
-    request.end(JSON.stringify(body));
-  });
-}
--- a/lab/soakFaults.ts
+++ b/lab/soakFaults.ts
@@ -1,5 +1,5 @@
 /** Faults of a soak: of the processes, of the back ends beside them, and of the store. */
-import type { Behaviour } from './application-stand-in.js';
+import type { Behaviour } from './applicationAnswer.js';
 import { pickOne } from './random.js';
 import type { Sidecar } from './sidecarProcesses.js';
 import { StoreFault, type StoreWays, strikeStore } from './storeFaults.js';
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -25,6 +25,7 @@
 } from './owner.js';
 import type { OwnerReport, TaskRecord } from './owner-report.js';
 import { waitForSlot } from './slotWait.js';
+import { type TaskTimes, taskRecordOf } from './taskRecord.js';
 import { createWatchedCalls, type WatchedCalls, type WatchedCallsContext } from './watchedCalls.js';
 
 /** After a late or foreign answer, connections are not kept for this long, in milliseconds. */
@@ -49,13 +50,6 @@
   readonly isFenced?: () => boolean;
 }
 
-/** Steady times of one task, in milliseconds. */
-interface TaskTimes {
-  readonly arrivedAt: number;
-  admittedAt?: number;
-  sentAt?: number;
-}
-
 /** One per node. */
 export class LocalOwner implements Owner {
   private readonly admission: AdmissionControl;
@@ -141,21 +135,9 @@
   async run(task: OwnerTask): Promise<OwnerOutcome> {
     const times: TaskTimes = { arrivedAt: this.options.clock.now() };
     const outcome = await this.admitAndRun(task, times);
-    const { arrivedAt, admittedAt, sentAt } = times;
+    const instance = this.presence.backEnd?.instance;
     const now = this.options.clock.now();
-    this.options.onTask({
-      requestId: task.requestId,
-      fingerprint: task.fingerprint,
-      route: task.route,
-      service: task.service,
-      result:
-        outcome.kind === 'answer'
-          ? `answer ${outcome.status}`
-          : `${outcome.kind} ${outcome.reason}`,
-      instance: this.presence.backEnd?.instance,
-      queuedMs: Math.round((admittedAt ?? now) - arrivedAt),
-      backEndMs: sentAt === undefined ? undefined : Math.round(now - sentAt),
-    });
+    this.options.onTask(taskRecordOf({ task, outcome, times, instance, now }));
     return outcome;
   }
 
--- /dev/null
+++ b/src/owner/taskRecord.ts
@@ -0,0 +1,36 @@
+/** What the log is told of a task that has ended at the owner. */
+import type { OwnerOutcome, OwnerTask } from './owner.js';
+import type { TaskRecord } from './owner-report.js';
+
+/** Steady times of one task, in milliseconds. */
+export interface TaskTimes {
+  readonly arrivedAt: number;
+  admittedAt?: number;
+  sentAt?: number;
+}
+
+/** A task that has ended now. */
+export interface EndedTask {
+  readonly task: OwnerTask;
+  readonly outcome: OwnerOutcome;
+  readonly times: TaskTimes;
+  /** Id of the back end that was to run it. */
+  readonly instance: string | undefined;
+  readonly now: number;
+}
+
+export function taskRecordOf({ task, outcome, times, instance, now }: EndedTask): TaskRecord {
+  const { arrivedAt, admittedAt, sentAt } = times;
+  const result =
+    outcome.kind === 'answer' ? `answer ${outcome.status}` : `${outcome.kind} ${outcome.reason}`;
+  return {
+    requestId: task.requestId,
+    fingerprint: task.fingerprint,
+    route: task.route,
+    service: task.service,
+    result,
+    instance,
+    queuedMs: Math.round((admittedAt ?? now) - arrivedAt),
+    backEndMs: sentAt === undefined ? undefined : Math.round(now - sentAt),
+  };
+}
--- a/test/decisionLog.test.ts
+++ b/test/decisionLog.test.ts
@@ -1,6 +1,6 @@
 /** A mesh whose back ends fail in every way they can: its own logs show no broken rule. */
 import { afterEach, beforeEach, expect, it } from 'vitest';
-import type { Behaviour } from '../lab/application-stand-in.js';
+import type { Behaviour } from '../lab/applicationAnswer.js';
 import { checkDecisionLog, type LogLine } from '../lab/decisionLogCheck.js';
 import { pickOne, seededRandom } from '../lab/random.js';
 import { call, SidecarMesh } from '../lab/sidecar-mesh.js';
