An order that ended, was replaced unseen and put back unchanged begins anew: its counts, comparison, phase and shares

The identity of an order is made, version and duration; the same order put back has the same one. Now a status that has not ended, at a later revision, after one that had is a new beginning, and everything a node counts is kept by that.

--- a/src/directory/rolloutReporter.ts
+++ b/src/directory/rolloutReporter.ts
@@ -52,7 +52,7 @@
 
 /** What is kept for an order that runs. */
 interface OrderCounts {
-  readonly orderId: string;
+  readonly begun: number;
   readonly counts: RunCounts;
   readySince: number | undefined;
   reportedAt: number;
@@ -62,13 +62,13 @@
   const { clock, book, election, caller, own, backEnd, onOwnEvidence } = context;
   const kept = new Map<string, OrderCounts>();
 
-  const countsOf = ({ id, service }: RunningRollout['order']): OrderCounts => {
+  const countsOf = ({ order: { service }, begun }: RunningRollout): OrderCounts => {
     const known = kept.get(service);
-    if (known?.orderId === id) {
+    if (known?.begun === begun) {
       return known;
     }
     const created: OrderCounts = {
-      orderId: id,
+      begun,
       counts: createRunCounts(),
       readySince: undefined,
       reportedAt: Number.NEGATIVE_INFINITY,
@@ -105,16 +105,17 @@
     noteRun: (run) => {
       const rollout = book.running(run.service);
       if (rollout) {
-        countsOf(rollout.order).counts.note(run, clock.now());
+        countsOf(rollout).counts.note(run, clock.now());
       }
     },
-    report: ({ order, phase, ageMs }) => {
+    report: (rollout) => {
+      const { order, phase, ageMs } = rollout;
       const { service, version, isReady, slots, load } = backEnd();
       if (service !== order.service) {
         return;
       }
       const now = clock.now();
-      const mine = countsOf(order);
+      const mine = countsOf(rollout);
       mine.readySince = isReady ? (mine.readySince ?? now) : undefined;
       const isTarget = version === order.targetVersion;
       const paceMs = isTarget || isLeased(phase) ? TARGET_REPORT_MS : OTHER_REPORT_MS;
--- a/src/directory/rolloutSteering.ts
+++ b/src/directory/rolloutSteering.ts
@@ -62,7 +62,7 @@
 
 /** What is kept for an order that runs. */
 interface OrderWork {
-  readonly orderId: string;
+  readonly begun: number;
   readonly decider: RolloutDecider;
   toldAt: number;
   reason: string;
@@ -72,13 +72,14 @@
   const { clock, book, election, directory, broadcast, own, contactMs, writer } = context;
   const works = new Map<string, OrderWork>();
 
-  const workOf = ({ id, service, targetVersion }: RolloutOrder): OrderWork => {
+  const workOf = ({ order, begun }: RunningRollout): OrderWork => {
+    const { service, targetVersion } = order;
     const known = works.get(service);
-    if (known?.orderId === id) {
+    if (known?.begun === begun) {
       return known;
     }
     const created: OrderWork = {
-      orderId: id,
+      begun,
       decider: createRolloutDecider(clock, targetVersion),
       toldAt: Number.NEGATIVE_INFINITY,
       reason: '',
@@ -88,15 +89,17 @@
   };
 
   const tellPhase = (order: RolloutOrder, phase: RolloutPhase): void => {
-    const work = workOf(order);
-    work.toldAt = clock.now();
+    const work = works.get(order.service);
+    if (work) {
+      work.toldAt = clock.now();
+    }
     const news: PhaseNews = {
       kind: RolloutNewsKind.Phase,
       service: order.service,
       orderId: order.id,
       phase,
       ageMs: book.running(order.service)?.ageMs ?? 0,
-      versions: work.decider.versions,
+      versions: work?.decider.versions ?? [],
     };
     context.onPhase(news);
     broadcast.tell(NewsTopic.RollOuts, listOfRolloutNews(news));
@@ -136,15 +139,15 @@
 
   return {
     takeEvidence: (evidence) => {
-      const order = book.running(evidence.service)?.order;
-      if (order?.id === evidence.orderId) {
+      const rollout = book.running(evidence.service);
+      if (rollout?.order.id === evidence.orderId) {
         book.noteAge(evidence.service, evidence.orderId, evidence.ageMs);
-        workOf(order).decider.take(evidence);
+        workOf(rollout).decider.take(evidence);
       }
     },
     steer: (rollout) => {
       const { order, phase } = rollout;
-      const work = workOf(order);
+      const work = workOf(rollout);
       const owners = ownersOf(order.service);
       if (!election.isDecider(order.service) && !work.decider.isTold(owners)) {
         return;
--- a/src/rollout/rolloutBook.ts
+++ b/src/rollout/rolloutBook.ts
@@ -31,6 +31,8 @@
 /** An order that has not ended. */
 export interface RunningRollout {
   readonly order: RolloutOrder;
+  /** Counts the orders that this node has learnt of: the same order made again has another. */
+  readonly begun: number;
   readonly phase: RolloutPhase;
   readonly phaseAgeMs: number;
   readonly ageMs: number;
@@ -40,7 +42,7 @@
 export interface RolloutBook {
   /** True once the store has told which orders stand. */
   isListed: boolean;
-  /** The store's word; false if it was known. */
+  /** The store's word, newer than all before; false if it was known. */
   takeOrder(order: RolloutOrder): boolean;
   /** The order of a service stands no longer. */
   remove(service: string): void;
@@ -60,6 +62,7 @@
 
 interface Known {
   order: RolloutOrder;
+  readonly begun: number;
   learntAt: number;
   phase: RolloutPhase;
   phaseSince: number;
@@ -73,6 +76,7 @@
   const orders = new Map<string, Known>();
   const withdrawn = new Map<string, Set<string>>();
   let currentAt = clock.now();
+  let begun = 0;
 
   const withdraw = (service: string, { order }: Known): void => {
     if (order.state !== RolloutState.Completed) {
@@ -89,8 +93,10 @@
     withdrawn.get(order.service)?.delete(order.targetVersion);
     const now = clock.now();
     const isEnded = hasEnded(order);
+    begun += 1;
     orders.set(order.service, {
       order,
+      begun,
       learntAt: now,
       phase: RolloutPhase.Watch,
       phaseSince: now,
@@ -117,11 +123,12 @@
     isListed: false,
     takeOrder: (order) => {
       const known = orders.get(order.service);
-      if (known?.order.id !== order.id) {
+      // A status ends once: one that hasn't ended is that of the same order, made again after another.
+      const isMadeAgain = known && hasEnded(known.order) && !hasEnded(order);
+      if (known?.order.id !== order.id || isMadeAgain) {
         begin(order);
         return true;
       }
-      // What has ended stays so: a later word that it runs is an older one.
       if (hasEnded(known.order) || known.order.state === order.state) {
         return false;
       }
@@ -172,6 +179,7 @@
       const now = clock.now();
       return {
         order: known.order,
+        begun: known.begun,
         phase,
         phaseAgeMs: now - known.phaseSince,
         ageMs: now - known.learntAt,
@@ -196,7 +204,7 @@
         return undefined;
       }
       const isStale = !hasEnded(order) && now - Math.max(currentAt, toldAt) > staleMs();
-      return { order, phase: phaseOf(known), isStale };
+      return { order, begun: known.begun, phase: phaseOf(known), isStale };
     },
     withdrawn: (service) => withdrawn.get(service) ?? NOTHING,
   };
--- a/src/rollout/versionRules.ts
+++ b/src/rollout/versionRules.ts
@@ -15,6 +15,8 @@
 /** An order as far as this node knows how it goes. */
 export interface RolloutView {
   readonly order: RolloutOrder;
+  /** Counts the orders that this node has learnt of: the same order made again has another. */
+  readonly begun: number;
   readonly phase: RolloutPhase;
   /** True while neither the store nor the decider has been heard of for too long. */
   readonly isStale: boolean;
@@ -138,10 +140,10 @@
   };
 
   const ruleOf = (service: string, survey: Survey): Rule | undefined => {
-    const { order, phase, isStale } = view(service) ?? {};
+    const { order, begun, phase, isStale } = view(service) ?? {};
     const banned = withdrawn(service);
     if (order) {
-      const key = order.id;
+      const key = `order ${begun}`;
       const { targetVersion, state } = order;
       const isTarget = (version: string | undefined) =>
         version === targetVersion || (version !== undefined && banned.has(version));
--- a/test/rollouts.test.ts
+++ b/test/rollouts.test.ts
@@ -159,6 +159,20 @@
     expect(runsOf(old).length).toBeGreaterThan(before);
   }, 30_000);
 
+  it('judges a version anew whose order ended, was replaced and put back unchanged', async () => {
+    let isBad = true;
+    const { clients } = await startRollout(8, () => (isBad ? { status: 500 } : {}));
+    await waitFor(hasEnded);
+    expect(statusOf()).toEqual({ 'target-version': NEW, state: 'rolled_back' });
+    isBad = false;
+    order(8, 'v3');
+    await waitFor(() => statusOf()?.['target-version'] === 'v3');
+    order(8);
+    await waitFor(hasEnded);
+    await clients.stop();
+    expect(statusOf()).toEqual({ 'target-version': NEW, state: 'completed' });
+  }, 40_000);
+
   const kinds: [string, (at: number) => RunFate][] = [
     ['fails half of its requests', () => (Math.random() < 0.5 ? { status: 500 } : {})],
     [
