--- a/src/cli/rolloutCommands.ts
+++ b/src/cli/rolloutCommands.ts
@@ -9,6 +9,7 @@
   Reading,
   type StoredObject,
   type StoreError,
+  type StoreResult,
 } from '../source/object-store.js';
 import type { CommandContext } from './commands.js';
 import { ExitCode } from './exitCode.js';
@@ -65,9 +66,7 @@
     return refuse(findings, output);
   }
   const spec = rollouts.encode(asked);
-  const result = held.object
-    ? await store.replace(rollouts.kind, { ...held.object, spec })
-    : await store.create(rollouts.kind, asked.service, spec);
+  const result = await writeOrder(store, rollouts.kind, { asked, held, spec });
   return result.ok ? started(asked, output) : refusedWrite(result, output);
 }
 
@@ -187,6 +186,29 @@
   readonly failure?: StoreError['failure'];
 }
 
+interface NewOrder {
+  readonly asked: AskedRollout;
+  readonly held: HeldOrder;
+  readonly spec: unknown;
+}
+
+/** A status that says how an earlier order of the same version ended would end the new one at once. */
+async function writeOrder(
+  store: ObjectStore,
+  kind: string,
+  { asked, held, spec }: NewOrder,
+): Promise<StoreResult<StoredObject<unknown>>> {
+  const { object, order } = held;
+  if (!object) {
+    return store.create(kind, asked.service, spec);
+  }
+  if (!order || !hasEnded(order) || order.targetVersion !== asked.targetVersion) {
+    return store.replace(kind, { ...object, spec });
+  }
+  const removed = await store.remove(kind, asked.service, object.revision);
+  return removed.ok ? store.create(kind, asked.service, spec) : removed;
+}
+
 async function readOrder(
   store: ObjectStore,
   rollouts: RolloutObjects,
--- a/test/rollout-commands.test.ts
+++ b/test/rollout-commands.test.ts
@@ -72,6 +72,27 @@
     expect(orderIn(store)?.spec).toMatchObject({ 'target-version': 'v3' });
   });
 
+  it.each(['15', '20'])(
+    'start orders a version again that was rolled back, for %s seconds: its old status goes',
+    async (duration) => {
+      const store = storeWithDesk();
+      await start(store);
+      const first = orderIn(store)?.made;
+      store.putStatus(ROLLOUT_KIND, 'desk', { 'target-version': 'v2', state: 'rolled_back' });
+      const again = ['rollout', 'start', 'desk', 'v2', '--duration', duration];
+      expect((await run(store, again)).code).toBe(ExitCode.Ok);
+      expect(orderIn(store)?.status).toBeUndefined();
+      expect(orderIn(store)?.made).not.toBe(first);
+      expect((await run(store, ['rollout', 'status'])).results).toEqual([
+        {
+          rollouts: [
+            { service: 'desk', version: 'v2', seconds: Number(duration), state: 'ordered' },
+          ],
+        },
+      ]);
+    },
+  );
+
   it('start tells when somebody else was quicker, or the store is away', async () => {
     const store = storeWithDesk();
     await start(store);
