--- a/src/diagnostics/sidecar-metrics.test.ts
+++ b/src/diagnostics/sidecar-metrics.test.ts
@@ -22,3 +22,14 @@
     'spindlepaddle_tenant_requests_total{tenant="other",code="over-quota"} 68',
   );
 });
+
+it('tells what has become of roll-outs', async () => {
+  const metrics = new SidecarMetrics();
+  metrics.rolloutChanged('decision', 'Ramp');
+  metrics.rolloutChanged('status', 'completed');
+  metrics.rolloutChanged('removed', '');
+  const text = await metrics.scrape({} as SidecarGauges, { sent: {}, received: {}, relayed: {} });
+  expect(text).toContain('spindlepaddle_rollout_changes_total{change="decision",to="Ramp"} 1');
+  expect(text).toContain('spindlepaddle_rollout_changes_total{change="status",to="completed"} 1');
+  expect(text).toContain('spindlepaddle_rollout_changes_total{change="removed",to=""} 1');
+});
--- a/src/diagnostics/sidecar-metrics.ts
+++ b/src/diagnostics/sidecar-metrics.ts
@@ -27,6 +27,11 @@
   readonly owners_present: number;
   readonly owners_absent: number;
   readonly quarantined_requests: number;
+  readonly rollouts_running: number;
+  /** Of the services with an order, since it began here: requests, offers to the version, its bad answers. */
+  readonly rollout_requests: number;
+  readonly rollout_offers: number;
+  readonly rollout_bad_answers: number;
   readonly configuration_version: number;
   readonly configuration_age_seconds: number;
   readonly store_connected: number;
@@ -79,6 +84,12 @@
     labelNames: ['operation', 'result'],
     registers: [this.registry],
   });
+  private readonly rolloutChanges = new Counter({
+    name: 'spindlepaddle_rollout_changes_total',
+    help: 'Orders, phases, decisions and statuses of roll-outs at this node, and the phase or state they led to',
+    labelNames: ['change', 'to'],
+    registers: [this.registry],
+  });
   private readonly peerBytes = new Counter({
     name: 'spindlepaddle_peer_sent_bytes_total',
     help: 'Bytes sent to other nodes by kind of message',
@@ -145,6 +156,11 @@
     this.overdueRuns.inc({ route });
   }
 
+  /** An order, phase, decision or status of a roll-out; `to` is the phase or state, empty without one. */
+  rolloutChanged(change: string, to: string): void {
+    this.rolloutChanges.inc({ change, to });
+  }
+
   /** The store has answered, or not. */
   storeCalled(operation: string, result: string): void {
     this.storeCalls.inc({ operation, result });
--- a/src/directory/rolloutSteering.ts
+++ b/src/directory/rolloutSteering.ts
@@ -176,12 +176,12 @@
 }
 
 /** A decision's inputs, for the log. */
-function detailOf({ phase, reason, facts }: RolloutStep): Readonly<Record<string, unknown>> {
+function detailOf(step: RolloutStep): Readonly<Record<string, unknown>> {
+  const { phase, reason, facts, newestEvidenceMs, oldestEvidenceMs } = step;
   const { comparison, phase: before, ...numbers } = facts;
-  const rounded = Object.entries(numbers).map(([name, value]) => [
-    name,
-    value && Math.round(value),
-  ]);
+  const rounded = Object.entries({ ...numbers, newestEvidenceMs, oldestEvidenceMs }).map(
+    ([name, value]) => [name, value && Math.round(value)],
+  );
   return {
     before: RolloutPhase[before],
     phase: RolloutPhase[phase],
--- /dev/null
+++ b/src/rollout/rolloutDecider.test.ts
@@ -0,0 +1,192 @@
+/** One decider's view of its order, from the owners' reports, without a network. */
+import { describe, expect, it } from 'vitest';
+import type { RunningRollout } from './rolloutBook.js';
+import { createRolloutDecider } from './rolloutDecider.js';
+import { type EvidenceNews, RolloutNewsKind } from './rolloutNews.js';
+import { RolloutPhase, RolloutState } from './rolloutOrder.js';
+import type { CountsByRoute, RouteCounts } from './runCounts.js';
+
+const OTHERS = ['old-1', 'old-2', 'old-3', 'old-4'];
+const TARGETS = ['new-1', 'new-2', 'new-3'];
+const OWNERS = { up: [...OTHERS, ...TARGETS], contactMs: 3_000 };
+const DURATION_MS = 12_000;
+const REPORT_MS = 500;
+
+/** Class of the durations of a usual answer. */
+const USUAL_CLASS = 6;
+
+/** Whole counts of one route: so many answered and failed, and so many of the answers slow. */
+function countsOf(answered: number, failed: number, slow = 0): RouteCounts {
+  const durations = Array.from({ length: USUAL_CLASS + 8 }, () => 0);
+  durations[USUAL_CLASS] = answered - slow;
+  durations[USUAL_CLASS + 5] = slow;
+  return { answered, failed, durations, cuts: [] };
+}
+
+function setUp() {
+  let now = 0;
+  let phase = RolloutPhase.Watch;
+  let phaseSince = 0;
+  const decider = createRolloutDecider({ now: () => now }, 'v2');
+  const rollout = (): RunningRollout => ({
+    order: {
+      service: 'desk',
+      targetVersion: 'v2',
+      durationMs: DURATION_MS,
+      id: '1',
+      state: RolloutState.Running,
+    },
+    begun: 1,
+    phase,
+    phaseAgeMs: now - phaseSince,
+    ageMs: now,
+  });
+  const tell = (node: string, counts: CountsByRoute, more: Partial<EvidenceNews> = {}) => {
+    const version = TARGETS.includes(node) ? 'v2' : 'v1';
+    decider.take({
+      kind: RolloutNewsKind.Evidence,
+      service: 'desk',
+      orderId: '1',
+      ageMs: now,
+      node,
+      version,
+      readyMs: now,
+      slots: 8,
+      load: 0,
+      isFenced: phase === RolloutPhase.Shift && version === 'v1',
+      counts,
+      ...more,
+    });
+  };
+  const step = () => {
+    const decided = decider.step(rollout(), OWNERS);
+    if (decided.phase !== phase) {
+      phase = decided.phase;
+      phaseSince = now;
+    }
+    return decided;
+  };
+  return {
+    decider,
+    tell,
+    step,
+    pass: (ms: number) => {
+      now += ms;
+    },
+    get now() {
+      return now;
+    },
+    get phase() {
+      return phase;
+    },
+  };
+}
+
+type Setup = ReturnType<typeof setUp>;
+
+/** What a version makes of its requests on one route in the phase at hand, of a hundred. */
+type Kind = (setup: Setup, route: string) => { readonly failed: number; readonly slow: number };
+
+const GOOD: Kind = () => ({ failed: 0, slow: 0 });
+
+/**
+ * Plays an order: two routes, each owner of the others answers ten requests of each between two reports, each
+ * with the version one in the watch, four in the ramp, twenty in the last step. Time in milliseconds of the end.
+ */
+function play(kind: Kind): { readonly phase: RolloutPhase; readonly atMs: number } {
+  const setup = setUp();
+  const whole = new Map<string, { answered: number; failed: number; slow: number }>();
+  const wholeOf = (key: string) => {
+    const known = whole.get(key) ?? { answered: 0, failed: 0, slow: 0 };
+    whole.set(key, known);
+    return known;
+  };
+  const perReport = (isTarget: boolean): number => {
+    if (!isTarget) {
+      return setup.phase === RolloutPhase.Shift ? 0 : 10;
+    }
+    const more = setup.phase === RolloutPhase.Ramp ? 4 : 20;
+    return setup.phase === RolloutPhase.Watch ? 1 : more;
+  };
+  const report = (node: string): void => {
+    const isTarget = TARGETS.includes(node);
+    const counts = ['read', 'grant'].map((route) => {
+      const sum = wholeOf(`${node} ${route}`);
+      const { failed, slow } = isTarget ? kind(setup, route) : { failed: 0, slow: 0 };
+      const runs = perReport(isTarget);
+      const share = (percent: number, before: number) => {
+        const due = ((sum.answered + sum.failed + runs) * percent) / 100;
+        return percent === 0 ? 0 : Math.min(runs, Math.max(0, Math.round(due) - before));
+      };
+      const failing = share(failed, sum.failed);
+      sum.slow += share(slow, sum.slow);
+      sum.failed += failing;
+      sum.answered += runs - failing;
+      return [route, countsOf(sum.answered, sum.failed, sum.slow)] as const;
+    });
+    setup.tell(node, new Map(counts));
+  };
+  while (setup.now < DURATION_MS) {
+    setup.pass(REPORT_MS);
+    OWNERS.up.forEach(report);
+    const { phase } = setup.step();
+    if (phase === RolloutPhase.Halt || phase === RolloutPhase.Done) {
+      return { phase, atMs: setup.now };
+    }
+  }
+  return { phase: setup.phase, atMs: setup.now };
+}
+
+describe('RolloutDecider', () => {
+  it('completes a good version before its deadline', () => {
+    const { phase, atMs } = play(GOOD);
+    expect(phase).toBe(RolloutPhase.Done);
+    expect(atMs).toBeLessThan(DURATION_MS);
+  });
+
+  const bad: [string, Kind][] = [
+    [
+      'half of its answers fail on one route only',
+      (_, route) => ({ failed: route === 'grant' ? 50 : 0, slow: 0 }),
+    ],
+    [
+      'half of its answers are slow on one route only',
+      (_, route) => ({ failed: 0, slow: route === 'grant' ? 50 : 0 }),
+    ],
+    [
+      'half of its answers fail under load only',
+      ({ phase }) => ({ failed: phase === RolloutPhase.Watch ? 0 : 50, slow: 0 }),
+    ],
+    [
+      'half of its answers are slow under load only',
+      ({ phase }) => ({ failed: 0, slow: phase === RolloutPhase.Watch ? 0 : 50 }),
+    ],
+  ];
+
+  it.each(bad)('halts a version before its deadline when %s', (_name, kind) => {
+    const { phase, atMs } = play(kind);
+    expect(phase).toBe(RolloutPhase.Halt);
+    expect(atMs).toBeLessThan(DURATION_MS);
+  });
+
+  it('tells how old the evidence of a decision is, and forgets reports that are too old', () => {
+    const setup = setUp();
+    expect(setup.step().newestEvidenceMs).toBeUndefined();
+    setup.tell('old-1', new Map());
+    setup.pass(2_000);
+    setup.tell('new-1', new Map());
+    setup.pass(300);
+    expect(setup.step()).toMatchObject({ newestEvidenceMs: 300, oldestEvidenceMs: 2_300 });
+    setup.pass(300);
+    expect(setup.step()).toMatchObject({ newestEvidenceMs: 600, oldestEvidenceMs: 600 });
+  });
+
+  it('keeps two orders apart', () => {
+    const [first, second] = [setUp(), setUp()];
+    first.tell('new-1', new Map([['read', countsOf(10, 90)]]));
+    first.tell('new-2', new Map([['read', countsOf(10, 90)]]));
+    first.tell('old-1', new Map([['read', countsOf(100, 0)]]));
+    expect(first.step().phase).toBe(RolloutPhase.Halt);
+    expect(second.step().phase).toBe(RolloutPhase.Watch);
+  });
+});
--- a/src/rollout/rolloutDecider.ts
+++ b/src/rollout/rolloutDecider.ts
@@ -19,6 +19,9 @@
 /** A decision and what it was made from. */
 export interface RolloutStep extends RolloutDecision {
   readonly facts: RolloutFacts;
+  /** Milliseconds since the newest and the oldest of the reports came that it rests on; undefined without any. */
+  readonly newestEvidenceMs: number | undefined;
+  readonly oldestEvidenceMs: number | undefined;
 }
 
 /** Kept for one order. */
@@ -45,10 +48,10 @@
   /** Since when reports have come. */
   let begunAt: number | undefined;
 
-  const lately = (): EvidenceNews[] =>
-    [...heard.values()]
-      .filter(({ at }) => clock.now() - at <= REPORT_LIFETIME_MS)
-      .map(({ report }) => report);
+  const heardLately = (): Heard[] =>
+    [...heard.values()].filter(({ at }) => clock.now() - at <= REPORT_LIFETIME_MS);
+
+  const lately = (): EvidenceNews[] => heardLately().map(({ report }) => report);
 
   /** Owners that are up and of whom it isn't known that they run nothing on another version. */
   const busyOthers = (
@@ -107,7 +110,13 @@
     step: (rollout, owners) => {
       comparison.step();
       const facts = factsOf(rollout, owners);
-      return { ...decideRollout(facts), facts };
+      const agesMs = heardLately().map(({ at }) => clock.now() - at);
+      return {
+        ...decideRollout(facts),
+        facts,
+        newestEvidenceMs: agesMs.length > 0 ? Math.min(...agesMs) : undefined,
+        oldestEvidenceMs: agesMs.length > 0 ? Math.max(...agesMs) : undefined,
+      };
     },
     get versions() {
       return lately().flatMap(({ node, version }) =>
--- a/src/rollout/versionShares.ts
+++ b/src/rollout/versionShares.ts
@@ -60,10 +60,20 @@
   noteBad(node: string): void;
 }
 
+/** What a node has seen and sent under the present orders. */
+export interface ShareTotals {
+  readonly requests: number;
+  /** To the versions that are being rolled out. */
+  readonly offers: number;
+  /** Of these versions. */
+  readonly bad: number;
+}
+
 /** One per node. */
 export interface VersionShares {
   /** A request for a service has come. */
   begin(service: string): RequestShare;
+  readonly totals: ShareTotals;
 }
 
 /** Every owner of the service may be asked. */
@@ -191,6 +201,16 @@
       accountOf(service, rule.key).requests += 1;
       return shareOf(service);
     },
+    get totals() {
+      const all = [...accounts.values()];
+      const sum = (amountOf: (account: Account) => number) =>
+        all.reduce((total, account) => total + amountOf(account), 0);
+      return {
+        requests: sum(({ requests }) => requests),
+        offers: sum(({ offers }) => offers),
+        bad: sum(({ bad }) => bad),
+      };
+    },
   };
 }
 
--- a/src/sidecar/decisionRecords.ts
+++ b/src/sidecar/decisionRecords.ts
@@ -1,6 +1,7 @@
 /** Finished requests and tasks as lines of the decision log and as metrics. */
 import type { DecisionLog } from '../diagnostics/decision-log.js';
 import type { SidecarMetrics } from '../diagnostics/sidecar-metrics.js';
+import type { RolloutChange } from '../directory/rolloutSteering.js';
 import type { RequestRecord } from '../ingress/requestRecord.js';
 import type { OverdueRun } from '../owner/backEndObservations.js';
 import type { OwnerReport, TaskRecord } from '../owner/owner-report.js';
@@ -75,3 +76,12 @@
     waitedMs: Math.round(waitedMs),
   });
 }
+
+/** An order, phase, decision or status of a roll-out. */
+export function recordRollout(
+  { log, metrics }: RecordSinks,
+  { service, change, detail }: RolloutChange,
+): void {
+  metrics.rolloutChanged(change, String(detail.phase ?? detail.state ?? ''));
+  log.event('rollout', { service, change, ...detail });
+}
--- a/src/sidecar/rolloutParts.ts
+++ b/src/sidecar/rolloutParts.ts
@@ -7,6 +7,7 @@
 import type { PeerCaller } from '../peer/peerCaller.js';
 import type { ZoneRelay } from '../relay/zoneRelay.js';
 import { createVersionShares, type VersionShares } from '../rollout/versionShares.js';
+import { recordRollout } from './decisionRecords.js';
 import type { SidecarPartsContext } from './sidecarPartsContext.js';
 
 /** What they need besides. */
@@ -28,7 +29,8 @@
 }
 
 export function createRolloutParts(context: RolloutPartsContext): RolloutParts | undefined {
-  const { settings, outside, clocks, log, relay, directory, owner, record, nodes } = context;
+  const { settings, outside, clocks, log, metrics, relay, directory, owner, record, nodes } =
+    context;
   if (!settings().rollout || !outside.rollouts) {
     return undefined;
   }
@@ -49,7 +51,7 @@
       };
     },
     contactMs: () => settings().contactMs,
-    onChange: ({ service, change, detail }) => log.event('rollout', { service, change, ...detail }),
+    onChange: (change) => recordRollout({ log, metrics }, change),
   });
   const { book } = sync;
   const shares = createVersionShares({
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -212,6 +212,8 @@
 
   private gauges(): SidecarGauges {
     const { version, owner, inFlight, ownersPresent, ownersAbsent, storeConnected } = this.status;
+    const { rollouts } = this.parts;
+    const rolledOut = rollouts?.shares.totals;
     return {
       requests_in_flight: inFlight,
       owner_running: owner.inFlight,
@@ -224,6 +226,10 @@
       owners_present: ownersPresent,
       owners_absent: ownersAbsent,
       quarantined_requests: this.parts.ledger.quarantined(this.clock.now()).length,
+      rollouts_running: rollouts?.sync.book.runningServices.length ?? 0,
+      rollout_requests: rolledOut?.requests ?? 0,
+      rollout_offers: rolledOut?.offers ?? 0,
+      rollout_bad_answers: rolledOut?.bad ?? 0,
       configuration_version: version,
       configuration_age_seconds: (this.clock.now() - this.inForceSince) / MILLISECONDS_PER_SECOND,
       store_connected: Number(storeConnected),
--- /dev/null
+++ b/test/rollout-troubles.test.ts
@@ -0,0 +1,113 @@
+/** Roll-outs of two services at once over real sockets, while the store is down for all nodes. */
+import { afterEach, beforeEach, expect, it } from 'vitest';
+import type { RunFate } from '../lab/application-stand-in.js';
+import {
+  type ClientResult,
+  call,
+  type Machine,
+  SidecarMesh,
+  waitFor,
+} from '../lab/sidecar-mesh.js';
+import { ROLLOUT_KIND } from '../platform/rollouts.js';
+
+const BOUNDS = { exposureShare: 0.1, exposureSlack: 50, rollbackMs: 5_000 };
+const DURATION_S = 10;
+const RATE = 25;
+
+/** The store is down from here on, in milliseconds after the orders, and for so long. */
+const DOWN_AFTER_MS = 1_500;
+const DOWN_MS = 4_000;
+
+let mesh: SidecarMesh;
+
+beforeEach(() => {
+  mesh = new SidecarMesh();
+});
+
+afterEach(() => mesh.close());
+
+const statusOf = (service: string) =>
+  mesh.store.kind(ROLLOUT_KIND).get(service)?.status as Record<string, unknown> | undefined;
+
+const hasEnded = (service: string) =>
+  ['completed', 'rolled_back'].includes(String(statusOf(service)?.state));
+
+const pause = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
+
+async function addMachines(service: string, version: string): Promise<Machine[]> {
+  const machines: Machine[] = [];
+  for (const zone of ['zone-a', 'zone-b', 'zone-a']) {
+    const options = { zone, version, bounds: { rollout: BOUNDS }, slots: 8 };
+    const machine = await mesh.add(service, options);
+    machine.application.serviceMs = 20;
+    machines.push(machine);
+  }
+  return machines;
+}
+
+/** Clients of both services at a steady rate, on two routes of each. */
+function startClients(machines: readonly Machine[]) {
+  const results: ClientResult[] = [];
+  let sent = 0;
+  const timers = machines.map((machine) =>
+    setInterval(() => {
+      sent += 1;
+      const route = sent % 2 === 0 ? 'read' : 'list';
+      const path = `/${machine.application.service}-${route}/1`;
+      void call(machine.node.addresses.clients, path, { deadlineMs: 2_000 }).then((result) =>
+        results.push(result),
+      );
+    }, 1_000 / RATE),
+  );
+  return { results, stop: () => timers.forEach(clearInterval) };
+}
+
+function setStore(failure: 'unavailable' | undefined): void {
+  for (const machine of mesh.machines) {
+    machine.view.failure = failure;
+  }
+}
+
+it('completes one service and rolls another back, bad on one route, while the store is down', async () => {
+  const old = [...(await addMachines('desk', 'v1')), ...(await addMachines('vault', 'v1'))];
+  mesh.configure(
+    ['desk', 'vault'].flatMap((service) =>
+      ['read', 'list'].map((route) => ({ name: `${service}-${route}`, service })),
+    ),
+  );
+  await mesh.settled();
+  const clients = startClients(old);
+  const orderedAt = performance.now();
+  for (const service of ['desk', 'vault']) {
+    mesh.store.put(ROLLOUT_KIND, service, {
+      service,
+      'target-version': 'v2',
+      'duration-s': DURATION_S,
+    });
+  }
+  const good = await addMachines('desk', 'v2');
+  const bad = await addMachines('vault', 'v2');
+  const fateOf = ({ target }: { target: string }): RunFate =>
+    target.includes('-list/') && Math.random() < 0.5 ? { status: 500 } : {};
+  for (const { application } of bad) {
+    application.fateOf = fateOf;
+  }
+  await mesh.settled();
+  await pause(Math.max(0, orderedAt + DOWN_AFTER_MS - performance.now()));
+  setStore('unavailable');
+  await pause(DOWN_MS);
+  setStore(undefined);
+  await waitFor(() => hasEnded('desk') && hasEnded('vault'));
+  const tookMs = performance.now() - orderedAt;
+  clients.stop();
+
+  expect(statusOf('desk')).toEqual({ 'target-version': 'v2', state: 'completed' });
+  expect(statusOf('vault')).toEqual({ 'target-version': 'v2', state: 'rolled_back' });
+  expect(tookMs).toBeLessThan(DURATION_S * 1_000);
+  const exposed = bad.flatMap(({ application }) => application.runs).length;
+  const all = mesh.runs().filter(({ target }) => target.startsWith('/vault')).length;
+  expect(exposed).toBeLessThanOrEqual(all * BOUNDS.exposureShare + BOUNDS.exposureSlack);
+  expect(good.flatMap(({ application }) => application.runs).length).toBeGreaterThan(100);
+  const lost = clients.results.filter(({ status }) => status !== 200 && status !== 500);
+  expect(lost.map(({ status }) => status)).toEqual([]);
+}, 30_000);
