Roll-outs while the store is slow for all nodes: tests over sockets, and what does not hold

300 ms more for each call: a good version is completed, a bad one rolled back in time; 1.2 s more: the bad one too, but a good one was completed after 10.4 s of 10. That is written down as not held; the test has the good one at 300 ms, the lab's slow store.

--- a/lab/storeFaults.ts
+++ b/lab/storeFaults.ts
@@ -8,7 +8,7 @@
 const LONGER = 2;
 
 /** How much later a slow store answers, in milliseconds. */
-const SLOW_STORE_MS = 300;
+export const SLOW_STORE_MS = 300;
 
 export enum StoreFault {
   Down = 'store down',
--- a/test/rollout-troubles.test.ts
+++ b/test/rollout-troubles.test.ts
@@ -1,6 +1,7 @@
-/** Roll-outs of two services at once over real sockets, while the store is down for all nodes. */
+/** Roll-outs over real sockets while the store is down or slow for all nodes; two services at once. */
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import type { RunFate } from '../lab/application-stand-in.js';
+import { StoreView } from '../lab/memory-store.js';
 import {
   type ClientResult,
   call,
@@ -8,6 +9,7 @@
   SidecarMesh,
   waitFor,
 } from '../lab/sidecar-mesh.js';
+import { SLOW_STORE_MS } from '../lab/storeFaults.js';
 import { ROLLOUT_KIND } from '../platform/rollouts.js';
 
 const BOUNDS = { exposureShare: 0.1, exposureSlack: 50, rollbackMs: 5_000 };
@@ -18,6 +20,9 @@
 const DOWN_AFTER_MS = 1_500;
 const DOWN_MS = 4_000;
 
+/** Each call to a store that is nearly standing takes so much longer, in milliseconds. */
+const VERY_SLOW_MS = 1_200;
+
 let mesh: SidecarMesh;
 
 beforeEach(() => {
@@ -34,10 +39,31 @@
 
 const pause = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
 
-async function addMachines(service: string, version: string): Promise<Machine[]> {
+/** A way to the store on which every call is carried out so much later, in milliseconds. */
+function slowWay(delayMs: () => number): StoreView {
+  return new Proxy(new StoreView(mesh.store), {
+    get: (view, name) => {
+      const value: unknown = Reflect.get(view, name);
+      return typeof value !== 'function'
+        ? value
+        : async (...values: unknown[]) => {
+            await pause(delayMs());
+            return Reflect.apply(value, view, values) as unknown;
+          };
+    },
+  });
+}
+
+async function addMachines(
+  service: string,
+  version: string,
+  delayMs?: () => number,
+): Promise<Machine[]> {
   const machines: Machine[] = [];
   for (const zone of ['zone-a', 'zone-b', 'zone-a']) {
-    const options = { zone, version, bounds: { rollout: BOUNDS }, slots: 8 };
+    const client = delayMs && slowWay(delayMs);
+    const common = { zone, version, bounds: { rollout: BOUNDS }, slots: 8 };
+    const options = client ? { ...common, client } : common;
     const machine = await mesh.add(service, options);
     machine.application.serviceMs = 20;
     machines.push(machine);
@@ -111,3 +137,38 @@
   const lost = clients.results.filter(({ status }) => status !== 200 && status !== 500);
   expect(lost.map(({ status }) => status)).toEqual([]);
 }, 30_000);
+
+it.each([
+  ['completes a good version', SLOW_STORE_MS, 0, 'completed'],
+  ['rolls a bad version back', SLOW_STORE_MS, 0.5, 'rolled_back'],
+  ['rolls a bad version back', VERY_SLOW_MS, 0.5, 'rolled_back'],
+])(
+  '%s in time while every call to the store takes %i ms longer',
+  async (_name, slowMs, failing, state) => {
+    let delayMs = 0;
+    const old = await addMachines('desk', 'v1', () => delayMs);
+    mesh.configure(['read', 'list'].map((route) => ({ name: `desk-${route}`, service: 'desk' })));
+    await mesh.settled();
+    const clients = startClients(old);
+    const fresh = await addMachines('desk', 'v2', () => delayMs);
+    for (const { application } of fresh) {
+      application.fateOf = () => (Math.random() < failing ? { status: 500 } : {});
+    }
+    await mesh.settled();
+    delayMs = slowMs;
+    const orderedAt = performance.now();
+    mesh.store.put(ROLLOUT_KIND, 'desk', {
+      service: 'desk',
+      'target-version': 'v2',
+      'duration-s': DURATION_S,
+    });
+    await waitFor(() => hasEnded('desk'));
+    const tookMs = performance.now() - orderedAt;
+    clients.stop();
+    expect(statusOf('desk')).toEqual({ 'target-version': 'v2', state });
+    expect(tookMs).toBeLessThan(DURATION_S * 1_000);
+    const lost = clients.results.filter(({ status }) => status !== 200 && status !== 500);
+    expect(lost.map(({ status }) => status)).toEqual([]);
+  },
+  30_000,
+);
