Quotas: tokens come as fast as a tenant may go on sending, the burst spread over each window

Excluded: a count of the window itself, which lets a burst through and then nothing for the rest of it. Change: the bucket fills with rate and burst a window; overage and slack are its depth.

--- a/src/tenants/quotaParts.ts
+++ b/src/tenants/quotaParts.ts
@@ -44,21 +44,26 @@
 
 /** Most requests that a tenant may send in a window, over all nodes. */
 export function windowBound(tenant: MeshTenant, bounds: QuotaBounds): number {
-  const windowS = bounds.windowMs / MILLISECONDS_PER_SECOND;
-  const limit = tenant.ratePerS * windowS + tenant.burst;
-  return limit * (1 + bounds.overage) + bounds.slack;
+  return limitOf(tenant, bounds) * (1 + bounds.overage) + bounds.slack;
+}
+
+/** What a tenant is granted in a window. */
+function limitOf({ ratePerS, burst }: MeshTenant, { windowMs }: QuotaBounds): number {
+  return (ratePerS * windowMs) / MILLISECONDS_PER_SECOND + burst;
 }
 
 /**
- * The limit as one bucket that keeps the bound in every window: what the bound allows beside the rate,
- * burst, overage and slack alike, is its depth. What was granted just before a window may run in it.
+ * The limit as one bucket that keeps the bound in every window. A tenant may send rate and burst in each
+ * window, so its tokens come as fast as that, the burst spread over the window: one that goes on sending
+ * all it may is refused nothing. What the bound allows besides, overage and slack, is the depth. What
+ * was granted just before a window may run in it.
  */
 export function quotaOf(tenant: MeshTenant, bounds: QuotaBounds): BucketLimits {
   const bound = windowBound(tenant, bounds);
   const spanMs = bounds.windowMs + GRANT_LIFETIME_MS;
-  const tokensPerMs = tenant.ratePerS / MILLISECONDS_PER_SECOND;
+  const tokensPerMs = limitOf(tenant, bounds) / bounds.windowMs;
   const depth = bound - tokensPerMs * spanMs;
-  // Bounds that leave no room for one whole request beside the rate: the rate gives way.
+  // Bounds that leave no room for one whole request beside the tokens that come: these give way.
   return depth >= 1 || bound <= 1
     ? { tokensPerMs, depth: Math.max(depth, 1) }
     : { tokensPerMs: (bound - 1) / spanMs, depth: 1 };
