--- a/src/rollout/rolloutDecider.ts
+++ b/src/rollout/rolloutDecider.ts
@@ -92,6 +92,11 @@
       reporting: reports.length,
       targets: targets.length,
       targetSlots: sum(targets.map(({ slots }) => slots)),
+      otherSlots: sum(
+        reports
+          .filter(({ version, readyMs }) => version !== targetVersion && readyMs !== undefined)
+          .map(({ slots }) => slots),
+      ),
       demand: sum(reports.map(({ load }) => load)),
       busyOthers: busyOthers(reports, owners),
     };
--- a/src/rollout/rolloutDecision.test.ts
+++ b/src/rollout/rolloutDecision.test.ts
@@ -23,6 +23,7 @@
   reporting: 10,
   targets: 5,
   targetSlots: 40,
+  otherSlots: 40,
   demand: 20,
   busyOthers: 0,
 };
@@ -61,6 +62,12 @@
     expect(phaseOf({ ...shifted, targets: 0 })).toBe(RolloutPhase.Watch);
   });
 
+  it('goes on where the others would have no more room for the requests either', () => {
+    const crowded = { targetSlots: 40, demand: 100 };
+    expect(phaseOf({ ...crowded, otherSlots: 40 })).toBe(RolloutPhase.Ramp);
+    expect(phaseOf({ ...crowded, otherSlots: 41 })).toBe(RolloutPhase.Watch);
+  });
+
   it('neither completes nor rolls back a version that never comes', () => {
     const missing = { targets: 0, targetSlots: 0, targetAgeMs: undefined };
     expect(phaseOf({ ...missing, ageMs: 60_000 })).toBe(RolloutPhase.Watch);
--- a/src/rollout/rolloutDecision.ts
+++ b/src/rollout/rolloutDecision.ts
@@ -52,6 +52,8 @@
   /** Owners with the target version that are up, and their slots. */
   readonly targets: number;
   readonly targetSlots: number;
+  /** Slots of the owners of other versions that are ready. */
+  readonly otherSlots: number;
   /** Requests that all owners of the service have and work on. */
   readonly demand: number;
   /** Owners of other versions that still run something or take new work, as far as known. */
@@ -96,7 +98,7 @@
 
 /** Why the version must not get more than a small share now, if so. */
 function obstacleTo(facts: RolloutFacts): string | undefined {
-  const { comparison, targets, targetSlots, demand, owners, reporting } = facts;
+  const { comparison, targets, targetSlots, otherSlots, demand, owners, reporting } = facts;
   if (targets === 0 || facts.targetAgeMs === undefined) {
     return 'no back end of the version is up';
   }
@@ -109,7 +111,8 @@
   if (reporting < owners * QUORUM) {
     return `${reporting} of ${owners} owners report`;
   }
-  if (targetSlots < demand) {
+  // In an overload nobody has room for all: the version is to have no less than the others.
+  if (targetSlots < Math.min(demand, otherSlots)) {
     return `${targetSlots} slots for ${demand} requests`;
   }
   const isWatched = facts.phase === RolloutPhase.Watch;
