Calls of running back ends go before clients of the same priority, and wait up to their deadline

A call that is turned away ends its parent's run for nothing. Owners learn which routes are called from the services beside which their requests begin. Not measured yet.

--- a/src/owner/admission-control.test.ts
+++ b/src/owner/admission-control.test.ts
@@ -129,6 +129,55 @@
     expect(fate).toEqual(['stale is turned away', 'fresh runs']);
   });
 
+  it('lets calls of running back ends go before clients of the same priority, not of a higher one', () => {
+    const admission = full(1, 10);
+    const fate: string[] = [];
+    admission.enqueue(waiterOf(request(), fate, 'client'));
+    admission.enqueue(waiterOf(request({ isCall: true }), fate, 'call'));
+    admission.enqueue(waiterOf(request({ priority: 0 }), fate, 'urgent client'));
+    for (let index = 0; index < 3; index += 1) {
+      admission.finished(request(), 10, 20);
+      admission.started();
+    }
+    expect(fate).toEqual(['urgent client runs', 'call runs', 'client runs']);
+  });
+
+  it('lets a call wait up to its deadline: its parent is lost if it fails', () => {
+    const admission = full(2, 100);
+    const late = { targetAt: 140, deadlineAt: 1_000 };
+    expect(admission.decide(request(late), 0).kind).toBe('busy');
+    expect(admission.decide(request({ ...late, isCall: true }), 0).kind).toBe('wait');
+    const hopeless = { targetAt: 140, deadlineAt: 140 };
+    expect(admission.decide(request({ ...hopeless, isCall: true }), 0).kind).toBe('busy');
+  });
+
+  it('leaves clients a part of the slots when calls would take them all', () => {
+    const admission = new AdmissionControl();
+    const fate: string[] = [];
+    const call = request({ isCall: true });
+    admission.setSlots(4, 0);
+    for (let index = 0; index < 4; index += 1) {
+      admission.started(call);
+    }
+    for (const [name, asked] of [
+      ['call', call],
+      ['client', request()],
+    ] as const) {
+      const waiter = waiterOf(asked, fate, name);
+      admission.enqueue({
+        ...waiter,
+        admit: () => {
+          admission.started(asked);
+          waiter.admit();
+        },
+      });
+    }
+    admission.finished(call, 10, 10);
+    expect(fate).toEqual(['client runs']);
+    admission.finished(call, 10, 10);
+    expect(fate).toEqual(['client runs', 'call runs']);
+  });
+
   it('forgets a task that was taken back', () => {
     const admission = full(1, 10);
     const fate: string[] = [];
--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -17,10 +17,12 @@
   readonly mayWait: boolean;
   /** True if nothing else may run beside the task. */
   readonly runsAlone?: boolean;
+  /** True if a running back end waits for the answer. */
+  readonly isCall?: boolean;
 }
 
 /** What is told of a task that has ended. */
-export type AdmittedTask = Pick<AdmissionRequest, 'route' | 'priority' | 'runsAlone'>;
+export type AdmittedTask = Pick<AdmissionRequest, 'route' | 'priority' | 'runsAlone' | 'isCall'>;
 
 /** A task that waits. */
 export interface Waiter {
@@ -47,6 +49,12 @@
 /** Waiting tasks for each slot, at the most. */
 const MAX_WAITING_PER_SLOT = 8;
 
+/**
+ * Part of the slots that calls of running back ends may take before the service's own clients of the
+ * same rank: the rest is left to these, so that callers cannot crowd them out.
+ */
+const CALLS_SHARE = 0.75;
+
 /** Shortest time, in milliseconds, after which a client is told to come back. */
 const MIN_RETRY_AFTER_MS = 20;
 
@@ -59,6 +67,7 @@
   private running = 0;
   private slots = 0;
   private hasAloneTask = false;
+  private runningCalls = 0;
 
   get inFlight(): number {
     return this.running;
@@ -88,12 +97,12 @@
 
   /** Decides about a task; the caller adds a waiter after `wait`. */
   decide(request: AdmissionRequest, now: number): AdmissionDecision {
-    const ahead = this.aheadOf(request.priority);
+    const ahead = this.aheadOf(request);
     if (ahead === 0 && this.hasRoomFor(request)) {
       return { kind: 'run' };
     }
     // Tasks that are more urgent go on arriving meanwhile and are served first.
-    const left = 1 - this.mix.moreUrgentThan(request.priority);
+    const left = 1 - this.mix.moreUrgentThan(rankOf(request));
     const drainMs = request.runsAlone ? this.overallMs : 0;
     const waitMs = Math.max(this.expectedWaitMs(ahead) / left, drainMs);
     const inTime = now + waitMs + this.expectedServiceMs(request.route) <= horizonOf(request);
@@ -104,18 +113,23 @@
   }
 
   /** A task begins to run. */
-  started({ runsAlone = false }: Pick<AdmissionRequest, 'runsAlone'> = {}): void {
+  started({
+    runsAlone = false,
+    isCall = false,
+  }: Pick<AdmissionRequest, 'runsAlone' | 'isCall'> = {}): void {
     this.running += 1;
+    this.runningCalls += isCall ? 1 : 0;
     this.hasAloneTask = runsAlone;
   }
 
   /** A task has ended; `serviceMs` is undefined when its time says nothing of the back end. */
   finished(task: AdmittedTask, serviceMs: number | undefined, now: number): void {
-    const { route, priority } = task;
+    const { route, isCall } = task;
     this.running -= 1;
+    this.runningCalls -= isCall ? 1 : 0;
     this.hasAloneTask = false;
     if (serviceMs !== undefined) {
-      this.mix.note(priority, serviceMs);
+      this.mix.note(rankOf(task), serviceMs);
       if (this.routeMs.size === 0) {
         this.overallMs = serviceMs;
       }
@@ -126,13 +140,9 @@
     this.fill(now);
   }
 
-  /** Adds a task after `wait`; the queue is kept in order of priority, then of arrival. */
+  /** Adds a task after `wait`; the queue is kept in order of rank, then of arrival. */
   enqueue(waiter: Waiter): void {
-    let index = this.waiting.length;
-    while (index > 0 && this.priorityAt(index - 1) > waiter.request.priority) {
-      index -= 1;
-    }
-    this.waiting.splice(index, 0, waiter);
+    this.waiting.splice(this.aheadOf(waiter.request), 0, waiter);
   }
 
   /** Takes back a task that no longer wants to run. */
@@ -163,11 +173,11 @@
   /** A task that runs alone holds up those behind it until the back end has nothing else to do. */
   private fill(now: number): void {
     for (;;) {
-      const [next] = this.waiting;
+      const next = this.nextWaiter();
       if (!next || !this.hasRoomFor(next.request)) {
         return;
       }
-      this.waiting.shift();
+      this.remove(next);
       if (now > this.latestStartAt(next.request)) {
         next.turnAway(this.retryAfterMs());
       } else {
@@ -176,6 +186,17 @@
     }
   }
 
+  /** The first in line; while calls have their part of the slots, the first client of the same rank. */
+  private nextWaiter(): Waiter | undefined {
+    const [first] = this.waiting;
+    if (!first?.request.isCall || this.runningCalls < this.slots * CALLS_SHARE) {
+      return first;
+    }
+    const { priority } = first.request;
+    const client = this.waiting.find(({ request }) => !request.isCall);
+    return client?.request.priority === priority ? client : first;
+  }
+
   private expectedWaitMs(ahead: number): number {
     return this.slots === 0 ? this.overallMs : ((ahead + 1) * this.overallMs) / this.slots;
   }
@@ -190,20 +211,24 @@
     return horizonOf(request) - this.expectedServiceMs(request.route);
   }
 
-  private aheadOf(priority: number): number {
-    let ahead = 0;
-    while (ahead < this.waiting.length && this.priorityAt(ahead) <= priority) {
-      ahead += 1;
+  private aheadOf(request: AdmissionRequest): number {
+    let ahead = this.waiting.length;
+    while (ahead > 0 && rankOf((this.waiting[ahead - 1] as Waiter).request) > rankOf(request)) {
+      ahead -= 1;
     }
     return ahead;
   }
+}
 
-  private priorityAt(index: number): number {
-    return (this.waiting[index] as Waiter).request.priority;
-  }
+/** Place in the queue: by priority, and at the same priority calls of running back ends first. */
+function rankOf({ priority, isCall = false }: AdmittedTask): number {
+  return 2 * priority + (isCall ? 0 : 1);
 }
 
-/** A task that can no longer meet its target is not worth a slot that others can use in time. */
-function horizonOf(request: AdmissionRequest): number {
-  return Math.min(request.targetAt, request.deadlineAt);
+/**
+ * A task that can no longer meet its target is not worth a slot that others can use in time. A call is
+ * worth one up to its deadline: what its parent has run so far is lost if it fails.
+ */
+function horizonOf({ isCall, targetAt, deadlineAt }: AdmissionRequest): number {
+  return isCall ? deadlineAt : Math.min(targetAt, deadlineAt);
 }
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -6,6 +6,7 @@
 import { AdmissionControl, type AdmissionRequest } from './admission-control.js';
 import { BackEndConnections } from './back-end-agent.js';
 import { BackEndPresence, type BackEndPresenceOptions } from './back-end-presence.js';
+import { createCalledRoutes } from './calledRoutes.js';
 import { createFailureShare } from './failureShare.js';
 import type { MessageBody } from './message-body.js';
 import {
@@ -46,6 +47,7 @@
   private readonly presence: BackEndPresence;
   private readonly connections = new BackEndConnections();
   private readonly failures = createFailureShare();
+  private readonly called = createCalledRoutes();
   private readonly calls: WatchedCalls;
   private instance: string | undefined;
   private stopping = false;
@@ -132,6 +134,8 @@
       fingerprint: task.fingerprint,
       route: task.route,
       service: task.service,
+      priority: task.priority,
+      isCall: this.called.isCalled(task.route),
       result:
         outcome.kind === 'answer'
           ? `answer ${outcome.status}`
@@ -149,7 +153,12 @@
       return turnedAway(obstacle);
     }
     const { clock } = this.options;
-    const request = { ...task, runsAlone: this.standingOf(task) === Standing.Suspect };
+    this.called.note(task.route, task.callerService);
+    const request = {
+      ...task,
+      runsAlone: this.standingOf(task) === Standing.Suspect,
+      isCall: this.called.isCalled(task.route),
+    };
     const decision = this.admission.decide(request, clock.now());
     if (decision.kind === 'busy') {
       return turnedAway('busy', decision.retryAfterMs);
