--- a/src/owner/admission-control.test.ts
+++ b/src/owner/admission-control.test.ts
@@ -178,6 +178,27 @@
     expect(fate).toEqual(['client runs', 'call runs']);
   });
 
+  it('turns a task away as soon as those who came before it leave it no time', () => {
+    const admission = full(2, 100);
+    const fate: string[] = [];
+    const upload = request({ priority: 2, targetAt: 800 });
+    const pick = request({ targetAt: 3_000, deadlineAt: 3_000 });
+    admission.enqueue(waiterOf(upload, fate, 'upload'));
+    for (let index = 0; index < 20; index += 1) {
+      const waiter = waiterOf(pick, fate, 'pick');
+      admission.enqueue({
+        ...waiter,
+        admit: () => {
+          admission.started(pick);
+          waiter.admit();
+        },
+      });
+    }
+    admission.finished(pick, 100, 20);
+    // Twenty ahead of it take a second on two slots; it could wait 680 ms.
+    expect(fate).toEqual(['pick runs', 'upload is turned away']);
+  });
+
   it('forgets a task that was taken back', () => {
     const admission = full(1, 10);
     const fate: string[] = [];
--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -55,6 +55,12 @@
  */
 const CALLS_SHARE = 0.75;
 
+/**
+ * A task leaves the queue once its expected wait is this many times what it can wait: the expectation
+ * is taken from averages, and who is just beyond it may still be served.
+ */
+const HOPELESS_FACTOR = 1.25;
+
 /** Shortest time, in milliseconds, after which a client is told to come back. */
 const MIN_RETRY_AFTER_MS = 20;
 
@@ -101,10 +107,8 @@
     if (ahead === 0 && this.hasRoomFor(request)) {
       return { kind: 'run' };
     }
-    // Tasks that are more urgent go on arriving meanwhile and are served first.
-    const left = 1 - this.mix.moreUrgentThan(rankOf(request));
     const drainMs = request.runsAlone ? this.overallMs : 0;
-    const waitMs = Math.max(this.expectedWaitMs(ahead) / left, drainMs);
+    const waitMs = Math.max(this.expectedWaitOf(request, ahead), drainMs);
     const inTime = now + waitMs + this.expectedServiceMs(request.route) <= horizonOf(request);
     if (!request.mayWait || !inTime || this.waiting.length >= this.slots * MAX_WAITING_PER_SLOT) {
       return { kind: 'busy', retryAfterMs: this.retryAfterMs() };
@@ -138,6 +142,7 @@
       this.routeMs.set(route, known + (serviceMs - known) * AVERAGE_WEIGHT);
     }
     this.fill(now);
+    this.dropHopeless(now);
   }
 
   /** Adds a task after `wait`; the queue is kept in order of rank, then of arrival. */
@@ -197,6 +202,23 @@
     return client?.request.priority === priority ? client : first;
   }
 
+  /** Turns away whoever others have come before, until it cannot be served in time any more. */
+  private dropHopeless(now: number): void {
+    const hopeless = this.waiting.filter(({ request }, index) => {
+      const leftMs = this.latestStartAt(request) - now;
+      return this.expectedWaitOf(request, index) > leftMs * HOPELESS_FACTOR;
+    });
+    for (const waiter of hopeless) {
+      this.remove(waiter);
+      waiter.turnAway(this.retryAfterMs());
+    }
+  }
+
+  /** Milliseconds; tasks that are more urgent go on arriving meanwhile and are served first. */
+  private expectedWaitOf(request: AdmissionRequest, ahead: number): number {
+    return this.expectedWaitMs(ahead) / (1 - this.mix.moreUrgentThan(rankOf(request)));
+  }
+
   private expectedWaitMs(ahead: number): number {
     return this.slots === 0 ? this.overallMs : ((ahead + 1) * this.overallMs) / this.slots;
   }
