--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -67,6 +67,8 @@
   /** True once a back end may have run the request. */
   private mayHaveRun = false;
   private lastNotRun: OwnerNotRun | undefined;
+  /** True if the client was refused before and has waited as it was told. */
+  private readonly hasWaited: boolean;
   private readonly choice: OwnerChoice;
   private readonly key: RequestKey;
   private readonly refusals: DispatchRefusals;
@@ -81,10 +83,12 @@
   ) {
     this.choice = createOwnerChoice({ ...context, task, bodyBytes, mayServe });
     this.key = crashKeyOf(task);
+    this.hasWaited = context.returns.isReturn(this.key, context.clock.now());
     this.refusals = createDispatchRefusals({
       ...context,
       service: task.service,
       key: this.key,
+      deadlineAt: task.deadlineAt,
       mayServe,
     });
   }
@@ -172,7 +176,7 @@
     if (this.arrivals >= this.maxAttempts) {
       return this.giveUp('attempts-spent');
     }
-    if (!this.context.offerLimit.allows(this.task.route, this.tried.size)) {
+    if (!this.hasWaited && !this.context.offerLimit.allows(this.task.route, this.tried.size)) {
       const hasNoRoom = !this.mayHaveRun && this.lastNotRun?.reason === 'busy';
       return hasNoRoom ? this.refusals.noRoom(this.fate) : this.giveUp('attempts-spent');
     }
@@ -205,7 +209,7 @@
     this.tried.add(entry);
     // A suspect has this one owner to run at.
     const mayWait = this.choice.mayWaitAt(entry) || this.standing === Standing.Suspect;
-    const task = { ...this.task, mayWait };
+    const task = { ...this.task, mayWait, hasWaited: this.hasWaited };
     this.running.add(startAttempt({ entry, task, clock: this.context.clock, earlier }));
   }
 
--- a/src/ingress/dispatchRefusals.ts
+++ b/src/ingress/dispatchRefusals.ts
@@ -20,6 +20,8 @@
   readonly ledger: CrashLedger;
   readonly service: string;
   readonly key: RequestKey;
+  /** Steady time in milliseconds after which nobody waits for an answer. */
+  readonly deadlineAt: number;
   readonly mayServe: OwnerWish['mayServe'];
 }
 
@@ -41,7 +43,7 @@
 }
 
 export function createDispatchRefusals(context: DispatchRefusalsContext): DispatchRefusals {
-  const { clock, directory, returns, ledger, service, key, mayServe } = context;
+  const { clock, directory, returns, ledger, service, key, deadlineAt, mayServe } = context;
 
   /** Milliseconds until some owner may be asked again; infinite when none is up. */
   const restMs = (): number => directory.restMs(service, clock.now());
@@ -57,7 +59,9 @@
     const rest = restMs();
     const waitMs =
       lastNotRun?.retryAfterMs ?? (Number.isFinite(rest) ? rest : NO_OWNER_RETRY_AFTER_MS);
-    const retryAfterMs = returns.next(service, waitMs, clock.now());
+    const now = clock.now();
+    const leftMs = deadlineAt - now;
+    const retryAfterMs = returns.next({ service, key, waitMs, leftMs }, now);
     return { code: 'busy', status: 503, retryAfterMs };
   };
 
--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -226,6 +226,7 @@
       targetAt: this.startedAt + targetMs,
       hasBody: hasBody(request),
       mayWait: true,
+      hasWaited: false,
       cancellation: this.cancellation,
       heldBody: body.kind === 'bytes' ? body : undefined,
       loadBody: () => Promise.resolve(body),
--- a/src/owner/admission-control.test.ts
+++ b/src/owner/admission-control.test.ts
@@ -142,6 +142,18 @@
     expect(fate).toEqual(['urgent client runs', 'call runs', 'client runs']);
   });
 
+  it('lets clients that have waited as told go before new ones of the same priority', () => {
+    const admission = full(1, 10);
+    const fate: string[] = [];
+    admission.enqueue(waiterOf(request(), fate, 'new'));
+    admission.enqueue(waiterOf(request({ hasWaited: true }), fate, 'returned'));
+    for (let index = 0; index < 2; index += 1) {
+      admission.finished(request(), 10, 20);
+      admission.started();
+    }
+    expect(fate).toEqual(['returned runs', 'new runs']);
+  });
+
   it('lets a call wait up to its deadline: its parent is lost if it fails', () => {
     const admission = full(2, 100);
     const late = { targetAt: 140, deadlineAt: 1_000 };
--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -19,10 +19,15 @@
   readonly runsAlone?: boolean;
   /** True if a running back end waits for the answer. */
   readonly isCall?: boolean;
+  /** True if its client was refused before and has come back as it was told. */
+  readonly hasWaited?: boolean;
 }
 
 /** What is told of a task that has ended. */
-export type AdmittedTask = Pick<AdmissionRequest, 'route' | 'priority' | 'runsAlone' | 'isCall'>;
+export type AdmittedTask = Pick<
+  AdmissionRequest,
+  'route' | 'priority' | 'runsAlone' | 'isCall' | 'hasWaited'
+>;
 
 /** A task that waits. */
 export interface Waiter {
@@ -242,9 +247,23 @@
   }
 }
 
-/** Place in the queue: by priority, and at the same priority calls of running back ends first. */
-function rankOf({ priority, isCall = false }: AdmittedTask): number {
-  return 2 * priority + (isCall ? 0 : 1);
+/** Order within a priority. */
+enum Turn {
+  /** A running back end waits for the answer. */
+  Call = 0,
+  /** The client has waited as it was told. */
+  Returned = 1,
+  New = 2,
+}
+
+const TURNS = 3;
+
+/** Place in the queue: by priority, then by standing. */
+function rankOf({ priority, isCall, hasWaited }: AdmittedTask): number {
+  if (isCall) {
+    return TURNS * priority + Turn.Call;
+  }
+  return TURNS * priority + (hasWaited ? Turn.Returned : Turn.New);
 }
 
 /**
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -38,6 +38,8 @@
    * zone whose own owners are up, so waiting here would only change places.
    */
   readonly mayWait: boolean;
+  /** True if the client was refused before and has come back as it was told. */
+  readonly hasWaited: boolean;
   readonly cancellation: Cancellation;
   /** The body, if it is held whole and can so be sent more than once. */
   readonly heldBody: BytesBody | undefined;
--- a/src/peer/peerMessages.ts
+++ b/src/peer/peerMessages.ts
@@ -82,6 +82,7 @@
   readonly targetMs: number;
   readonly requestId: string;
   readonly mayWait: boolean;
+  readonly hasWaited: boolean;
   readonly fingerprint: string;
 }
 
@@ -207,6 +208,7 @@
     targetMs: Math.floor(task.targetAt - now),
     requestId: task.requestId,
     mayWait: task.mayWait,
+    hasWaited: task.hasWaited,
     fingerprint: task.fingerprint,
   };
 }
--- a/src/peer/taskCodec.ts
+++ b/src/peer/taskCodec.ts
@@ -17,6 +17,7 @@
     task.mayWait,
     task.fingerprint,
     task.tenant,
+    task.hasWaited,
   ];
 }
 
@@ -38,6 +39,7 @@
     mayWait,
     fingerprint,
     tenant,
+    hasWaited,
   ] = value as unknown[];
   if (typeof service !== 'string' || typeof id !== 'string') {
     return undefined;
@@ -53,6 +55,7 @@
     targetMs: Number(target),
     requestId: id,
     mayWait: mayWait === true,
+    hasWaited: hasWaited === true,
     tenant: typeof tenant === 'string' ? tenant : undefined,
     fingerprint: typeof fingerprint === 'string' ? fingerprint : NO_FINGERPRINT,
   };
--- a/test/fixtures.ts
+++ b/test/fixtures.ts
@@ -42,6 +42,7 @@
     targetAt: 500,
     hasBody: false,
     mayWait: true,
+    hasWaited: false,
     cancellation: new Cancellation(),
     heldBody: EMPTY_BODY,
     loadBody: () => Promise.resolve(EMPTY_BODY),
