--- a/src/owner/admission-control.test.ts
+++ b/src/owner/admission-control.test.ts
@@ -87,6 +87,21 @@
     expect(decision.kind === 'busy' && decision.retryAfterMs).toBeGreaterThan(0);
   });
 
+  it('queues a task only if an uneven service time leaves it room, and lets it wait on after that', () => {
+    const admission = new AdmissionControl();
+    admission.setSlots(2, 0);
+    for (let index = 0; index < 200; index += 1) {
+      admission.started();
+      admission.finished(request(), index % 2 === 0 ? 50 : 150, 0);
+    }
+    admission.started();
+    admission.started();
+    // The wait is 50 ms, the service time 100 ms on average and 200 ms at the most.
+    expect(admission.decide(request({ targetAt: 200 }), 0).kind).toBe('busy');
+    expect(admission.decide(request({ targetAt: 270 }), 0).kind).toBe('wait');
+    expect(admission.latestStartAt(request({ targetAt: 270 }))).toBeGreaterThan(150);
+  });
+
   it('turns a task that may not wait away unless a slot is free', () => {
     const admission = full(2, 100);
     expect(admission.decide(request({ mayWait: false }), 0).kind).toBe('busy');
--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -4,6 +4,7 @@
  * answered within its target latency; the most urgent go first.
  */
 
+import { createServiceTimes } from './serviceTimes.js';
 import { createUrgencyMix } from './urgencyMix.js';
 
 /** What a task asks for. */
@@ -45,12 +46,6 @@
   | { readonly kind: 'wait' }
   | { readonly kind: 'busy'; readonly retryAfterMs: number };
 
-/** Weight of the newest service time in the moving averages. */
-const AVERAGE_WEIGHT = 0.1;
-
-/** Assumed service time, in milliseconds, until one has been seen. */
-const INITIAL_SERVICE_MS = 20;
-
 /** Waiting tasks for each slot, at the most. */
 const MAX_WAITING_PER_SLOT = 8;
 
@@ -72,9 +67,8 @@
 /** Owned by the local owner; the time is passed in. */
 export class AdmissionControl {
   private readonly waiting: Waiter[] = [];
-  private readonly routeMs = new Map<string, number>();
+  private readonly times = createServiceTimes();
   private readonly mix = createUrgencyMix();
-  private overallMs = INITIAL_SERVICE_MS;
   private running = 0;
   private slots = 0;
   private hasAloneTask = false;
@@ -93,7 +87,7 @@
    * milliseconds; undefined until it has finished one.
    */
   get meanServiceMs(): number | undefined {
-    return this.routeMs.size > 0 ? this.overallMs : undefined;
+    return this.times.isKnown ? this.times.overallMs : undefined;
   }
 
   get capacity(): number {
@@ -106,15 +100,19 @@
     this.fill(now);
   }
 
-  /** Decides about a task; the caller adds a waiter after `wait`. */
+  /**
+   * Decides about a task; the caller adds a waiter after `wait`. Under load the queue is as long as this
+   * lets it be, so a task is queued only if it will almost certainly be in time: were it queued up to
+   * its target by averages, half of all would be late.
+   */
   decide(request: AdmissionRequest, now: number): AdmissionDecision {
     const ahead = this.aheadOf(request);
     if (ahead === 0 && this.hasRoomFor(request)) {
       return { kind: 'run' };
     }
-    const drainMs = request.runsAlone ? this.overallMs : 0;
+    const drainMs = request.runsAlone ? this.times.overallMs : 0;
     const waitMs = Math.max(this.expectedWaitOf(request, ahead), drainMs);
-    const inTime = now + waitMs + this.expectedServiceMs(request.route) <= horizonOf(request);
+    const inTime = now + waitMs + this.times.boundOf(request.route) <= horizonOf(request);
     if (!request.mayWait || !inTime || this.waiting.length >= this.slots * MAX_WAITING_PER_SLOT) {
       return { kind: 'busy', retryAfterMs: this.retryAfterMs() };
     }
@@ -139,12 +137,7 @@
     this.hasAloneTask = false;
     if (serviceMs !== undefined) {
       this.mix.note(rankOf(task), serviceMs);
-      if (this.routeMs.size === 0) {
-        this.overallMs = serviceMs;
-      }
-      this.overallMs += (serviceMs - this.overallMs) * AVERAGE_WEIGHT;
-      const known = this.routeMs.get(route) ?? serviceMs;
-      this.routeMs.set(route, known + (serviceMs - known) * AVERAGE_WEIGHT);
+      this.times.note(route, serviceMs);
     }
     this.fill(now);
     this.dropHopeless(now);
@@ -225,17 +218,18 @@
   }
 
   private expectedWaitMs(ahead: number): number {
-    return this.slots === 0 ? this.overallMs : ((ahead + 1) * this.overallMs) / this.slots;
+    const { overallMs } = this.times;
+    return this.slots === 0 ? overallMs : ((ahead + 1) * overallMs) / this.slots;
   }
 
   /** Milliseconds that the back end is expected to take for a task of a route. */
   expectedServiceMs(route: string): number {
-    return this.routeMs.get(route) ?? this.overallMs;
+    return this.times.meanOf(route);
   }
 
   /** Steady time in milliseconds by which a task must have begun to be in time. */
   latestStartAt(request: AdmissionRequest): number {
-    return horizonOf(request) - this.expectedServiceMs(request.route);
+    return horizonOf(request) - this.times.meanOf(request.route);
   }
 
   private aheadOf(request: AdmissionRequest): number {
