--- a/src/sidecar/ownerEntries.ts
+++ b/src/sidecar/ownerEntries.ts
@@ -36,7 +36,10 @@
       clock,
       sender,
       traits: { onSent, window: bulkWindowOf(settings().linkMbps, known.linkMbps) },
-      onReply,
+      onReply: (tookMs) => {
+        entry.noteReply(tookMs, clock.now());
+        onReply(tookMs);
+      },
       onReport: (told) => {
         entry.noteReport(told, clock.now());
         onVersion(known.address, told.version);
