--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -4,32 +4,16 @@
  * answered within its target latency; the most urgent go first.
  */
 
+import {
+  type AdmissionRequest,
+  type AdmittedTask,
+  firstRankOf,
+  horizonOf,
+  rankOf,
+} from './admissionRequest.js';
 import { createServiceTimes } from './serviceTimes.js';
 import { createUrgencyMix } from './urgencyMix.js';
 
-/** What a task asks for. */
-export interface AdmissionRequest {
-  readonly route: string;
-  readonly priority: number;
-  /** Steady time in milliseconds until which an answer is worth most. */
-  readonly targetAt: number;
-  readonly deadlineAt: number;
-  /** False if the task is turned away unless a slot is free. */
-  readonly mayWait: boolean;
-  /** True if nothing else may run beside the task. */
-  readonly runsAlone?: boolean;
-  /** True if a running back end waits for the answer. */
-  readonly isCall?: boolean;
-  /** True if its client was refused before and has come back as it was told. */
-  readonly hasWaited?: boolean;
-}
-
-/** What is told of a task that has ended. */
-export type AdmittedTask = Pick<
-  AdmissionRequest,
-  'route' | 'priority' | 'runsAlone' | 'isCall' | 'hasWaited'
->;
-
 /** A task that waits. */
 export interface Waiter {
   readonly request: AdmissionRequest;
@@ -55,6 +39,9 @@
  */
 const CALLS_SHARE = 0.75;
 
+/** Who has become hopeless is looked for this often at the most, in milliseconds: it costs a walk. */
+const HOPELESS_CHECK_MS = 20;
+
 /**
  * A task leaves the queue once its expected wait is this many times what it can wait: the expectation
  * is taken from averages, and who is just beyond it may still be served.
@@ -73,6 +60,9 @@
   private slots = 0;
   private hasAloneTask = false;
   private runningCalls = 0;
+  private hopelessCheckedAt = Number.NEGATIVE_INFINITY;
+  /** Running tasks by route. */
+  private readonly runningOf = new Map<string, number>();
 
   get inFlight(): number {
     return this.running;
@@ -113,19 +103,18 @@
     const drainMs = request.runsAlone ? this.times.overallMs : 0;
     const waitMs = Math.max(this.expectedWaitOf(request, ahead), drainMs);
     const inTime = now + waitMs + this.times.boundOf(request.route) <= horizonOf(request);
-    if (!request.mayWait || !inTime || this.waiting.length >= this.slots * MAX_WAITING_PER_SLOT) {
+    const isLong = this.waitingLike(request) >= this.slots * MAX_WAITING_PER_SLOT;
+    if (!request.mayWait || !inTime || isLong) {
       return { kind: 'busy', retryAfterMs: this.retryAfterMs() };
     }
     return { kind: 'wait' };
   }
 
   /** A task begins to run. */
-  started({
-    runsAlone = false,
-    isCall = false,
-  }: Pick<AdmissionRequest, 'runsAlone' | 'isCall'> = {}): void {
+  started({ route, runsAlone = false, isCall = false }: Partial<AdmittedTask> = {}): void {
     this.running += 1;
     this.runningCalls += isCall ? 1 : 0;
+    this.countRunning(route, 1);
     this.hasAloneTask = runsAlone;
   }
 
@@ -134,6 +123,7 @@
     const { route, isCall } = task;
     this.running -= 1;
     this.runningCalls -= isCall ? 1 : 0;
+    this.countRunning(route, -1);
     this.hasAloneTask = false;
     if (serviceMs !== undefined) {
       this.mix.note(rankOf(task), serviceMs);
@@ -165,7 +155,7 @@
 
   /** Milliseconds after which there is likely to be room. */
   retryAfterMs(): number {
-    return Math.max(MIN_RETRY_AFTER_MS, this.expectedWaitMs(this.waiting.length));
+    return Math.max(MIN_RETRY_AFTER_MS, this.expectedWaitMs(this.workOf(this.waiting)));
   }
 
   private hasRoomFor({ runsAlone }: AdmissionRequest): boolean {
@@ -202,6 +192,10 @@
 
   /** Turns away whoever others have come before, until it cannot be served in time any more. */
   private dropHopeless(now: number): void {
+    if (now < this.hopelessCheckedAt + HOPELESS_CHECK_MS) {
+      return;
+    }
+    this.hopelessCheckedAt = now;
     const hopeless = this.waiting.filter(({ request }, index) => {
       const leftMs = this.latestStartAt(request) - now;
       return this.expectedWaitOf(request, index) > leftMs * HOPELESS_FACTOR;
@@ -212,14 +206,58 @@
     }
   }
 
-  /** Milliseconds; tasks that are more urgent go on arriving meanwhile and are served first. */
+  /**
+   * Milliseconds until a task with so many ahead of it begins. Tasks of a better rank go on arriving
+   * meanwhile and are served first, but calls leave clients of their priority a part of the slots.
+   */
   private expectedWaitOf(request: AdmissionRequest, ahead: number): number {
-    return this.expectedWaitMs(ahead) / (1 - this.mix.moreUrgentThan(rankOf(request)));
+    const before = this.waiting.slice(0, ahead);
+    const left = 1 - this.mix.moreUrgentThan(rankOf(request));
+    const waitMs = this.expectedWaitMs(this.workOf(before)) / left;
+    if (request.isCall || !before.some((waiter) => isCallOf(waiter, request))) {
+      return waitMs;
+    }
+    const clients = before.filter((waiter) => !isCallOf(waiter, request));
+    const leftToClients = (1 - CALLS_SHARE) * (1 - this.mix.moreUrgentThan(firstRankOf(request)));
+    return Math.min(waitMs, this.expectedWaitMs(this.workOf(clients)) / leftToClients);
+  }
+
+  /** Milliseconds until a slot is free for who has so much work, in slot-milliseconds, ahead of it. */
+  private expectedWaitMs(aheadMs: number): number {
+    const firstMs = this.meanRunningMs();
+    return this.slots === 0 ? firstMs : (aheadMs + firstMs) / this.slots;
+  }
+
+  /** Work of tasks that wait, in slot-milliseconds. */
+  private workOf(waiters: readonly Waiter[]): number {
+    return waiters.reduce((sum, { request }) => sum + this.times.meanOf(request.route), 0);
+  }
+
+  /** Calls that wait, or clients. */
+  private waitingLike({ isCall = false }: AdmissionRequest): number {
+    return this.waiting.filter(({ request }) => (request.isCall ?? false) === isCall).length;
   }
 
-  private expectedWaitMs(ahead: number): number {
-    const { overallMs } = this.times;
-    return this.slots === 0 ? overallMs : ((ahead + 1) * overallMs) / this.slots;
+  /** Mean service time of the tasks that run. */
+  private meanRunningMs(): number {
+    let count = 0;
+    let sum = 0;
+    for (const [route, running] of this.runningOf) {
+      count += running;
+      sum += running * this.times.meanOf(route);
+    }
+    return count === 0 ? this.times.overallMs : sum / count;
+  }
+
+  private countRunning(route: string | undefined, change: number): void {
+    if (route !== undefined) {
+      const count = (this.runningOf.get(route) ?? 0) + change;
+      if (count > 0) {
+        this.runningOf.set(route, count);
+      } else {
+        this.runningOf.delete(route);
+      }
+    }
   }
 
   /** Milliseconds that the back end is expected to take for a task of a route. */
@@ -241,29 +279,7 @@
   }
 }
 
-/** Order within a priority. */
-enum Turn {
-  /** A running back end waits for the answer. */
-  Call = 0,
-  /** The client has waited as it was told. */
-  Returned = 1,
-  New = 2,
-}
-
-const TURNS = 3;
-
-/** Place in the queue: by priority, then by standing. */
-function rankOf({ priority, isCall, hasWaited }: AdmittedTask): number {
-  if (isCall) {
-    return TURNS * priority + Turn.Call;
-  }
-  return TURNS * priority + (hasWaited ? Turn.Returned : Turn.New);
-}
-
-/**
- * A task that can no longer meet its target is not worth a slot that others can use in time. A call is
- * worth one up to its deadline: what its parent has run so far is lost if it fails.
- */
-function horizonOf({ isCall, targetAt, deadlineAt }: AdmissionRequest): number {
-  return isCall ? deadlineAt : Math.min(targetAt, deadlineAt);
+/** True for a call of the priority of a task. */
+function isCallOf({ request }: Waiter, { priority }: AdmissionRequest): boolean {
+  return request.isCall === true && request.priority === priority;
 }
--- a/src/owner/slotWait.ts
+++ b/src/owner/slotWait.ts
@@ -1,7 +1,8 @@
 /** A task's wait for a slot of the back end. */
 import type { Alarms } from '../model/alarms.js';
 import type { Clock } from '../model/clock.js';
-import type { AdmissionControl, AdmissionRequest, Waiter } from './admission-control.js';
+import type { AdmissionControl, Waiter } from './admission-control.js';
+import type { AdmissionRequest } from './admissionRequest.js';
 import { type NotRunReason, type OwnerOutcome, type OwnerTask, turnedAway } from './owner.js';
 
 /** What the wait needs of its owner. */
