The target of a client that comes back counts from its first try

On the KN pressed twin 2,722 tries were told 503 and 2,068 requests were served late: most of these had been refused first, and took slots in which new requests would have been in time. Not measured yet.

--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -69,6 +69,7 @@
   private lastNotRun: OwnerNotRun | undefined;
   /** True if the client was refused before and has waited as it was told. */
   private readonly hasWaited: boolean;
+  private readonly targetAt: number;
   private readonly choice: OwnerChoice;
   private readonly key: RequestKey;
   private readonly refusals: DispatchRefusals;
@@ -83,12 +84,17 @@
   ) {
     this.choice = createOwnerChoice({ ...context, task, bodyBytes, mayServe });
     this.key = crashKeyOf(task);
-    this.hasWaited = context.returns.isReturn(this.key, context.clock.now());
+    const startedAt = context.clock.now();
+    const earlier = context.returns.visitOf(this.key, startedAt);
+    this.hasWaited = earlier?.isAsTold ?? false;
+    // The target counts from a client's first try.
+    this.targetAt = task.targetAt - (startedAt - (earlier?.firstAt ?? startedAt));
     this.refusals = createDispatchRefusals({
       ...context,
       service: task.service,
       key: this.key,
       deadlineAt: task.deadlineAt,
+      startedAt,
       mayServe,
     });
   }
@@ -209,7 +215,8 @@
     this.tried.add(entry);
     // A suspect has this one owner to run at.
     const mayWait = this.choice.mayWaitAt(entry) || this.standing === Standing.Suspect;
-    const task = { ...this.task, mayWait, hasWaited: this.hasWaited };
+    const { hasWaited, targetAt } = this;
+    const task = { ...this.task, mayWait, hasWaited, targetAt };
     this.running.add(startAttempt({ entry, task, clock: this.context.clock, earlier }));
   }
 
--- a/src/ingress/returnTimes.test.ts
+++ b/src/ingress/returnTimes.test.ts
@@ -19,7 +19,7 @@
 
 /** A request like no other, of a client that has time. */
 function refused(waitMs: number, service = 'desk', fingerprint = `request-${requests++}`) {
-  return { service, key: keyOf(fingerprint), waitMs, leftMs: 60_000 };
+  return { service, key: keyOf(fingerprint), waitMs, leftMs: 60_000, startedAt: 1_010 };
 }
 
 describe('createReturnTimes', () => {
@@ -46,17 +46,19 @@
   it('knows a client again that comes back as it was told, and one that comes earlier', () => {
     const times = afterSecond(20);
     expect(times.next(refused(200, 'desk', 'order'), 1_010)).toBe(200);
-    expect(times.isReturn(keyOf('order'), 1_100)).toBe(false);
-    expect(times.isReturn(keyOf('other'), 1_210)).toBe(false);
-    expect(times.isReturn(keyOf('order'), 1_210)).toBe(true);
-    expect(times.isReturn(keyOf('order'), 9_000)).toBe(false);
+    expect(times.visitOf(keyOf('order'), 1_100)).toEqual({ firstAt: 1_010, isAsTold: false });
+    expect(times.visitOf(keyOf('other'), 1_210)).toBeUndefined();
+    expect(times.visitOf(keyOf('order'), 1_210)).toEqual({ firstAt: 1_010, isAsTold: true });
+    expect(times.visitOf(keyOf('order'), 9_000)).toBeUndefined();
+    times.next({ ...refused(200, 'desk', 'order'), startedAt: 1_210 }, 1_220);
+    expect(times.visitOf(keyOf('order'), 1_500)).toEqual({ firstAt: 1_010, isAsTold: true });
   });
 
   it('leaves a client that repeats at once its place, and takes none from the others', () => {
     const times = afterSecond(20);
     times.next(refused(200, 'desk', 'hasty'), 1_010);
     const repeated = [1_020, 1_040, 1_060].map((now) =>
-      times.next(refused(200, 'desk', 'hasty'), now),
+      times.next({ ...refused(200, 'desk', 'hasty'), startedAt: now }, now),
     );
     expect(repeated).toEqual([190, 170, 150]);
     expect(times.next(refused(60), 1_070)).toBe(190);
--- a/src/ingress/returnTimes.ts
+++ b/src/ingress/returnTimes.ts
@@ -40,8 +40,16 @@
   noteServed(service: string, now: number): void;
   /** Milliseconds after which a client is to come back. */
   next(refused: RefusedRequest, now: number): number;
-  /** True if the request was refused before, and comes back no earlier than it was told. */
-  isReturn(key: RequestKey, now: number): boolean;
+  /** What is known of a request that was refused before; undefined for others. */
+  visitOf(key: RequestKey, now: number): EarlierVisit | undefined;
+}
+
+/** A request that was refused before. */
+export interface EarlierVisit {
+  /** Steady time in milliseconds at which it first came. */
+  readonly firstAt: number;
+  /** True if it comes back no earlier than it was told. */
+  readonly isAsTold: boolean;
 }
 
 /** A request that finds no room. */
@@ -53,6 +61,14 @@
   readonly waitMs: number;
   /** Milliseconds for which its client would go on waiting for an answer. */
   readonly leftMs: number;
+  /** Steady time in milliseconds at which it came. */
+  readonly startedAt: number;
+}
+
+interface Place {
+  /** Steady times in milliseconds. */
+  readonly returnAt: number;
+  readonly firstAt: number;
 }
 
 export function createReturnTimes(): ReturnTimes {
@@ -69,16 +85,16 @@
     lines.set(service, created);
     return created;
   };
-  /** Steady times in milliseconds at which refused requests are to come back, in the order of telling. */
-  const places = new Map<string, number>();
-  const placeOf = (key: RequestKey, now: number): number | undefined => {
+  /** In the order of telling. */
+  const places = new Map<string, Place>();
+  const placeOf = (key: RequestKey, now: number): Place | undefined => {
     const place = places.get(nameOf(key));
-    return place !== undefined && now <= place + LATE_MS ? place : undefined;
+    return place && now <= place.returnAt + LATE_MS ? place : undefined;
   };
-  const keepPlace = (key: RequestKey, returnAt: number): void => {
+  const keepPlace = (key: RequestKey, place: Place): void => {
     const name = nameOf(key);
     places.delete(name);
-    places.set(name, returnAt);
+    places.set(name, place);
     const [oldest] = places.keys();
     if (oldest !== undefined && places.size > MAX_PLACES) {
       places.delete(oldest);
@@ -97,19 +113,19 @@
 
   return {
     noteServed: (service, now) => lineOf(service).served.add(now),
-    next: ({ service, key, waitMs, leftMs }, now) => {
+    next: ({ service, key, waitMs, leftMs, startedAt }, now) => {
       const known = placeOf(key, now);
-      if (known !== undefined && now < known - EARLY_MS) {
-        return known - now;
+      if (known && startedAt < known.returnAt - EARLY_MS) {
+        return Math.max(MIN_RETURN_MS, known.returnAt - now);
       }
       const heededAt = now + Math.max(MIN_RETURN_MS, leftMs * HEEDED_SHARE);
       const returnAt = Math.min(nextPlace(service, waitMs, now), heededAt);
-      keepPlace(key, returnAt);
+      keepPlace(key, { returnAt, firstAt: known?.firstAt ?? startedAt });
       return returnAt - now;
     },
-    isReturn: (key, now) => {
+    visitOf: (key, now) => {
       const place = placeOf(key, now);
-      return place !== undefined && now >= place - EARLY_MS;
+      return place && { firstAt: place.firstAt, isAsTold: now >= place.returnAt - EARLY_MS };
     },
   };
 }
--- a/src/ingress/returningClients.test.ts
+++ b/src/ingress/returningClients.test.ts
@@ -68,6 +68,8 @@
     const again = await mesh.ask(first.retryAfterMs, 'order');
     expect(again.offers.length).toBeGreaterThan(1);
     expect(again.offers.every(({ hasWaited }) => hasWaited)).toBe(true);
+    // Its target counts from the first try.
+    expect(again.offers.every(({ targetAt }) => targetAt === 1_000)).toBe(true);
   });
 
   it('has no standing when it comes at once, and is told its first time again', async () => {
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -30,7 +30,7 @@
   readonly repeatable: boolean;
   /** Steady time in milliseconds after which nobody waits for an answer. */
   readonly deadlineAt: number;
-  /** Steady time in milliseconds until which an answer is worth most. */
+  /** Steady time in milliseconds until which an answer is worth most, counted from the first try. */
   readonly targetAt: number;
   readonly hasBody: boolean;
   /**
