--- a/src/owner/admissionLoad.test.ts
+++ b/src/owner/admissionLoad.test.ts
@@ -14,6 +14,8 @@
   readonly targetMs: number;
   readonly deadlineMs: number;
   readonly isCall?: boolean;
+  /** Who is refused comes back once after so long; never, when left out. */
+  readonly returnsAfterMs?: number;
 }
 
 interface Fate {
@@ -52,10 +54,11 @@
     events.splice(index, 0, { at, act });
   };
 
-  const arrive = (kind: Kind, fate: Fate, now: number): void => {
+  const arrive = (kind: Kind, fate: Fate, now: number, firstAt = now): void => {
     const request: AdmissionRequest = {
       ...kind,
-      targetAt: now + kind.targetMs,
+      targetAt: firstAt + kind.targetMs,
+      hasWaited: firstAt < now,
       deadlineAt: now + kind.deadlineMs,
       mayWait: true,
     };
@@ -72,10 +75,14 @@
       });
     };
     const refuse = (at: number) => {
-      fate.refused += 1;
       fate.heldMs += at - now;
+      if (kind.returnsAfterMs === undefined || firstAt < now) {
+        fate.refused += 1;
+      } else {
+        plan(at + kind.returnsAfterMs, (then) => arrive(kind, fate, then, firstAt));
+      }
     };
-    fate.asked += 1;
+    fate.asked += firstAt < now ? 0 : 1;
     const decision = admission.decide(request, now);
     if (decision.kind === 'run') {
       run();
@@ -171,6 +178,12 @@
     expect(shareOf(fates, 'stock', 'refused')).toBeGreaterThan(0.7);
   });
 
+  it('serves new requests in time rather than those that came back too late for it', () => {
+    const fates = play([{ ...order, returnsAfterMs: 1_000 }, call]);
+    expect(shareOf(fates, 'order', 'inTime')).toBeGreaterThan(0.57);
+    expect(shareOf(fates, 'order', 'late')).toBeLessThan(0.05);
+  });
+
   it('leaves clients their part when calls alone would take every slot', () => {
     const fates = play([order, { ...call, perSecond: 200 }]);
     expect(shareOf(fates, 'order', 'inTime')).toBeGreaterThan(0.15);
