Among tenants of equal priority the route's priority decides; returning clients ask four owners; a short wait is no reason to refuse

Returning clients made up to 16 offers. Work of very uneven length was refused though it hardly had to wait. Not measured yet.

--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -182,7 +182,8 @@
     if (this.arrivals >= this.maxAttempts) {
       return this.giveUp('attempts-spent');
     }
-    if (!this.hasWaited && !this.context.offerLimit.allows(this.task.route, this.tried.size)) {
+    const { route } = this.task;
+    if (!this.context.offerLimit.allows(route, this.tried.size, this.hasWaited)) {
       const hasNoRoom = !this.mayHaveRun && this.lastNotRun?.reason === 'busy';
       return hasNoRoom ? this.refusals.noRoom(this.fate) : this.giveUp('attempts-spent');
     }
--- a/src/ingress/offerLimit.ts
+++ b/src/ingress/offerLimit.ts
@@ -11,6 +11,9 @@
 /** The most offers that one request may make. */
 const MAX_OFFERS = 8;
 
+/** Offers that a client may make in any case that has come back as it was told. */
+const RETURNED_OFFERS = 4;
+
 /** Share of the later offers that must have been taken lately, for more of them to be made. */
 const WORTHWHILE_SHARE = 0.1;
 
@@ -25,7 +28,7 @@
   /** The offer after so many others was taken, or turned away for want of room. */
   note(route: string, earlier: number, isTaken: boolean): void;
   /** True when a request that has made so many offers may make one more. */
-  allows(route: string, earlier: number): boolean;
+  allows(route: string, earlier: number, hasWaited?: boolean): boolean;
 }
 
 export function createOfferLimit(random: () => number = Math.random): OfferLimit {
@@ -40,7 +43,10 @@
         shares.set(keyOf(route, stage), share + ((isTaken ? 1 : 0) - share) * WEIGHT);
       }
     },
-    allows: (route, earlier) => {
+    allows: (route, earlier, hasWaited = false) => {
+      if (hasWaited && earlier < RETURNED_OFFERS) {
+        return true;
+      }
       const stage = STAGE_STARTS.find((start) => earlier === start);
       if (stage === undefined) {
         return earlier < MAX_OFFERS;
--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -33,6 +33,12 @@
 /** Waiting tasks for each slot, at the most. */
 const MAX_WAITING_PER_SLOT = 8;
 
+/**
+ * A wait of this part of the time that is left is short: where work takes very uneven times, it is
+ * these and not the wait that decide whether the task is in time, at this owner as at any other.
+ */
+const SHORT_WAIT_SHARE = 0.2;
+
 /**
  * Part of the slots that calls of running back ends may take before the service's own clients of the
  * same rank: the rest is left to these, so that callers cannot crowd them out.
@@ -102,7 +108,11 @@
     }
     const drainMs = request.runsAlone ? this.times.overallMs : 0;
     const waitMs = Math.max(this.expectedWaitOf(request, ahead), drainMs);
-    const inTime = now + waitMs + this.times.boundOf(request.route) <= horizonOf(request);
+    const leftMs = horizonOf(request) - now;
+    const isShort = waitMs <= leftMs * SHORT_WAIT_SHARE;
+    const { route } = request;
+    const workMs = isShort ? this.times.meanOf(route) : this.times.boundOf(route);
+    const inTime = waitMs + workMs <= leftMs;
     const isLong = this.waitingLike(request) >= this.slots * MAX_WAITING_PER_SLOT;
     if (!request.mayWait || !inTime || isLong) {
       return { kind: 'busy', retryAfterMs: this.retryAfterMs() };
--- a/src/owner/admissionRequest.ts
+++ b/src/owner/admissionRequest.ts
@@ -1,5 +1,7 @@
 /** What a task asks of the admission control, its place in the queue and how long it can wait. */
 
+import { PRIORITIES } from '../tenants/priority.js';
+
 /** What a task asks for. */
 export interface AdmissionRequest {
   readonly route: string;
@@ -34,17 +36,20 @@
 
 const TURNS = 3;
 
+/** Ranks of one whole priority: those of its routes, and the turns of each. */
+const RANKS = PRIORITIES * TURNS;
+
 /** Place in the queue: by priority, then by standing. */
 export function rankOf({ priority, isCall, hasWaited }: AdmittedTask): number {
   if (isCall) {
-    return TURNS * priority + Turn.Call;
+    return RANKS * priority + Turn.Call;
   }
-  return TURNS * priority + (hasWaited ? Turn.Returned : Turn.New);
+  return RANKS * priority + (hasWaited ? Turn.Returned : Turn.New);
 }
 
 /** The best rank of a task's priority. */
 export function firstRankOf({ priority }: AdmittedTask): number {
-  return TURNS * priority;
+  return RANKS * priority;
 }
 
 /**
