--- a/src/cli/fleetStatus.ts
+++ b/src/cli/fleetStatus.ts
@@ -2,6 +2,7 @@
 import PQueue from 'p-queue';
 import { NODE_KIND } from '../directory/directory-sync.js';
 import type { OwnerRecord } from '../directory/owner-entry.js';
+import { isOwnerRecord } from '../directory/ownerRecord.js';
 import { PeerCaller } from '../peer/peerCaller.js';
 import type { PeerReport } from '../peer/peerMessages.js';
 import { type ObjectStore, Reading, type StoreFailure } from '../source/object-store.js';
@@ -38,6 +39,8 @@
   readonly version: number | undefined;
   /** True while its back end takes work. */
   readonly ready: boolean;
+  /** Version of its back end; undefined until that has told it. */
+  readonly backEndVersion?: string | undefined;
 }
 
 export type FleetResult =
@@ -50,7 +53,11 @@
 ): Promise<{ records: OwnerRecord[] } | { failure: StoreFailure }> {
   const listed = await store.list<OwnerRecord>(NODE_KIND, Reading.Now);
   return listed.ok
-    ? { records: listed.value.items.map(({ name, spec }) => ({ ...spec, node: name })) }
+    ? {
+        records: listed.value.items
+          .filter(({ spec }) => isOwnerRecord(spec))
+          .map(({ name, spec }) => ({ ...spec, node: name })),
+      }
     : { failure: listed.failure };
 }
 
@@ -68,7 +75,14 @@
   const nodes = await queue.addAll(
     found.records.map(({ node, address, zone, service }) => async (): Promise<NodeStatus> => {
       const report = await caller.status(address, ANSWER_TIMEOUT_MS);
-      return { node, zone, service, version: report?.version, ready: report?.ready ?? false };
+      return {
+        node,
+        zone,
+        service,
+        version: report?.version,
+        ready: report?.ready ?? false,
+        backEndVersion: report?.backEndVersion,
+      };
     }),
   );
   const byZone = (left: NodeStatus, right: NodeStatus) =>
--- a/src/cli/runCli.ts
+++ b/src/cli/runCli.ts
@@ -15,6 +15,8 @@
 import type { OperatorOutside } from './operatorOutside.js';
 import { createOutput, type Write } from './output.js';
 import { liftQuarantine, listQuarantines } from './quarantineCommands.js';
+import { addRolloutCommands } from './rolloutWords.js';
+import { listTenants, showTenant } from './tenantCommands.js';
 
 const DEFAULT_WAIT_SECONDS = 30;
 
@@ -149,6 +151,21 @@
           .positional('name', { type: 'string', demandOption: true })
           .positional('file', { type: 'string', demandOption: true }),
       ({ name, file, ...rest }) => run(rest, (command) => putSecret(command, name, file)),
+    )
+    .command(
+      'tenant <action> [name]',
+      'Print the tenants (list), or one of them (show), with their limits',
+      (options) =>
+        withStore(options, context.defaultStore)
+          .positional('action', { choices: ['list', 'show'] as const, demandOption: true })
+          .positional('name', { type: 'string' }),
+      ({ action, name, ...rest }) =>
+        run(rest, (command) =>
+          action === 'list' ? listTenants(command) : showTenant(command, name ?? ''),
+        ),
+    )
+    .command('rollout', 'Order a roll-out, or see how it goes', (options) =>
+      addRolloutCommands(withStore(options, context.defaultStore), run),
     );
   try {
     await parser.parseAsync();
--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -11,7 +11,7 @@
   horizonOf,
   rankOf,
 } from './admissionRequest.js';
-import { createServiceTimes } from './serviceTimes.js';
+import { createServiceTimes, type ServiceTimes } from './serviceTimes.js';
 import { createUrgencyMix } from './urgencyMix.js';
 
 /** A task that waits. */
@@ -60,7 +60,6 @@
 /** Owned by the local owner; the time is passed in. */
 export class AdmissionControl {
   private readonly waiting: Waiter[] = [];
-  private readonly times = createServiceTimes();
   private readonly mix = createUrgencyMix();
   private running = 0;
   private slots = 0;
@@ -70,6 +69,8 @@
   /** Running tasks by route. */
   private readonly runningOf = new Map<string, number>();
 
+  constructor(private readonly times: ServiceTimes = createServiceTimes()) {}
+
   get inFlight(): number {
     return this.running;
   }
@@ -83,7 +84,7 @@
    * milliseconds; undefined until it has finished one.
    */
   get meanServiceMs(): number | undefined {
-    return this.times.isKnown ? this.times.overallMs : undefined;
+    return this.times.meanMs;
   }
 
   get capacity(): number {
@@ -111,7 +112,7 @@
     const leftMs = horizonOf(request) - now;
     const isShort = waitMs <= leftMs * SHORT_WAIT_SHARE;
     const { route } = request;
-    const workMs = isShort ? this.times.meanOf(route) : this.times.boundOf(route);
+    const workMs = isShort ? this.times.expectedMs(route) : this.times.boundMs(route);
     const inTime = waitMs + workMs <= leftMs;
     const isLong = this.waitingLike(request) >= this.slots * MAX_WAITING_PER_SLOT;
     if (!request.mayWait || !inTime || isLong) {
@@ -128,8 +129,11 @@
     this.hasAloneTask = runsAlone;
   }
 
-  /** A task has ended; `serviceMs` is undefined when its time says nothing of the back end. */
-  finished(task: AdmittedTask, serviceMs: number | undefined, now: number): void {
+  /**
+   * A task has ended; `serviceMs` is undefined when its time says nothing of the back end, and `slowness`
+   * is what the back end told meanwhile.
+   */
+  finished(task: AdmittedTask, serviceMs: number | undefined, now: number, slowness = 1): void {
     const { route, isCall } = task;
     this.running -= 1;
     this.runningCalls -= isCall ? 1 : 0;
@@ -137,7 +141,7 @@
     this.hasAloneTask = false;
     if (serviceMs !== undefined) {
       this.mix.note(rankOf(task), serviceMs);
-      this.times.note(route, serviceMs);
+      this.times.note(route, serviceMs, slowness);
     }
     this.fill(now);
     this.dropHopeless(now);
@@ -240,7 +244,7 @@
 
   /** Work of tasks that wait, in slot-milliseconds. */
   private workOf(waiters: readonly Waiter[]): number {
-    return waiters.reduce((sum, { request }) => sum + this.times.meanOf(request.route), 0);
+    return waiters.reduce((sum, { request }) => sum + this.times.expectedMs(request.route), 0);
   }
 
   /** Calls that wait, or clients. */
@@ -254,7 +258,7 @@
     let sum = 0;
     for (const [route, running] of this.runningOf) {
       count += running;
-      sum += running * this.times.meanOf(route);
+      sum += running * this.times.expectedMs(route);
     }
     return count === 0 ? this.times.overallMs : sum / count;
   }
@@ -272,12 +276,12 @@
 
   /** Milliseconds that the back end is expected to take for a task of a route. */
   expectedServiceMs(route: string): number {
-    return this.times.meanOf(route);
+    return this.times.expectedMs(route);
   }
 
   /** Steady time in milliseconds by which a task must have begun to be in time. */
   latestStartAt(request: AdmissionRequest): number {
-    return horizonOf(request) - this.times.meanOf(request.route);
+    return horizonOf(request) - this.times.expectedMs(request.route);
   }
 
   private aheadOf(request: AdmissionRequest): number {
--- a/src/owner/health-question.ts
+++ b/src/owner/health-question.ts
@@ -1,7 +1,10 @@
 /** Asks a back end for its health: which incarnation it is and how many slots it has. */
+
 import http from 'node:http';
+import { endpointOf } from '../model/endpoint.js';
 import type { HealthReport } from '../registry/back-end-registry.js';
 import type { HeaderNames } from './header-names.js';
+import { readLoadReport } from './loadReport.js';
 
 /** An answer that takes longer, in milliseconds, counts as none. */
 const TIMEOUT_MS = 600;
@@ -13,10 +16,8 @@
   names: HeaderNames,
 ): Promise<HealthReport | undefined> {
   return new Promise((resolve) => {
-    const separator = address.lastIndexOf(':');
     const request = http.get({
-      host: address.slice(0, separator),
-      port: Number(address.slice(separator + 1)),
+      ...endpointOf(address),
       path,
       agent: false,
     });
@@ -27,15 +28,9 @@
       response.on('error', () => {});
       response.resume();
       const instance = response.headers[names.instance.toLowerCase()];
+      const load = response.headers[names.load.toLowerCase()];
       const isReady = response.statusCode === 200 && typeof instance === 'string';
-      resolve(isReady ? { instance, slots: slotsOf(response, names) } : undefined);
+      resolve(isReady ? { instance, slots: readLoadReport(load)?.slots } : undefined);
     });
   });
 }
-
-/** The third number of a load report: running, waiting, slots. */
-function slotsOf(response: http.IncomingMessage, names: HeaderNames): number | undefined {
-  const load = response.headers[names.load.toLowerCase()];
-  const slots = typeof load === 'string' ? Number(load.split(',')[2]) : Number.NaN;
-  return Number.isInteger(slots) && slots > 0 ? slots : undefined;
-}
--- a/src/owner/owner-report.ts
+++ b/src/owner/owner-report.ts
@@ -1,4 +1,5 @@
 /** What an owner tells of itself and of its tasks. */
+import type { OwnerOutcome, OwnerTask } from './owner.js';
 
 /** One task that has left this owner, for logs and metrics. */
 export interface TaskRecord {
@@ -18,6 +19,43 @@
   readonly backEndMs: number | undefined;
 }
 
+/** Steady times of one task, in milliseconds. */
+export interface TaskTimes {
+  readonly arrivedAt: number;
+  admittedAt?: number;
+  sentAt?: number;
+}
+
+/** What the owner knows of a task besides. */
+export interface TaskSetting {
+  readonly isCall: boolean;
+  readonly instance: string | undefined;
+  /** Steady time in milliseconds. */
+  readonly now: number;
+}
+
+/** The record of a task that has left the owner. */
+export function taskRecordOf(
+  { requestId, fingerprint, route, service, priority }: OwnerTask,
+  outcome: OwnerOutcome,
+  { arrivedAt, admittedAt, sentAt }: TaskTimes,
+  { isCall, instance, now }: TaskSetting,
+): TaskRecord {
+  const detail = outcome.kind === 'answer' ? outcome.status : outcome.reason;
+  return {
+    requestId,
+    fingerprint,
+    route,
+    service,
+    priority,
+    isCall,
+    result: `${outcome.kind} ${detail}`,
+    instance,
+    queuedMs: Math.round((admittedAt ?? now) - arrivedAt),
+    backEndMs: sentAt === undefined ? undefined : Math.round(now - sentAt),
+  };
+}
+
 /** What others may know of this owner. */
 export interface OwnerReport {
   readonly service: string | undefined;
--- a/src/owner/serviceTimes.ts
+++ b/src/owner/serviceTimes.ts
@@ -1,59 +1,103 @@
-/** How long the back end takes for a task, by route: moving averages of the time and of its spread. */
+/**
+ * How long a back end takes for a task, by route. Two predictions are kept: the moving average of what
+ * tasks took, and the same at usual speed times the slowness that the back end tells. The one that has been
+ * nearer to the truth lately is used: a back end that tells nothing, or something false, is judged by
+ * what the owner has measured itself.
+ */
 
-/** Weight of the newest service time in the moving averages. */
-const AVERAGE_WEIGHT = 0.1;
+/** Weight of the newest task in the moving averages. */
+const WEIGHT = 0.1;
 
-/** Assumed service time, in milliseconds, until one has been seen. */
+/** Assumed time, in milliseconds, until one has been seen. */
 const INITIAL_MS = 20;
 
 /**
- * Mean deviations above the mean within which a task is counted on to be done: about nineteen in twenty
- * where times are spread evenly around their mean (Jacobson, "Congestion Avoidance and Control", 1988,
- * keeps mean and mean deviation alike).
+ * Mean deviations above the expected time within which a task is counted on to be done: about nineteen in
+ * twenty where times are spread evenly around their mean (Jacobson, "Congestion Avoidance and Control",
+ * 1988, keeps mean and mean deviation alike).
  */
 const COUNTED_DEVIATIONS = 2;
 
-interface RouteTimes {
-  meanMs: number;
-  deviationMs: number;
+interface Averages {
+  /** Milliseconds that tasks took. */
+  plainMs: number;
+  /** Milliseconds that they would have taken at usual speed. */
+  usualMs: number;
 }
 
-/** Owned by the admission control; all times are in milliseconds. */
 export interface ServiceTimes {
-  /** Mean of all routes; the assumed time until one has been seen. */
+  /** Milliseconds that a task of a route is expected to take now. */
+  expectedMs(route: string): number;
+  /** Milliseconds within which almost every task of a route is done. */
+  boundMs(route: string): number;
+  /** The same over all routes; undefined until a task has ended. */
+  readonly meanMs: number | undefined;
+  /** Milliseconds over all routes, or what is assumed. */
   readonly overallMs: number;
-  /** True once a time has been seen. */
-  readonly isKnown: boolean;
-  note(route: string, serviceMs: number): void;
-  /** Expected time of a task of a route. */
-  meanOf(route: string): number;
-  /** Time within which almost every task of a route is done. */
-  boundOf(route: string): number;
+  /** A task has taken so many milliseconds while the back end told this slowness. */
+  note(route: string, tookMs: number, slowness: number): void;
 }
 
-export function createServiceTimes(): ServiceTimes {
-  const routes = new Map<string, RouteTimes>();
-  let overallMs = INITIAL_MS;
-  const meanOf = (route: string) => routes.get(route)?.meanMs ?? overallMs;
+/** `slowness` tells how long work takes now, as a multiple of what is usual. */
+export function createServiceTimes(slowness: () => number = () => 1): ServiceTimes {
+  const routes = new Map<string, Averages>();
+  /** Mean deviation of tasks of a route from what was expected of them, in milliseconds. */
+  const deviations = new Map<string, number>();
+  let all: Averages | undefined;
+  let plainError = 0;
+  let toldError = 0;
+
+  const expectedAt = ({ plainMs, usualMs }: Averages, told: number): number =>
+    toldError < plainError ? usualMs * told : plainMs;
+
+  const expected = (averages: Averages | undefined): number =>
+    averages ? expectedAt(averages, slowness()) : INITIAL_MS;
+
+  const expectedMs = (route: string): number => expected(routes.get(route) ?? all);
+
+  const noteDeviation = (route: string, ms: number): void => {
+    const known = deviations.get(route) ?? 0;
+    deviations.set(route, known + (ms - known) * WEIGHT);
+  };
+
+  const noteErrors = ({ plainMs, usualMs }: Averages, tookMs: number, told: number): void => {
+    plainError += (errorOf(plainMs, tookMs) - plainError) * WEIGHT;
+    toldError += (errorOf(usualMs * told, tookMs) - toldError) * WEIGHT;
+  };
+
   return {
-    get overallMs() {
-      return overallMs;
+    expectedMs,
+    boundMs: (route) => expectedMs(route) + COUNTED_DEVIATIONS * (deviations.get(route) ?? 0),
+    get meanMs() {
+      return all && expected(all);
     },
-    get isKnown() {
-      return routes.size > 0;
+    get overallMs() {
+      return expected(all);
     },
-    note: (route, serviceMs) => {
-      if (routes.size === 0) {
-        overallMs = serviceMs;
+    note: (route, tookMs, told) => {
+      const known = routes.get(route);
+      if (known) {
+        noteDeviation(route, Math.abs(tookMs - expectedAt(known, told)));
+        noteErrors(known, tookMs, told);
       }
-      overallMs += (serviceMs - overallMs) * AVERAGE_WEIGHT;
-      const times = routes.get(route) ?? { meanMs: serviceMs, deviationMs: 0 };
-      const error = serviceMs - times.meanMs;
-      times.meanMs += error * AVERAGE_WEIGHT;
-      times.deviationMs += (Math.abs(error) - times.deviationMs) * AVERAGE_WEIGHT;
-      routes.set(route, times);
+      routes.set(route, averaged(known, tookMs, told));
+      all = averaged(all, tookMs, told);
     },
-    meanOf,
-    boundOf: (route) => meanOf(route) + COUNTED_DEVIATIONS * (routes.get(route)?.deviationMs ?? 0),
+  };
+}
+
+/** How far a prediction was off: the same for half and for twice the time. */
+function errorOf(predictedMs: number, tookMs: number): number {
+  return Math.abs(Math.log(Math.max(1, tookMs) / Math.max(1, predictedMs)));
+}
+
+function averaged(known: Averages | undefined, tookMs: number, slowness: number): Averages {
+  const usualMs = tookMs / slowness;
+  if (!known) {
+    return { plainMs: tookMs, usualMs };
+  }
+  return {
+    plainMs: known.plainMs + (tookMs - known.plainMs) * WEIGHT,
+    usualMs: known.usualMs + (usualMs - known.usualMs) * WEIGHT,
   };
 }
