--- a/src/owner/admissionLoad.test.ts
+++ b/src/owner/admissionLoad.test.ts
@@ -1,5 +1,6 @@
 /** Admission under more than the back end can run: one owner, a clock and chances of the test's own. */
 import { describe, expect, it } from 'vitest';
+import { priorityOf } from '../tenants/priority.js';
 import { AdmissionControl } from './admission-control.js';
 import type { AdmissionRequest } from './admissionRequest.js';
 
@@ -196,6 +197,17 @@
     expect(shareOf(fates, 'pick', 'inTime')).toBeGreaterThan(0.97);
     expect(shareOf(fates, 'upload', 'late')).toBeLessThan(0.03);
   });
+
+  it('serves what is short and urgent though tenants of one priority send all', () => {
+    const sent = (priority: number) => priorityOf({ priority: 1 }, { priority });
+    const pick = { ...order, route: 'pick', priority: sent(0), perSecond: 24, workMs: 190 };
+    const upload = { ...order, route: 'upload', priority: sent(2), targetMs: 3_100 };
+    const look = { ...call, priority: sent(1), perSecond: 25 };
+    const fates = play([{ ...pick, targetMs: 530, returnsAfterMs: 300 }, upload, look]);
+    expect(shareOf(fates, 'pick', 'inTime')).toBeGreaterThan(0.97);
+    expect(shareOf(fates, 'stock', 'refused')).toBeLessThan(0.03);
+    expect(shareOf(fates, 'upload', 'inTime')).toBeGreaterThan(0.35);
+  });
 });
 
 function shareOf(fates: Map<string, Fate>, route: string, kind: keyof Fate): number {
