--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -72,6 +72,9 @@
   /** True once a back end may have run the request. */
   private mayHaveRun = false;
   private lastNotRun: OwnerNotRun | undefined;
+  /** True if the client was refused before and has waited as it was told. */
+  private readonly hasWaited: boolean;
+  private readonly targetAt: number;
   private readonly choice: OwnerChoice;
   private readonly share: RequestShare;
   private readonly key: RequestKey;
@@ -88,10 +91,17 @@
     this.share = context.shares?.begin(task.service) ?? OPEN_SHARE;
     this.choice = createOwnerChoice({ ...context, task, bodyBytes, mayServe, share: this.share });
     this.key = crashKeyOf(task);
+    const startedAt = context.clock.now();
+    const earlier = context.returns.visitOf(this.key, startedAt);
+    this.hasWaited = earlier?.isAsTold ?? false;
+    // The target counts from a client's first try.
+    this.targetAt = task.targetAt - (startedAt - (earlier?.firstAt ?? startedAt));
     this.refusals = createDispatchRefusals({
       ...context,
       service: task.service,
       key: this.key,
+      deadlineAt: task.deadlineAt,
+      startedAt,
       mayServe,
     });
   }
@@ -179,7 +189,8 @@
     if (this.arrivals >= this.maxAttempts) {
       return this.giveUp('attempts-spent');
     }
-    if (!this.context.offerLimit.allows(this.task.service, this.tried.size)) {
+    const { route } = this.task;
+    if (!this.context.offerLimit.allows(route, this.tried.size, this.hasWaited)) {
       const hasNoRoom = !this.mayHaveRun && this.lastNotRun?.reason === 'busy';
       return hasNoRoom ? this.refusals.noRoom(this.fate) : this.giveUp('attempts-spent');
     }
@@ -213,7 +224,8 @@
     this.share.noteOffer(entry.record.node);
     // A suspect has this one owner to run at.
     const mayWait = this.choice.mayWaitAt(entry) || this.standing === Standing.Suspect;
-    const task = { ...this.task, mayWait };
+    const { hasWaited, targetAt } = this;
+    const task = { ...this.task, mayWait, hasWaited, targetAt };
     this.running.add(startAttempt({ entry, task, clock: this.context.clock, earlier }));
   }
 
@@ -232,7 +244,7 @@
     this.noteShare(entry, outcome);
     if (outcome.kind === 'answer' || (outcome.kind === 'not-run' && outcome.reason === 'busy')) {
       const isTaken = outcome.kind === 'answer';
-      this.context.offerLimit.note(this.task.service, attempt.earlier, isTaken);
+      this.context.offerLimit.note(this.task.route, attempt.earlier, isTaken);
     }
     if (outcome.kind === 'not-run') {
       const isBusyNear = outcome.reason === 'busy' && this.context.directory.isNear(entry);
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -4,7 +4,8 @@
 import type { BackEnd, Heartbeat } from '../registry/back-end-registry.js';
 import type { BackEndLife } from '../registry/backEndLife.js';
 import type { BackEndRun } from '../rollout/runCounts.js';
-import { AdmissionControl, type AdmissionRequest } from './admission-control.js';
+import { AdmissionControl } from './admission-control.js';
+import type { AdmissionRequest } from './admissionRequest.js';
 import { BackEndConnections } from './back-end-agent.js';
 import { BackEndPresence, type BackEndPresenceOptions } from './back-end-presence.js';
 import {
@@ -14,6 +15,7 @@
   type ObservedRun,
 } from './backEndObservations.js';
 import { backEndRunOf, type EndedCall } from './backEndRun.js';
+import { createCalledRoutes } from './calledRoutes.js';
 import type { MessageBody } from './message-body.js';
 import {
   crashKeyOf,
@@ -55,6 +57,7 @@
   private readonly admission: AdmissionControl;
   private readonly presence: BackEndPresence;
   private readonly connections = new BackEndConnections();
+  private readonly called = createCalledRoutes();
   private readonly observations: BackEndObservations;
   private readonly calls: WatchedCalls;
   private stopping = false;
@@ -136,8 +139,9 @@
     const times: TaskTimes = { arrivedAt: this.options.clock.now() };
     const outcome = await this.admitAndRun(task, times);
     const instance = this.presence.backEnd?.instance;
+    const isCall = this.called.isCalled(task.route);
     const now = this.options.clock.now();
-    this.options.onTask(taskRecordOf({ task, outcome, times, instance, now }));
+    this.options.onTask(taskRecordOf({ task, outcome, times, instance, isCall, now }));
     return outcome;
   }
 
@@ -150,7 +154,12 @@
       return turnedAway('busy', FENCED_RETRY_MS);
     }
     const { clock } = this.options;
-    const request = { ...task, runsAlone: this.standingOf(task) === Standing.Suspect };
+    this.called.note(task.route, task.callerService);
+    const request = {
+      ...task,
+      runsAlone: this.standingOf(task) === Standing.Suspect,
+      isCall: this.called.isCalled(task.route),
+    };
     const decision = this.admission.decide(request, clock.now());
     if (decision.kind === 'busy') {
       return turnedAway('busy', decision.retryAfterMs);
