--- a/lab/sidecar-mesh.ts
+++ b/lab/sidecar-mesh.ts
@@ -1,7 +1,9 @@
 /** Sidecars with their back ends in one process, on real sockets, for tests. */
+
 import http from 'node:http';
 import { DecisionLog } from '../src/diagnostics/decision-log.js';
 import { SidecarMetrics } from '../src/diagnostics/sidecar-metrics.js';
+import { endpointOf } from '../src/model/endpoint.js';
 import {
   type ClockSources,
   createNodeClocks,
@@ -9,7 +11,7 @@
 } from '../src/model/nodeClocks.js';
 import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
 import { SidecarNode } from '../src/sidecar/sidecar-node.js';
-import { checkSidecarSettings } from '../src/sidecar/sidecar-settings.js';
+import { checkSidecarSettings, type SidecarSettings } from '../src/sidecar/sidecar-settings.js';
 import type { ObjectStore } from '../src/source/object-store.js';
 import { ApplicationStandIn, type Run } from './application-stand-in.js';
 import { CONFIGURATION_KIND, CONFIGURATION_NAME, labOutside } from './labOutside.js';
@@ -36,12 +38,23 @@
   readonly split?: readonly { service: string; weight: number }[];
   readonly policies?: readonly string[];
   readonly credential?: { readonly header: string; readonly secret: string };
+  readonly isPublic?: boolean;
+}
+
+/** A tenant of a test; the rest has defaults. */
+export interface TestTenant {
+  readonly name: string;
+  readonly apiKeys: readonly string[];
+  readonly priority?: number;
+  readonly ratePerS?: number;
+  readonly burst?: number;
 }
 
 /** What a configuration of a test holds beside its routes. */
 export interface TestComplements {
   readonly policies?: readonly { readonly name: string; readonly allow: string }[];
   readonly secrets?: readonly { readonly name: string; readonly digest: string }[];
+  readonly tenants?: readonly TestTenant[];
 }
 
 /** What a test may choose for a machine. */
@@ -50,8 +63,12 @@
   readonly slots?: number;
   readonly graceMs?: number;
   readonly applyMs?: number;
+  /** Bounds that the platform holds, see the settings. */
+  readonly bounds?: Pick<Partial<SidecarSettings>, 'quota' | 'revocation' | 'rollout'>;
   /** The machine's own client of a store, in place of a call to the store in memory. */
   readonly client?: ObjectStore;
+  /** Version of its back end. */
+  readonly version?: string;
 }
 
 /** One machine: node, back end and way to the store. */
@@ -117,6 +134,7 @@
       drainMs: 1_000,
       graceMs: this.options.graceMs ?? DEFAULT_GRACE_MS,
       configurationApplyMs: this.options.applyMs ?? DEFAULT_APPLY_MS,
+      ...this.options.bounds,
     }).unsafeCoerce();
     const sink = (bytes: Buffer, done: () => void) => {
       for (const line of bytes.toString().trim().split('\n')) {
@@ -145,6 +163,7 @@
   async add(service: string, options: MachineOptions = {}): Promise<Machine> {
     const name = `node-${this.machines.length + 1}`;
     const application = new ApplicationStandIn(service, options.slots ?? 4);
+    application.version = options.version ?? application.version;
     const machine = new Machine(name, options.zone ?? 'zone-a', application, this.store, options);
     this.machines.push(machine);
     await machine.start();
@@ -220,7 +239,7 @@
 /** A client's request. */
 export interface ClientCall {
   readonly method?: string;
-  readonly headers?: Record<string, string>;
+  readonly headers?: Record<string, string | string[]>;
   readonly body?: string | Buffer;
   readonly requestId?: string;
   readonly deadlineMs?: number;
@@ -236,7 +255,6 @@
   path: string,
   options: ClientCall = {},
 ): Promise<ClientResult> {
-  const separator = address.lastIndexOf(':');
   const startedAt = performance.now();
   requests += 1;
   const requestId = options.requestId ?? `request-${requests}`;
@@ -244,8 +262,7 @@
     const none = (): void =>
       resolve({ status: 0, body: '', headers: {}, tookMs: performance.now() - startedAt });
     const request = http.request({
-      host: address.slice(0, separator),
-      port: Number(address.slice(separator + 1)),
+      ...endpointOf(address),
       path,
       method: options.method ?? 'GET',
       agent: false,
--- a/src/owner/back-end-call.ts
+++ b/src/owner/back-end-call.ts
@@ -3,10 +3,13 @@
  * request's id, be whole, and bear the back end's signature. Says exactly what
  * is known when there is no such answer.
  */
+
 import http from 'node:http';
 import type { Socket } from 'node:net';
+import { endpointOf } from '../model/endpoint.js';
 import type { BackEnd } from '../registry/back-end-registry.js';
 import type { HeaderNames } from './header-names.js';
+import { type LoadReport, readLoadReport } from './loadReport.js';
 import { collectBody, type MessageBody, sendBody } from './message-body.js';
 import type { OwnerOutcome, OwnerTask, UnknownReason } from './owner.js';
 import { endToEndFields } from './raw-headers.js';
@@ -37,6 +40,8 @@
   readonly outcome: OwnerOutcome;
   /** True when nothing listens at the back end's address any more. */
   readonly unreachable: boolean;
+  /** What the back end's answer told of its load, if there was one that did. */
+  readonly load?: LoadReport | undefined;
   /** True when a connection that was kept from earlier requests brought nothing until the end. */
   readonly keptWasSilent?: boolean;
 }
@@ -55,6 +60,7 @@
   private sent = false;
   private settled = false;
   private hasAnswer = false;
+  private load: LoadReport | undefined;
   private request: http.ClientRequest | undefined;
   private forget: () => void = () => {};
   private resolve: (result: BackEndCallResult) => void = () => {};
@@ -92,7 +98,6 @@
 
   private open(): http.ClientRequest {
     const { backEnd, names, agent, remainingMs } = this.options;
-    const separator = backEnd.address.lastIndexOf(':');
     const headers = [
       ...this.task.headers,
       names.deadline,
@@ -101,11 +106,11 @@
       backEnd.instance,
       names.callerService,
       this.task.callerService,
+      ...(this.task.tenant === undefined ? [] : [names.tenant, this.task.tenant]),
       ...this.framing(),
     ];
     return http.request({
-      host: backEnd.address.slice(0, separator),
-      port: Number(backEnd.address.slice(separator + 1)),
+      ...endpointOf(backEnd.address),
       method: this.task.method,
       path: this.task.target,
       headers: headers as unknown as http.OutgoingHttpHeaders,
@@ -150,6 +155,7 @@
     const { names } = this.options;
     const { headers } = response;
     this.hasAnswer = true;
+    this.load = readLoadReport(headers[names.load.toLowerCase()]);
     if (headers[names.requestId.toLowerCase()] !== this.task.requestId) {
       request.destroy();
       this.unknown('foreign-answer');
@@ -236,7 +242,7 @@
     if (!this.settled) {
       this.settled = true;
       this.forget();
-      this.resolve(result);
+      this.resolve({ ...result, load: this.load });
     }
   }
 }
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -1,14 +1,22 @@
 /** The gate to the back end on this machine: admits tasks, sends them, and reports its load. */
 import type http from 'node:http';
-import type { Alarms } from '../model/alarms.js';
 import { Standing } from '../quarantine/crashLedger.js';
 import type { BackEnd, Heartbeat } from '../registry/back-end-registry.js';
+import type { BackEndLife } from '../registry/backEndLife.js';
+import type { BackEndRun } from '../rollout/runCounts.js';
 import { AdmissionControl, type AdmissionRequest } from './admission-control.js';
 import { BackEndConnections } from './back-end-agent.js';
 import { BackEndPresence, type BackEndPresenceOptions } from './back-end-presence.js';
-import { createFailureShare } from './failureShare.js';
+import {
+  type BackEndObservations,
+  type BackEndObservationsContext,
+  createBackEndObservations,
+  type ObservedRun,
+} from './backEndObservations.js';
+import { backEndRunOf, type EndedCall } from './backEndRun.js';
 import type { MessageBody } from './message-body.js';
 import {
+  crashKeyOf,
   type NotRunReason,
   type Owner,
   type OwnerOutcome,
@@ -25,11 +33,20 @@
 /** A task that is cancelled so shortly before its deadline, in milliseconds, was waited for to its end. */
 const DEADLINE_SLACK_MS = 50;
 
+/** Told to a task that comes although a roll-out is about to end the back end: others serve it at once. */
+const FENCED_RETRY_MS = 20;
+
 /** What the local owner is told at its start. */
-export interface LocalOwnerOptions extends BackEndPresenceOptions, WatchedCallsContext {
-  readonly alarms: Alarms;
+export interface LocalOwnerOptions
+  extends BackEndPresenceOptions,
+    WatchedCallsContext,
+    BackEndObservationsContext {
   readonly onBackEnd: (backEnd: BackEnd | undefined, cause: string) => void;
   readonly onTask: (record: TaskRecord) => void;
+  /** The back end has ended a request. */
+  readonly onRun?: (run: BackEndRun) => void;
+  /** True while a roll-out lets the back end finish what it runs and gives it nothing new. */
+  readonly isFenced?: () => boolean;
 }
 
 /** Steady times of one task, in milliseconds. */
@@ -41,31 +58,31 @@
 
 /** One per node. */
 export class LocalOwner implements Owner {
-  private readonly admission = new AdmissionControl();
+  private readonly admission: AdmissionControl;
   private readonly presence: BackEndPresence;
   private readonly connections = new BackEndConnections();
-  private readonly failures = createFailureShare();
+  private readonly observations: BackEndObservations;
   private readonly calls: WatchedCalls;
-  private instance: string | undefined;
   private stopping = false;
   private distrustUntil = 0;
 
   constructor(private readonly options: LocalOwnerOptions) {
+    this.observations = createBackEndObservations(options);
+    this.admission = new AdmissionControl(this.observations.times);
     this.calls = createWatchedCalls(options);
     this.presence = new BackEndPresence(options, {
-      onReady: (backEnd) => this.onReady(backEnd),
+      onNewLife: (life) => this.onNewLife(life),
+      onReady: ({ slots }) => this.admission.setSlots(slots, options.clock.now()),
       onClosed: () => this.admission.turnAllAway(),
       onChange: (backEnd, cause) => options.onBackEnd(backEnd, cause),
     });
   }
 
-  private onReady(backEnd: BackEnd): void {
-    if (backEnd.instance !== this.instance) {
-      this.instance = backEnd.instance;
-      this.failures.reset();
-      this.calls.onIncarnation(backEnd.instance);
-    }
-    this.admission.setSlots(backEnd.slots, this.options.clock.now());
+  /** What is known of the service's times stays: they are those of its requests, on this machine. */
+  private onNewLife(life: BackEndLife): void {
+    this.observations.reset();
+    this.connections.renew();
+    this.calls.onLife(life);
   }
 
   /** Begins to look for the back end. */
@@ -103,22 +120,22 @@
       queued: this.admission.queued,
       slots: this.admission.capacity,
       meanServiceMs: this.admission.meanServiceMs,
-      failureShare: this.failures.value,
+      failureShare: this.observations.failureShare,
       backEndVersion: this.presence.backEnd?.version,
       bornAt: this.presence.backEnd?.bornAt,
-      slowness: 1,
-      waiting: 0,
+      slowness: this.observations.slowness,
+      waiting: this.observations.waiting,
     };
   }
 
-  /** Takes a heartbeat; the drain it tells is fenced before this returns. */
-  heartbeat(beat: Heartbeat): void {
-    this.presence.heartbeat(beat);
+  /** Takes a heartbeat; the drain it tells is fenced before this returns. False if it is not used. */
+  heartbeat(beat: Heartbeat): boolean {
+    return this.presence.heartbeat(beat);
   }
 
   /** Takes a deregistration; it is fenced before this returns. */
-  deregister(instance: string): void {
-    this.presence.deregister(instance);
+  deregister(life: BackEndLife): void {
+    this.presence.deregister(life);
   }
 
   async run(task: OwnerTask): Promise<OwnerOutcome> {
@@ -147,6 +164,9 @@
     if (obstacle) {
       return turnedAway(obstacle);
     }
+    if (this.options.isFenced?.()) {
+      return turnedAway('busy', FENCED_RETRY_MS);
+    }
     const { clock } = this.options;
     const request = { ...task, runsAlone: this.standingOf(task) === Standing.Suspect };
     const decision = this.admission.decide(request, clock.now());
@@ -168,9 +188,9 @@
     return this.runAdmitted(task, request, times);
   }
 
-  private standingOf({ fingerprint, callerService: caller }: OwnerTask): Standing {
+  private standingOf(task: OwnerTask): Standing {
     const { ledger, clock } = this.options;
-    return ledger.standingOf({ fingerprint, caller }, clock.now());
+    return ledger.standingOf(crashKeyOf(task), clock.now());
   }
 
   private async runAdmitted(
@@ -181,6 +201,7 @@
     const { clock } = this.options;
     times.admittedAt = clock.now();
     let outcome: OwnerOutcome = turnedAway('cancelled');
+    let run: ObservedRun | undefined;
     try {
       task.onProgress('admitted');
       const body = await task.loadBody();
@@ -190,32 +211,34 @@
         return outcome;
       }
       times.sentAt = clock.now();
+      run = this.observations.begin(task, this.admission.capacity);
       outcome = await this.send(task, body);
       return outcome;
     } catch {
       // The body broke off before anything was sent to the back end.
       return outcome;
     } finally {
-      const { sentAt } = times;
-      const tells = sentAt !== undefined && outcome.kind === 'answer';
-      const serviceMs = tells ? clock.now() - sentAt : undefined;
-      if (sentAt !== undefined) {
-        const usualMs = this.admission.expectedServiceMs(task.route);
-        this.failures.note(outcome, clock.now() - sentAt, usualMs);
-      }
-      this.admission.finished(request, serviceMs, clock.now());
+      const observed = run?.end(outcome);
+      this.admission.finished(request, observed?.serviceMs, clock.now(), observed?.slowness);
     }
   }
 
   private async send(task: OwnerTask, body: MessageBody): Promise<OwnerOutcome> {
     const { clock, names } = this.options;
     const backEnd = this.presence.backEnd as BackEnd;
-    const { outcome, unreachable, keptWasSilent } = await this.calls.call(task, body, {
+    const sentAt = clock.now();
+    const { outcome, unreachable, keptWasSilent, load } = await this.calls.call(task, body, {
       backEnd,
       names,
       agent: this.agentFor(task),
       remainingMs: task.deadlineAt - clock.now(),
     });
+    // Other programs on its machine are not the fault of its version.
+    const tookMs = (clock.now() - sentAt) / Math.max(1, this.observations.slowness);
+    this.noteRun({ task, backEnd, outcome, tookMs });
+    if (load) {
+      this.observations.noteLoad(load);
+    }
     if (unreachable) {
       this.presence.noteUnreachable(backEnd);
     }
@@ -228,6 +251,14 @@
     return outcome;
   }
 
+  private noteRun(call: Omit<EndedCall, 'present' | 'now'>): void {
+    const now = this.options.beliefClock.now();
+    const run = backEndRunOf({ ...call, present: this.presence.backEnd, now });
+    if (run) {
+      this.options.onRun?.(run);
+    }
+  }
+
   /** What may not be repeated gets a connection of its own while late answers are about. */
   private agentFor(task: OwnerTask): http.Agent {
     const mayReuse = task.repeatable || this.options.clock.now() >= this.distrustUntil;
--- a/src/sidecar/outside.ts
+++ b/src/sidecar/outside.ts
@@ -1,6 +1,8 @@
 /** What a deployment brings to a sidecar: how the outside speaks. */
+import type { RolloutObjects } from '../directory/rolloutStatus.js';
 import type { HeaderNames } from '../owner/header-names.js';
 import type { Heartbeat } from '../registry/back-end-registry.js';
+import type { BackEndLife } from '../registry/backEndLife.js';
 import type { PolicyCompiler } from '../routing/completeConfiguration.js';
 import type { ConfigurationCandidate } from '../source/configuration-holder.js';
 import type { ObjectStore } from '../source/object-store.js';
@@ -22,10 +24,12 @@
   readonly decodeRegistration: (method: string, path: string, body: Buffer) => Registration;
   /** True for the readiness question. */
   readonly isReadinessCall: (method: string, path: string) => boolean;
+  /** How orders for roll-outs are spelled; left out where there are none. */
+  readonly rollouts?: RolloutObjects;
 }
 
 /** What a back end says to its node. */
 export type Registration =
   | { readonly kind: 'heartbeat'; readonly beat: Heartbeat }
-  | { readonly kind: 'deregister'; readonly instance: string }
+  | { readonly kind: 'deregister'; readonly life: BackEndLife }
   | { readonly kind: 'unreadable'; readonly reason: string };
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -1,7 +1,9 @@
 /** The life of a node beside one back end: its start, its state, its reload and its end. */
+
 import type { DecisionLog } from '../diagnostics/decision-log.js';
 import type { SidecarGauges, SidecarMetrics } from '../diagnostics/sidecar-metrics.js';
 import type { Clock } from '../model/clock.js';
+import { endpointOf } from '../model/endpoint.js';
 import type { NodeClocks } from '../model/nodeClocks.js';
 import type { OwnerReport } from '../owner/owner-report.js';
 import type { RouteMatcher } from '../routing/route-matcher.js';
@@ -75,7 +77,9 @@
       metricsHandler(metrics, () => this.gauges(), this.parts.load.totals),
     );
     this.readiness = serve(readinessHandler(outside, () => this.isReady));
-    this.registrations = serve(registrationHandler(outside, this.parts.owner, log));
+    this.registrations = serve(
+      registrationHandler(outside, this.parts.owner, this.parts.noteUnreadable),
+    );
   }
 
   /** What the node believes now, for metrics and tests. */
@@ -117,6 +121,7 @@
     this.lifecycle.send(LifecycleEvent.Listening);
     sync.start();
     quarantines.start();
+    this.parts.rollouts?.sync.start();
     this.startConfiguration();
     owner.start();
     const { zone, service, drainMs, graceMs, configurationApplyMs } = this.settings;
@@ -159,6 +164,7 @@
       this.parts;
     load.stop();
     this.parts.quarantines.stop();
+    this.parts.rollouts?.sync.stop();
     owner.close();
     ingress.close();
     peers.close();
@@ -207,6 +213,8 @@
       owner_slots: owner.slots,
       owner_ready: Number(owner.ready),
       owner_failure_share: owner.failureShare,
+      owner_back_end_slowness: owner.slowness,
+      owner_back_end_waiting: owner.waiting,
       owners_present: ownersPresent,
       owners_absent: ownersAbsent,
       quarantined_requests: this.parts.ledger.quarantined(this.clock.now()).length,
@@ -229,8 +237,6 @@
   server: { listen(host: string, port: number): Promise<number> },
   address: string,
 ): Promise<string> {
-  const separator = address.lastIndexOf(':');
-  const host = address.slice(0, separator);
-  const port = await server.listen(host, Number(address.slice(separator + 1)));
-  return `${host}:${port}`;
+  const { host, port } = endpointOf(address);
+  return `${host}:${await server.listen(host, port)}`;
 }
