--- a/src/peer/peerMessages.test.ts
+++ b/src/peer/peerMessages.test.ts
@@ -67,7 +67,7 @@
   topic: fc.constantFrom(NewsTopic.Crashes, NewsTopic.Quotas, NewsTopic.RollOuts),
   content: fc
     .record({
-      instance: fc.option(fc.string(), { nil: undefined }),
+      life: fc.option(fc.string(), { nil: undefined }),
       suspects: keys,
       quarantined: keys,
       cleared: keys,
@@ -76,7 +76,27 @@
   passesOn: fc.boolean(),
 });
 
-const messages: fc.Arbitrary<PeerMessage> = fc.oneof(offer, answer, chunk, news);
+const quotaAsk = fc.record({
+  kind: fc.constant(MessageKind.QuotaAsk as const),
+  sender: fc.record({ address: fc.string(), version: fc.nat() }),
+  tenant: fc.string(),
+  wanted: fc.nat(),
+});
+
+const quotaGranted = fc.record({
+  kind: fc.constant(MessageKind.QuotaGranted as const),
+  granted: fc.nat(),
+  dryMs: fc.nat(),
+});
+
+const messages: fc.Arbitrary<PeerMessage> = fc.oneof(
+  offer,
+  answer,
+  chunk,
+  news,
+  quotaAsk,
+  quotaGranted,
+);
 
 describe('messages between nodes', () => {
   it('come out as they went in, cut anywhere', () => {
--- a/src/peer/peerMessages.ts
+++ b/src/peer/peerMessages.ts
@@ -26,6 +26,8 @@
   ChunkReceived = 6,
   /** What a node has found out and all others are to know; answered like a ping. */
   News = 7,
+  /** Asks a node that holds a part of a tenant's quota for requests. */
+  QuotaAsk = 8,
   /** Owner to ingress: the task waits. */
   Queued = 10,
   /** Owner to ingress: send the body. */
@@ -42,6 +44,10 @@
   Told = 16,
   /** Answer to a read. */
   ReadResult = 17,
+  /** Owner to ingress: the back end does not seem to answer the task. */
+  Overdue = 18,
+  /** Answer to a quota ask. */
+  QuotaGranted = 19,
 }
 
 /** What news is about. Numbers, since they travel with every message. */
@@ -137,6 +143,21 @@
   readonly passesOn: boolean;
 }
 
+export interface QuotaAskMessage {
+  readonly kind: MessageKind.QuotaAsk;
+  readonly sender: PeerSender;
+  readonly tenant: string;
+  /** Requests that wait. */
+  readonly wanted: number;
+}
+
+export interface QuotaGrantedMessage {
+  readonly kind: MessageKind.QuotaGranted;
+  readonly granted: number;
+  /** Milliseconds until there is more. */
+  readonly dryMs: number;
+}
+
 export interface ReadResultMessage {
   readonly kind: MessageKind.ReadResult;
   /** See `storeResultCodec`. */
@@ -177,6 +198,7 @@
     | MessageKind.Pong
     | MessageKind.Queued
     | MessageKind.Admitted
+    | MessageKind.Overdue
     | MessageKind.ChunkReceived;
 }
 
@@ -191,6 +213,8 @@
   | ReadMessage
   | NewsMessage
   | ReadResultMessage
+  | QuotaAskMessage
+  | QuotaGrantedMessage
   | PlainMessage;
 
 /** The fields of a task as they travel; `now` is the present steady time in milliseconds. */
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -1,4 +1,9 @@
 import { type LoadLine, startLoadLine } from '../diagnostics/loadLine.js';
+import {
+  createUnreadableLog,
+  EntryKind,
+  type NoteUnreadable,
+} from '../diagnostics/unreadableLog.js';
 import { DirectorySync } from '../directory/directory-sync.js';
 import { createNewsBroadcast } from '../directory/newsBroadcast.js';
 import { OwnerDirectory } from '../directory/owner-directory.js';
@@ -20,8 +25,10 @@
 import type { BackEnd } from '../registry/back-end-registry.js';
 import type { ZoneRelay } from '../relay/zoneRelay.js';
 import type { ConfigurationFollower } from '../source/configuration-follower.js';
-import { recordNews, recordRequest, recordTask } from './decisionRecords.js';
+import { recordCrash, recordOverdue, recordRequest, recordTask } from './decisionRecords.js';
 import { createOwnerEntries, ownRecordOf } from './ownerEntries.js';
+import { createQuotaPart, type QuotaPart } from './quotaPart.js';
+import { createRolloutParts, type RolloutParts } from './rolloutParts.js';
 import type { SidecarPartsContext } from './sidecarPartsContext.js';
 import { createConfigurationPart, createRelayPart } from './storeParts.js';
 
@@ -34,6 +41,8 @@
   readonly directory: OwnerDirectory;
   readonly sync: DirectorySync;
   readonly quarantines: QuarantineSync;
+  /** Undefined where no roll-outs are followed. */
+  readonly rollouts: RolloutParts | undefined;
   readonly ledger: CrashLedger;
   readonly configuration: ConfigurationFollower;
   readonly ingress: IngressServer;
@@ -41,6 +50,8 @@
   readonly reads: PeerReads;
   readonly relay: ZoneRelay;
   readonly load: LoadLine;
+  readonly noteUnreadable: NoteUnreadable;
+  readonly quotas: QuotaPart;
   /** This node's own record, as the other nodes get it. */
   readonly record: () => OwnerRecord;
 }
@@ -61,6 +72,10 @@
     load.noteReceived(kind, bytes);
   };
 
+  const noteUnreadable = createUnreadableLog(clock, log);
+  outside.store.onUnreadable = (kind, reason) =>
+    noteUnreadable(EntryKind.StoreObject, kind, reason);
+
   const record = () => ownRecordOf(settings());
   const sender = (): PeerSender => ({
     address: settings().listen.peers,
@@ -76,17 +91,22 @@
     beliefClock,
     alarms,
     ledger,
-    onNews: (news) => {
-      recordNews({ log, metrics }, news);
-      quarantines.tell(news);
-    },
+    onCrash: (life, news) => recordCrash({ log, metrics }, life, news),
+    onNews: (news) => quarantines.tell(news),
     names,
     service: () => settings().service,
     backEndAddress: () => settings().backEndAddress,
     healthPath: (service) => configuration.routes?.service(service)?.healthPath,
+    isNamed: (service) => {
+      const { routes } = configuration;
+      return !routes || service === settings().service || routes.service(service) !== undefined;
+    },
     drainMs: () => settings().drainMs,
     onBackEnd: (backEnd, cause) => onBackEnd(backEnd, cause),
+    onRun: (run) => rollouts?.sync.noteRun(run),
+    isFenced: () => rollouts?.sync.isFenced ?? false,
     onTask: (task) => recordTask({ log, metrics }, task, owner.report),
+    onOverdue: (run) => recordOverdue({ log, metrics }, run),
   });
 
   const entryOf = createOwnerEntries({
@@ -121,6 +141,7 @@
     onConnected: onStore('directory'),
     onOwner: (name, change, detail) => log.event('owner', { owner: name, change, detail }),
     onReport: (address, told) => configuration.noteVersion(address, told.version),
+    onUnreadable: (name) => noteUnreadable(EntryKind.OwnerRecord, name, 'not readable'),
   });
 
   const quarantines = createQuarantineSync({
@@ -134,6 +155,20 @@
     onConnected: onStore('quarantines'),
     onQuarantine: ({ fingerprint, caller: from }, change, origin, crashes) =>
       log.event('quarantine', { fingerprint, caller: from, change, origin, crashes }),
+    onUnreadable: (name, origin) => noteUnreadable(EntryKind.CrashRecord, name, `from ${origin}`),
+  });
+
+  const nodes = () => (sync.isListed ? directory.size : Number.POSITIVE_INFINITY);
+  const rollouts = createRolloutParts({
+    ...context,
+    relay,
+    directory,
+    broadcast,
+    caller,
+    owner,
+    record,
+    nodes,
+    onConnected: onStore('rollouts'),
   });
 
   const configuration = createConfigurationPart({
@@ -143,23 +178,35 @@
     onConnected: onStore('configuration'),
   });
 
+  const quotas = createQuotaPart({
+    settings,
+    clock,
+    directory,
+    reads,
+    routes: () => configuration.routes,
+    isListed: () => sync.isListed,
+  });
+
   const ingress = new IngressServer({
     clock,
     alarms,
     names,
     directory,
-    budget: new SharedRetryBudget(
-      () => settings().retryBudget,
-      () => (sync.isListed ? directory.size : Number.POSITIVE_INFINITY),
-    ),
+    budget: new SharedRetryBudget(() => settings().retryBudget, nodes),
     spill: createSpillAllowance(),
     returns: createReturnTimes(),
     offerLimit: createOfferLimit(),
     ledger,
+    shares: rollouts?.shares,
     routes: () => configuration.routes,
     mayBeBehind: () => configuration.mayBeBehind,
+    isOutdated: () => {
+      const { revocation } = settings();
+      return revocation?.isStrict === true && configuration.mostBehindMs > revocation.withinMs;
+    },
     callerService: () => settings().service,
     own: record,
+    quotas: quotas.gate,
     onFinished: (request) => recordRequest({ log, metrics }, request),
   });
 
@@ -171,6 +218,7 @@
     configuration: () => configuration.bytes(),
     directory: () => sync.bytes(),
     read: (question) => relay.answer(question),
+    grant: quotas.grant,
     onNews: broadcast.take,
     onPeer: (from, told) => {
       sync.notePeer(from, told);
@@ -182,6 +230,8 @@
     const { ready, slots } = owner.report;
     log.event('back-end', {
       instance: backEnd?.instance,
+      bornAt: backEnd?.bornAt,
+      version: backEnd?.version,
       service: backEnd?.service,
       state: backEnd?.state,
       cause,
@@ -201,6 +251,7 @@
     directory,
     sync,
     quarantines,
+    rollouts,
     ledger,
     configuration,
     ingress,
@@ -208,6 +259,8 @@
     reads,
     relay,
     load,
+    noteUnreadable,
+    quotas,
     record,
   };
 }
