--- a/lab/sidecarSoak.ts
+++ b/lab/sidecarSoak.ts
@@ -6,12 +6,10 @@
  */
 
 import { mkdtempSync, rmSync } from 'node:fs';
-import http from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { readFleet } from '../src/cli/fleetStatus.js';
 import { ApplicationStandIn, LONGEST_DOWN_MS } from './application-stand-in.js';
-import { CONFIGURATION_KIND, CONFIGURATION_NAME } from './labOutside.js';
 import { MemoryStore, StoreView } from './memory-store.js';
 import { pickOne, seededRandom } from './random.js';
 import { type Sidecar, startSidecars } from './sidecarProcesses.js';
@@ -21,11 +19,16 @@
   checkSoak,
   type SoakBreach,
   type SoakFleet,
-  type SoakRequest,
-  SoakRule,
   type SoakRun,
   type Span,
 } from './sidecarSoakCheck.js';
+import { createSoakClients, type SoakClients } from './soakClients.js';
+import {
+  APPLY_MS,
+  CONTACT_MS,
+  createSoakConfigurations,
+  type SoakConfigurations,
+} from './soakConfigurations.js';
 import {
   type CrashingClients,
   createCrashingClients,
@@ -33,7 +36,7 @@
   openSpan,
 } from './soakCrashing.js';
 import { createFaultInjector, FAULTS, type Fault, type FaultInjector } from './soakFaults.js';
-import { configurationOf, MAX_ATTEMPTS, SERVICES, send } from './soakTraffic.js';
+import { MAX_ATTEMPTS, SERVICES } from './soakTraffic.js';
 import { StoreFault, type StoreWays } from './storeFaults.js';
 import { openStoreWay, type StoreWay } from './storeServer.js';
 
@@ -44,7 +47,6 @@
 /** What the nodes are told of their links: large bodies then go in many small chunks. */
 const LINK_MBPS = 3.5;
 const SERVICE_MS = 30;
-const CLIENTS_OF_A_NODE = 4;
 const HEARTBEAT_MS = 500;
 /** Requests that follow the last fault. */
 const RECOVERY_MS = 4_000;
@@ -53,15 +55,8 @@
 /** Faults of one series, at the most, and the longest time between two of them in milliseconds. */
 const LONGEST_SERIES = 6;
 const LONGEST_GAP_MS = 700;
-/** A configuration is in force within this time, in milliseconds: the nodes' own setting. */
-const APPLY_MS = 2_000;
-/** Nodes are bound again this long after the last fault, in milliseconds. */
-const CONTACT_MS = 3_000;
-/** A machine that is short of processor time tells of what is in force so much later, in milliseconds. */
-const SLACK_MS = 400;
 /** Part of the series that end with it: what follows is late if nothing finds the silence out. */
 const SILENCE_SHARE = 0.5;
-const BODY_BYTES = [0, 300, 60_000, 2_000_000];
 
 /** What a soak is told. */
 export interface SidecarSoakPlan {
@@ -101,7 +96,8 @@
     application.keptBodyBytes = 0;
   }
   const store = new MemoryStore();
-  store.put(CONFIGURATION_KIND, CONFIGURATION_NAME, configurationOf(1));
+  const random = seededRandom(plan.seed);
+  const configurations = createSoakConfigurations(store, random);
   const ways = await Promise.all(applications.map(() => openStoreWay(store)));
   const sidecars = await startSidecars({
     applications,
@@ -113,7 +109,14 @@
   });
   const heartbeats = setInterval(() => beatAll(sidecars), HEARTBEAT_MS);
   try {
-    return await new Soak(plan, sidecars, { store, ways }, say).run();
+    return await new Soak({
+      plan,
+      sidecars,
+      platform: { store, ways },
+      configurations,
+      random,
+      say,
+    }).run();
   } finally {
     clearInterval(heartbeats);
     await Promise.all(sidecars.map(({ process }) => process.kill()));
@@ -130,69 +133,71 @@
   }
 }
 
+/** What a soak works with. */
+interface SoakParts {
+  readonly plan: SidecarSoakPlan;
+  readonly sidecars: readonly Sidecar[];
+  readonly platform: StoreWays;
+  readonly configurations: SoakConfigurations;
+  /** Of the schedule, which no client may draw from: how many calls they make depends on the machine. */
+  readonly random: () => number;
+  readonly say: (text: string) => void;
+}
+
 class Soak {
-  private readonly requests: SoakRequest[] = [];
   private readonly faults = new Map<string, number>();
-  private readonly late: SoakBreach[] = [];
   private readonly random: () => number;
-  /** Of the clients: how many calls they make depends on the machine, the schedule does not. */
-  private readonly clientRandom: () => number;
   private readonly injector: FaultInjector;
+  private readonly clients: SoakClients;
   private readonly crashing: CrashingClients;
   /** When faults were under way. */
   private readonly spans: Span[] = [];
-  private isOver = false;
-  private afterFaults = false;
-  private version = 1;
 
-  constructor(
-    private readonly plan: SidecarSoakPlan,
-    private readonly sidecars: readonly Sidecar[],
-    private readonly platform: StoreWays,
-    say: (text: string) => void,
-  ) {
-    this.random = seededRandom(plan.seed);
-    this.clientRandom = seededRandom(plan.seed + 1);
+  constructor(private readonly parts: SoakParts) {
+    const { plan, sidecars, platform, configurations, random, say } = parts;
+    this.random = random;
+    this.clients = createSoakClients(sidecars, seededRandom(plan.seed + 1));
     this.crashing = createCrashingClients(sidecars, seededRandom(plan.seed + 2));
     this.injector = createFaultInjector({
       sidecars,
       platform,
       serviceMs: SERVICE_MS,
       slots: SLOTS,
-      changeConfiguration: () => this.changeConfiguration(),
-      random: this.random,
+      changeConfiguration: configurations.change,
+      random,
       say,
     });
   }
 
   async run(): Promise<SidecarSoakResult> {
+    const { plan, sidecars, configurations } = this.parts;
     await pause(SETTLE_MS);
-    const count = this.sidecars.length * CLIENTS_OF_A_NODE;
-    const clients = Array.from({ length: count }, (_, index) => this.callAlways(index));
+    const clients = this.clients.run();
     const crashing = this.crashing.run();
-    const until = performance.now() + this.plan.seconds * MILLISECONDS_PER_SECOND;
+    const until = performance.now() + plan.seconds * MILLISECONDS_PER_SECOND;
     while (performance.now() < until) {
       await this.strikeSeries();
-      await this.checkChange();
+      await configurations.checkChange(sidecars);
     }
     // Back ends that a request has ended, as it is granted to, are back when the recovery is looked at.
     await pause(SETTLE_MS - LONGEST_DOWN_MS);
     this.crashing.stop();
     await pause(LONGEST_DOWN_MS);
-    this.afterFaults = true;
+    this.clients.noteFaultsOver();
     await pause(RECOVERY_MS);
-    this.isOver = true;
-    await Promise.all([...clients, crashing]);
+    this.clients.stop();
+    await Promise.all([clients, crashing]);
     return this.result(await this.fleet());
   }
 
   /** What every node has in force, by the records that the store still holds. */
   private async fleet(): Promise<SoakFleet> {
-    const result = await readFleet(new StoreView(this.platform.store));
+    const { platform, configurations, sidecars } = this.parts;
+    const result = await readFleet(new StoreView(platform.store));
     const nodes = result.kind === 'known' ? result.nodes : [];
     return {
-      newest: this.version,
-      nodes: this.sidecars.map(({ name }) => ({
+      newest: configurations.version,
+      nodes: sidecars.map(({ name }) => ({
         name,
         version: nodes.find(({ node }) => node === name)?.version,
       })),
@@ -221,57 +226,10 @@
     span.until = performance.now();
   }
 
-  /** A change soon after the last fault: in force in time on every node that is in touch again. */
-  private async checkChange(): Promise<void> {
-    const calmAt = performance.now();
-    await pause(this.random() * CONTACT_MS);
-    this.changeConfiguration();
-    const { version } = this;
-    const writtenAt = performance.now();
-    const boundAt = Math.max(calmAt + CONTACT_MS, writtenAt + APPLY_MS);
-    await pause(boundAt + SLACK_MS - writtenAt);
-    for (const { name, process } of this.sidecars) {
-      const inForce = process.events.findLast(({ event }) => event === 'configuration');
-      if (Number(inForce?.version ?? 0) < version) {
-        const sinceMs = Math.round(writtenAt - calmAt);
-        const detail = `${name} has ${inForce?.version}, not ${version}, written ${sinceMs} ms after the last fault`;
-        this.late.push({ rule: SoakRule.Config, detail });
-      }
-    }
-  }
-
-  private changeConfiguration(): void {
-    this.version += 1;
-    const configuration = configurationOf(this.version);
-    this.platform.store.put(CONFIGURATION_KIND, CONFIGURATION_NAME, configuration);
-  }
-
-  /** One client: it calls on connections that it keeps, and does not ask again. */
-  private async callAlways(client: number): Promise<void> {
-    const agent = new http.Agent({ keepAlive: true });
-    for (let index = 0; !this.isOver; index += 1) {
-      const id = `soak-${client}-${index}`;
-      const repeatable = this.clientRandom() < 0.5;
-      const bodyBytes = repeatable ? 0 : pickOne(BODY_BYTES, this.clientRandom);
-      const service = pickOne(SERVICES, this.clientRandom);
-      const entry = pickOne(this.sidecars, this.clientRandom);
-      const { afterFaults } = this;
-      const { status, answer } = await send({
-        address: entry.listen.clients,
-        path: `/${service}-${repeatable ? 'safe' : 'unsafe'}/${id}`,
-        id,
-        method: repeatable ? 'GET' : 'POST',
-        bodyBytes,
-        agent,
-      });
-      this.requests.push({ id, repeatable, bodyBytes, status, answer, afterFaults });
-      await pause(status === 0 ? HEARTBEAT_MS : SERVICE_MS);
-    }
-    agent.destroy();
-  }
-
   private result(fleet: SoakFleet): SidecarSoakResult {
-    const runs: SoakRun[] = this.sidecars.flatMap(({ application }) =>
+    const { plan, sidecars, configurations } = this.parts;
+    const { requests } = this.clients;
+    const runs: SoakRun[] = sidecars.flatMap(({ application }) =>
       application.runs
         .filter((run) => !isCrashing(run))
         .map(({ requestId, bodyBytes, method }) => ({
@@ -281,19 +239,19 @@
         })),
     );
     const statuses: Record<string, number> = {};
-    for (const { status } of this.requests) {
+    for (const { status } of requests) {
       statuses[status] = (statuses[status] ?? 0) + 1;
     }
     return {
-      seed: this.plan.seed,
+      seed: plan.seed,
       faults: Object.fromEntries(this.faults),
-      requests: this.requests.length,
+      requests: requests.length,
       runs: runs.length,
-      crashes: this.sidecars.reduce((sum, each) => sum + each.application.crashes.length, 0),
+      crashes: sidecars.reduce((sum, each) => sum + each.application.crashes.length, 0),
       statuses,
       breaches: [
-        ...checkSoak(this.requests, runs, MAX_ATTEMPTS),
-        ...this.late,
+        ...checkSoak(requests, runs, MAX_ATTEMPTS),
+        ...configurations.late,
         ...checkFleet(fleet),
         ...checkCrashing(this.crashing.runs(), this.spans, CONTACT_MS),
       ],
