A bound of a drain stays where the first word of it set it

A deregistration after an acknowledged drain set the bounds of queue and sending anew, so a task that was admitted before could be sent after its first bound, and the queue was closed later. Bounds are now set once in a life of the back end, whatever it says later and however the setting changes.

--- a/src/owner/back-end-presence.ts
+++ b/src/owner/back-end-presence.ts
@@ -146,23 +146,28 @@
   }
 
   private onBackEnd(backEnd: BackEnd, isNewLife: boolean): void {
-    const { beliefClock, drainMs } = this.options;
-    // The drain of the life before does not bind the next one.
-    clearTimeout(this.fence);
     if (isNewLife) {
+      // The drain of the life before does not bind the next one.
+      clearTimeout(this.fence);
+      this.sendUntil = Number.POSITIVE_INFINITY;
       this.listener.onNewLife(backEnd);
     }
     if (backEnd.state === 'ready') {
-      this.sendUntil = Number.POSITIVE_INFINITY;
       this.unreachable = false;
       this.listener.onReady(backEnd);
-    } else {
-      this.fence = setTimeout(() => this.listener.onClosed(), drainMs() * DRAIN_QUEUE_SHARE);
-      this.sendUntil = beliefClock.now() + drainMs() * DRAIN_SEND_SHARE;
+    } else if (this.sendUntil === Number.POSITIVE_INFINITY) {
+      this.beginDrain();
     }
     this.listener.onChange(backEnd, backEnd.state);
   }
 
+  /** Once in a life: what it says of its drain later moves no bound that was acknowledged. */
+  private beginDrain(): void {
+    const { beliefClock, drainMs } = this.options;
+    this.fence = setTimeout(() => this.listener.onClosed(), drainMs() * DRAIN_QUEUE_SHARE);
+    this.sendUntil = beliefClock.now() + drainMs() * DRAIN_SEND_SHARE;
+  }
+
   /** Asks the back end who it is while that is not known. */
   askIfNeeded(): void {
     const { unverified } = this.registry;
