News, orders and messages of roll-outs and quotas are read strictly

A status of an answer that HTTP does not have made the node throw as it was written. Such messages, news and orders are now none, and what is known stays. A grant of a quota lets no more requests in than it was asked for.

--- a/src/peer/peerCodec.ts
+++ b/src/peer/peerCodec.ts
@@ -1,6 +1,7 @@
 /** How messages between nodes travel: each is a frame that holds a list, its kind first. */
 
 import { encodeFrame } from '../codec/frame.js';
+import { isAmount, isCount } from '../codec/readNumbers.js';
 import type { NotRunReason, OwnerNotRun, OwnerUnknown } from '../owner/owner.js';
 import {
   type AnswerMessage,
@@ -19,6 +20,10 @@
 import { listOfReport, readReport } from './reportCodec.js';
 import { listOfTask, readTask } from './taskCodec.js';
 
+/** Status codes that may be written (RFC 9110, section 15). */
+const LEAST_STATUS = 100;
+const LARGEST_STATUS = 999;
+
 /** Renders a message as one frame: a list that begins with its kind. */
 export function encodeMessage(message: PeerMessage): Buffer {
   return encodeFrame([message.kind, ...contentOf(message)]);
@@ -99,9 +104,11 @@
     case MessageKind.TurnedAway:
       return readTurnedAway(content);
     case MessageKind.Lost: {
-      const report = readReport(content[1]);
-      const reason = String(content[0]) as OwnerUnknown['reason'];
-      return report && { kind, outcome: { kind: 'unknown', reason }, report };
+      const [reason, told] = content;
+      const report = readReport(told);
+      return report && typeof reason === 'string'
+        ? { kind, outcome: unknownFor(reason as OwnerUnknown['reason']), report }
+        : undefined;
     }
     case MessageKind.Answer:
       return readAnswer(content);
@@ -182,8 +189,8 @@
     : undefined;
 }
 
-function isCount(value: unknown): value is number {
-  return Number.isSafeInteger(value) && (value as number) >= 0;
+function unknownFor(reason: OwnerUnknown['reason']): OwnerUnknown {
+  return { kind: 'unknown', reason };
 }
 
 function readTurnedAway([reason, arrived, retryAfterMs, told]: unknown[]):
@@ -197,18 +204,23 @@
     kind: 'not-run',
     reason: reason as NotRunReason,
     arrived: arrived === true,
-    ...(typeof retryAfterMs === 'number' ? { retryAfterMs } : {}),
+    ...(isAmount(retryAfterMs) ? { retryAfterMs } : {}),
   };
   return { kind: MessageKind.TurnedAway, outcome, report };
 }
 
 function readAnswer([status, headers, body, told]: unknown[]): AnswerMessage | undefined {
   const report = readReport(told);
-  return report && typeof status === 'number' && isTexts(headers)
+  return report && isStatus(status) && isTexts(headers)
     ? { kind: MessageKind.Answer, status, headers, body: bytesOrNone(body), report }
     : undefined;
 }
 
+/** A status code of HTTP. */
+function isStatus(value: unknown): value is number {
+  return isCount(value) && value >= LEAST_STATUS && value <= LARGEST_STATUS;
+}
+
 function listOfSender({ address, version }: PeerSender): unknown[] {
   return [address, version];
 }
--- a/src/peer/reportCodec.ts
+++ b/src/peer/reportCodec.ts
@@ -1,4 +1,5 @@
 /** How a node's report of itself travels: as a list, in a fixed order. */
+import { amountOr, isAmount, isCount } from '../codec/readNumbers.js';
 import type { PeerReport } from './peerMessages.js';
 
 /** A report tells shares and slowness in whole parts of a hundred. */
@@ -42,7 +43,7 @@
     waiting,
   ] = value as unknown[];
   const counts = [inFlight, queued, slots, version];
-  if (!counts.every(isCount)) {
+  if (!counts.every(isAmount)) {
     return undefined;
   }
   return {
@@ -51,16 +52,12 @@
     inFlight: inFlight as number,
     queued: queued as number,
     slots: slots as number,
-    meanServiceMs: typeof meanServiceMs === 'number' ? meanServiceMs : undefined,
+    meanServiceMs: amountOr(meanServiceMs, undefined),
     version: version as number,
-    failureShare: (Number(failed) || 0) / PERCENT,
+    failureShare: amountOr(failed, 0) / PERCENT,
     backEndVersion: typeof backEndVersion === 'string' ? backEndVersion : undefined,
-    bornAt: typeof bornAt === 'number' ? bornAt : undefined,
-    slowness: (Number(slowness) || PERCENT) / PERCENT,
-    waiting: Number(waiting) || 0,
+    bornAt: isCount(bornAt) ? bornAt : undefined,
+    slowness: (amountOr(slowness, PERCENT) || PERCENT) / PERCENT,
+    waiting: amountOr(waiting, 0),
   };
 }
-
-function isCount(value: unknown): value is number {
-  return typeof value === 'number' && value >= 0 && value < Number.POSITIVE_INFINITY;
-}
--- a/src/peer/taskCodec.ts
+++ b/src/peer/taskCodec.ts
@@ -1,4 +1,5 @@
 /** How the fields of a task travel between nodes: as a list, in a fixed order. */
+import { isAmount } from '../codec/readNumbers.js';
 import { NO_FINGERPRINT } from '../quarantine/fingerprint.js';
 import type { TaskFields } from './peerMessages.js';
 
@@ -42,15 +43,22 @@
   if (typeof service !== 'string' || typeof id !== 'string') {
     return undefined;
   }
+  if (typeof route !== 'string' || typeof caller !== 'string' || !isAmount(priority)) {
+    return undefined;
+  }
+  // Both are negative once their times are over.
+  if (!Number.isFinite(remaining) || !Number.isFinite(target)) {
+    return undefined;
+  }
   return {
     service,
-    route: String(route),
-    callerService: String(caller),
-    priority: Number(priority),
+    route,
+    callerService: caller,
+    priority,
     repeatable: repeatable === true,
     hasBody: hasBody === true,
-    remainingMs: Number(remaining),
-    targetMs: Number(target),
+    remainingMs: remaining as number,
+    targetMs: target as number,
     requestId: id,
     mayWait: mayWait === true,
     tenant: typeof tenant === 'string' ? tenant : undefined,
--- /dev/null
+++ b/src/rollout/rolloutNews.test.ts
@@ -0,0 +1,190 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { decodeValue, encodeValue } from '../codec/frame.js';
+import { createRolloutBook } from './rolloutBook.js';
+import { createRolloutDecider } from './rolloutDecider.js';
+import {
+  listOfRolloutNews,
+  type RolloutNews,
+  RolloutNewsKind,
+  readRolloutNews,
+} from './rolloutNews.js';
+import { RolloutPhase } from './rolloutOrder.js';
+
+const phases = Object.values(RolloutPhase).filter((each) => typeof each === 'number');
+const amounts = fc.nat();
+const counts = fc.record({
+  answered: amounts,
+  failed: amounts,
+  durations: fc.array(amounts),
+  cuts: fc.array(amounts),
+});
+
+const phaseNews = fc.record({
+  kind: fc.constant(RolloutNewsKind.Phase as const),
+  service: fc.string(),
+  orderId: fc.string(),
+  ageMs: amounts,
+  phase: fc.constantFrom(...phases),
+  versions: fc.array(fc.tuple(fc.string(), fc.string())),
+});
+
+const evidence = fc.record({
+  kind: fc.constant(RolloutNewsKind.Evidence as const),
+  service: fc.string(),
+  orderId: fc.string(),
+  ageMs: amounts,
+  node: fc.string(),
+  version: fc.option(fc.string(), { nil: undefined }),
+  readyMs: fc.option(amounts, { nil: undefined }),
+  slots: amounts,
+  load: amounts,
+  isFenced: fc.boolean(),
+  counts: fc.array(fc.tuple(fc.string(), counts)).map((routes) => new Map(routes)),
+});
+
+const resignation = fc.record({
+  kind: fc.constant(RolloutNewsKind.Resignation as const),
+  service: fc.string(),
+  node: fc.string(),
+});
+
+const news: fc.Arbitrary<RolloutNews> = fc.oneof(phaseNews, evidence, resignation);
+
+/** Of a type that no writer means, some of which no string or number can be made of. */
+const oddities = fc.oneof(
+  fc.anything(),
+  fc.constantFrom(
+    Number.NaN,
+    Number.POSITIVE_INFINITY,
+    -1,
+    {},
+    [],
+    { toString: 1, valueOf: 1 },
+    null,
+    'x',
+    true,
+  ),
+);
+
+/** News of which one part, at any depth of two, is something else. */
+const spoilt = fc.tuple(news, fc.nat(), fc.nat(), oddities).map(([told, place, inner, odd]) => {
+  const list = listOfRolloutNews(told);
+  const at = place % list.length;
+  const part = list[at];
+  if (Array.isArray(part) && part.length > 0 && inner % 2 === 0) {
+    list[at] = part.map((each, index) => (index === inner % part.length ? odd : each));
+  } else {
+    list[at] = odd;
+  }
+  return list;
+});
+
+describe('news of roll-outs', () => {
+  it('come out as they went in', () => {
+    fc.assert(
+      fc.property(news, (told) => {
+        expect(readRolloutNews(decodeValue(encodeValue(listOfRolloutNews(told))))).toEqual(told);
+      }),
+      { seed: 31, numRuns: 200 },
+    );
+  });
+
+  it('are none when they are something else', () => {
+    fc.assert(
+      fc.property(fc.anything(), (value) => {
+        expect(readRolloutNews(value)).toBeUndefined();
+      }),
+      { seed: 32, numRuns: 300 },
+    );
+  });
+
+  it('hold nothing but amounts where amounts belong, whatever was written', () => {
+    fc.assert(
+      fc.property(spoilt, (value) => {
+        const read = readRolloutNews(value);
+        expect(amountsOf(read).filter((each) => !(each >= 0 && each < Infinity))).toEqual([]);
+      }),
+      { seed: 33, numRuns: 1_000 },
+    );
+  });
+
+  it.each([['1'], [undefined], [null], [-1], [Number.NaN], [{ toString: 1, valueOf: 1 }], [[3]]])(
+    'do not say that an owner runs nothing when its load reads %j',
+    (load) => {
+      const list = listOfRolloutNews({
+        kind: RolloutNewsKind.Evidence,
+        service: 'desk',
+        orderId: '1',
+        ageMs: 0,
+        node: 'a',
+        version: 'v1',
+        readyMs: 0,
+        slots: 4,
+        load: 1,
+        isFenced: true,
+        counts: new Map(),
+      });
+      expect(readRolloutNews(list)).toBeDefined();
+      expect(readRolloutNews(list.with(8, load))).toBeUndefined();
+    },
+  );
+});
+
+function amountsOf(read: RolloutNews | undefined): number[] {
+  switch (read?.kind) {
+    case RolloutNewsKind.Phase:
+      return [read.ageMs];
+    case RolloutNewsKind.Evidence: {
+      const { ageMs, readyMs = 0, slots, load } = read;
+      const routes = [...read.counts.values()].flatMap(({ answered, failed, durations, cuts }) => [
+        answered,
+        failed,
+        ...durations,
+        ...cuts,
+      ]);
+      return [ageMs, readyMs, slots, load, ...routes];
+    }
+    default:
+      return [];
+  }
+}
+
+describe('what is known of an order', () => {
+  const order = {
+    service: 'desk',
+    targetVersion: 'v2',
+    durationMs: 12_000,
+    id: '1',
+    state: undefined,
+  };
+
+  it('stays when news that are spoilt come', () => {
+    fc.assert(
+      fc.property(fc.array(spoilt, { maxLength: 5 }), (values) => {
+        const clock = { now: () => 50 };
+        const book = createRolloutBook({ clock, staleMs: () => 3_000 });
+        book.takeOrder(order);
+        const decider = createRolloutDecider(clock, order.targetVersion);
+        for (const value of values) {
+          const list = value.with(1, 'desk').with(2, '1');
+          const read = readRolloutNews(list);
+          if (read?.kind === RolloutNewsKind.Phase) {
+            book.takePhase(read);
+          } else if (read?.kind === RolloutNewsKind.Evidence) {
+            book.noteAge(read.service, read.orderId, read.ageMs);
+            decider.take(read);
+          }
+        }
+        const running = book.running('desk');
+        expect(book.view('desk')?.order).toEqual(order);
+        if (running) {
+          expect(running.ageMs).toBeGreaterThanOrEqual(0);
+          expect(running.ageMs).toBeLessThan(Infinity);
+          expect(() => decider.step(running, { up: ['a'], contactMs: 3_000 })).not.toThrow();
+        }
+      }),
+      { seed: 34, numRuns: 500 },
+    );
+  });
+});
--- a/src/rollout/rolloutNews.ts
+++ b/src/rollout/rolloutNews.ts
@@ -1,4 +1,5 @@
 /** What nodes tell one another of a roll-out, and how it travels: as lists, in a fixed order. */
+import { isAmount } from '../codec/readNumbers.js';
 import type { PhaseWord } from './rolloutBook.js';
 import { RolloutPhase } from './rolloutOrder.js';
 import type { CountsByRoute, RouteCounts } from './runCounts.js';
@@ -92,7 +93,7 @@
   if (kind === RolloutNewsKind.Resignation) {
     return { kind, service, node: third };
   }
-  if (typeof ageMs !== 'number') {
+  if (!isAmount(ageMs)) {
     return undefined;
   }
   const head = { service, orderId: third, ageMs };
@@ -114,19 +115,15 @@
   if (value[0] !== RolloutNewsKind.Evidence || typeof node !== 'string' || !Array.isArray(routes)) {
     return undefined;
   }
+  const isKnown = isTextOrNone(version) && isAmountOrNone(readyMs);
+  // A load that cannot be read must not pass for none: an owner that runs nothing may be stopped.
+  if (!isKnown || !isAmount(slots) || !isAmount(load) || typeof isFenced !== 'boolean') {
+    return undefined;
+  }
   const counts = routes.map(readRoute);
+  const kind = RolloutNewsKind.Evidence;
   return counts.every((each) => each !== undefined)
-    ? {
-        ...head,
-        kind: RolloutNewsKind.Evidence,
-        node,
-        version: typeof version === 'string' ? version : undefined,
-        readyMs: typeof readyMs === 'number' ? readyMs : undefined,
-        slots: Number(slots) || 0,
-        load: Number(load) || 0,
-        isFenced: isFenced === true,
-        counts: new Map(counts),
-      }
+    ? { ...head, kind, node, version, readyMs, slots, load, isFenced, counts: new Map(counts) }
     : undefined;
 }
 
@@ -134,15 +131,23 @@
   const [route, answered, failed, durations, cuts] = Array.isArray(value) ? value : [];
   const isRead =
     typeof route === 'string' &&
-    typeof answered === 'number' &&
-    typeof failed === 'number' &&
-    isNumbers(durations) &&
-    isNumbers(cuts);
+    isAmount(answered) &&
+    isAmount(failed) &&
+    isAmounts(durations) &&
+    isAmounts(cuts);
   return isRead ? [route, { answered, failed, durations, cuts }] : undefined;
 }
 
-function isNumbers(value: unknown): value is number[] {
-  return Array.isArray(value) && value.every((each) => typeof each === 'number');
+function isAmounts(value: unknown): value is number[] {
+  return Array.isArray(value) && value.every(isAmount);
+}
+
+function isAmountOrNone(value: unknown): value is number | undefined {
+  return value === undefined || isAmount(value);
+}
+
+function isTextOrNone(value: unknown): value is string | undefined {
+  return value === undefined || typeof value === 'string';
 }
 
 function isPair(value: unknown): value is [string, string] {
--- a/src/tenants/quotaGate.ts
+++ b/src/tenants/quotaGate.ts
@@ -185,10 +185,12 @@
       borrowing.dryUntil.set(holder.node, now + grant.dryMs);
       borrowing.restedAt.set(holder.node, now + Math.max(grant.dryMs, DRY_MS));
     }
-    for (const resolve of borrowing.waiting.splice(0, grant.granted)) {
+    // Others have come meanwhile, for whom nothing was asked.
+    const granted = Math.min(grant.granted, wanted);
+    for (const resolve of borrowing.waiting.splice(0, granted)) {
       resolve(admitted(tenant));
     }
-    return grant.granted;
+    return granted;
   };
 
   const refuseAll = (view: QuotaView, borrowing: Borrowing): void => {
