--- a/lab/application-stand-in.ts
+++ b/lab/application-stand-in.ts
@@ -13,6 +13,8 @@
   readonly instance: string;
   /** Birth of the life that ran it. */
   readonly bornAt: number;
+  /** Of the software that ran it. */
+  readonly version: string;
   readonly method: string;
   readonly target: string;
   /** See `keptBodyBytes`. */
@@ -234,6 +236,7 @@
       requestId,
       instance: this.instance,
       bornAt: this.bornAt,
+      version: this.version,
       method: request.method ?? '',
       target: request.url ?? '',
       body: whole.subarray(0, this.keptBodyBytes).toString(),
