--- a/src/relay/relayedStore.ts
+++ b/src/relay/relayedStore.ts
@@ -156,7 +156,7 @@
     return kind === nodeKind ? paceMs * DIRECTORY_PACES : Number.POSITIVE_INFINITY;
   };
 
-  /** Undefined when no reader can speak for the store now. */
+  /** Undefined when the reader cannot speak for the store now. */
   const askReader = async (from: ZoneNode, question: StoreQuestion): Promise<ReaderAnswer> => {
     const isList = question.revision === undefined;
     const timeoutMs = isList ? LIST_PATIENCE_MS : question.waitMs + patienceMs;
@@ -174,9 +174,7 @@
     }
     restingUntil.set(from.address, clock.now() + (result ? paceMs : SILENT_REST_MS));
     noteReader(undefined, `${from.node} ${cause}`);
-    // One that has ceased to read for others says so at once: the next one may still.
-    const next = result && readerToAsk();
-    return next && askReader(next, question);
+    return undefined;
   };
 
   /** The store has not answered this node: another zone's reader may have what it says. */
