--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -90,14 +90,12 @@
     /** Size of the request's body; infinite when it is not known. */
     bodyBytes: number,
     readonly mayServe?: OwnerWish['mayServe'],
-    /** Steady time in milliseconds up to which the client waits, if it says. */
-    clientDeadlineAt?: number,
   ) {
     this.share = context.shares?.begin(task.service) ?? OPEN_SHARE;
     this.choice = createOwnerChoice({ ...context, task, bodyBytes, mayServe, share: this.share });
     this.key = crashKeyOf(task);
     const startedAt = context.clock.now();
-    const earlier = context.returns.visitOf({ key: this.key, clientDeadlineAt }, startedAt);
+    const earlier = context.returns.visitOf(this.key, startedAt);
     this.hasWaited = earlier?.isAsTold ?? false;
     // The target counts from a client's first try.
     this.targetAt = task.targetAt - (startedAt - (earlier?.firstAt ?? startedAt));
@@ -105,7 +103,6 @@
       ...context,
       service: task.service,
       key: this.key,
-      clientDeadlineAt,
       deadlineAt: task.deadlineAt,
       startedAt,
       mayServe,
--- a/src/ingress/dispatchRefusals.ts
+++ b/src/ingress/dispatchRefusals.ts
@@ -20,8 +20,6 @@
   readonly ledger: CrashLedger;
   readonly service: string;
   readonly key: RequestKey;
-  /** See `ReturningRequest`. */
-  readonly clientDeadlineAt: number | undefined;
   /** Steady time in milliseconds after which nobody waits for an answer. */
   readonly deadlineAt: number;
   /** Steady time in milliseconds at which the request came. */
@@ -47,8 +45,8 @@
 }
 
 export function createDispatchRefusals(context: DispatchRefusalsContext): DispatchRefusals {
-  const { clock, directory, returns, ledger, service, key, mayServe } = context;
-  const { clientDeadlineAt, deadlineAt, startedAt } = context;
+  const { clock, directory, returns, ledger, service, key, deadlineAt, startedAt, mayServe } =
+    context;
 
   /** Milliseconds until some owner may be asked again; infinite when none is up. */
   const restMs = (): number => directory.restMs(service, clock.now());
@@ -66,8 +64,7 @@
       lastNotRun?.retryAfterMs ?? (Number.isFinite(rest) ? rest : NO_OWNER_RETRY_AFTER_MS);
     const now = clock.now();
     const leftMs = deadlineAt - now;
-    const refused = { service, key, clientDeadlineAt, waitMs, leftMs, startedAt };
-    const retryAfterMs = returns.next(refused, now);
+    const retryAfterMs = returns.next({ service, key, waitMs, leftMs, startedAt }, now);
     return { code: 'busy', status: 503, retryAfterMs };
   };
 
--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -6,9 +6,12 @@
 import { Cancellation } from '../owner/cancellation.js';
 import type { MessageBody } from '../owner/message-body.js';
 import type { OwnerTask } from '../owner/owner.js';
+import { endToEndFields, withField } from '../owner/raw-headers.js';
+import { fingerprintOf } from '../quarantine/fingerprint.js';
 import type { MeshRoute } from '../routing/mesh-configuration.js';
 import type { MatchedRoute, RouteMatcher } from '../routing/route-matcher.js';
 import { AccessKind } from '../tenants/access.js';
+import { priorityOf } from '../tenants/priority.js';
 import type { QuotaDecision, QuotaGate, QuotaSight } from '../tenants/quotaGate.js';
 import type { MeshTenant } from '../tenants/tenant.js';
 import { type ClientRefusal, sendAnswer, sendRefusal } from './client-answer.js';
@@ -17,7 +20,6 @@
 import { type OwnerCheck, placementOf } from './placement.js';
 import { deadlineMsOf, hasBody, headBytes, takeBody } from './requestMessage.js';
 import type { RequestRecord } from './requestRecord.js';
-import { taskOfRequest } from './taskOfRequest.js';
 
 /** A request without a deadline or a time-out is given up after this time, in milliseconds. */
 const LONGEST_REQUEST_MS = 300_000;
@@ -53,8 +55,6 @@
   private readonly cancellation = new Cancellation();
   private readonly startedAt: number;
   private readonly requestId: string;
-  /** Milliseconds for which the client waits, if it says. */
-  private readonly clientWaitsMs: number | undefined;
   private route: MeshRoute | undefined;
   private service = '';
   private tenant: MeshTenant | undefined;
@@ -79,7 +79,6 @@
     this.startedAt = options.clock.now();
     const id = request.headers[options.names.requestId.toLowerCase()];
     this.requestId = typeof id === 'string' ? id : '';
-    this.clientWaitsMs = deadlineMsOf(request, options.names);
   }
 
   /**
@@ -189,7 +188,6 @@
       isStream ? 1 : matched.route.maxAttempts,
       body.kind === 'bytes' ? body.bytes.length : Number.POSITIVE_INFINITY,
       mayServe,
-      this.clientWaitsMs === undefined ? undefined : this.startedAt + this.clientWaitsMs,
     );
     this.dispatch = dispatch;
     const { result } = await dispatch.run();
@@ -204,25 +202,46 @@
     }
   }
 
-  private taskOf(matched: MatchedRoute, body: MessageBody): OwnerTask {
-    const task = taskOfRequest(this.request, body, {
+  private taskOf({ route, credential }: MatchedRoute, body: MessageBody): OwnerTask {
+    const { request, options } = this;
+    const reserved = this.access.reservedFields(this.hasTenants);
+    const fields = endToEndFields(request.rawHeaders, request.headers.connection, reserved);
+    const targetMs = Math.min(this.allowedMs, route.targetLatencyMs ?? this.allowedMs);
+    const method = request.method ?? 'GET';
+    const target = request.url ?? '/';
+    this.fingerprint = fingerprintOf({
+      method,
+      host: request.headers.host ?? '',
+      target,
+      body: body.kind === 'bytes' ? [body.bytes] : body.head,
+    });
+    return {
       requestId: this.requestId,
+      method,
+      target,
+      fingerprint: this.fingerprint,
+      headers: credential ? withField(fields, credential.header, credential.value) : fields,
       service: this.service,
-      startedAt: this.startedAt,
-      allowedMs: this.allowedMs,
+      route: route.name,
+      callerService: options.callerService(),
+      tenant: this.tenant?.name,
+      priority: priorityOf(this.tenant, route),
+      repeatable: route.kind === 'safe' && body.kind === 'bytes',
+      deadlineAt: this.startedAt + this.allowedMs,
+      targetAt: this.startedAt + targetMs,
+      hasBody: hasBody(request),
+      mayWait: true,
+      hasWaited: false,
       cancellation: this.cancellation,
-      matched,
-      tenant: this.tenant,
-      callerService: this.options.callerService(),
-      reserved: this.access.reservedFields(this.hasTenants),
-    });
-    this.fingerprint = task.fingerprint;
-    return task;
+      heldBody: body.kind === 'bytes' ? body : undefined,
+      loadBody: () => Promise.resolve(body),
+      onProgress: () => {},
+    };
   }
 
   /** One timer gives the final answer at the client's deadline or the route's time-out. */
   private startTimer(route: MeshRoute, mayClose: () => boolean): void {
-    const deadlineMs = this.clientWaitsMs ?? LONGEST_REQUEST_MS;
+    const deadlineMs = deadlineMsOf(this.request, this.options.names) ?? LONGEST_REQUEST_MS;
     const timeoutMs = route.timeoutMs ?? LONGEST_REQUEST_MS;
     this.allowedMs = Math.min(deadlineMs, timeoutMs);
     this.cancelTimer = this.options.alarms.set(() => {
--- a/src/ingress/returnTimes.ts
+++ b/src/ingress/returnTimes.ts
@@ -25,18 +25,9 @@
 /** A place is kept for so long after its time, in milliseconds: clients are not exact. */
 const LATE_MS = 1_000;
 
-/**
- * How far apart, in milliseconds, the deadlines of two tries of one client may seem: what it says travels with
- * each of them, over a connection that may have to be opened first.
- */
-const SAME_DEADLINE_MS = 50;
-
-/** Requests whose places are remembered at once; beyond them, the oldest are forgotten. */
+/** Places that are remembered at once; beyond them, the oldest are forgotten. */
 const MAX_PLACES = 4_096;
 
-/** Places of clients that send the same bytes. */
-const MAX_ALIKE = 16;
-
 interface Line {
   readonly served: SlidingCount;
   /** Steady time in milliseconds of the last return that was told. */
@@ -50,7 +41,7 @@
   /** Milliseconds after which a client is to come back. */
   next(refused: RefusedRequest, now: number): number;
   /** What is known of a request that was refused before; undefined for others. */
-  visitOf(request: ReturningRequest, now: number): EarlierVisit | undefined;
+  visitOf(key: RequestKey, now: number): EarlierVisit | undefined;
 }
 
 /** A request that was refused before. */
@@ -61,20 +52,11 @@
   readonly isAsTold: boolean;
 }
 
-/** A request that may have been here before. */
-export interface ReturningRequest {
-  /** Tells requests that are the same. */
-  readonly key: RequestKey;
-  /**
-   * Steady time in milliseconds up to which its client waits, as the client says; undefined when it does
-   * not. Many clients send the same bytes: the one that was refused still waits to the same moment.
-   */
-  readonly clientDeadlineAt: number | undefined;
-}
-
 /** A request that finds no room. */
-export interface RefusedRequest extends ReturningRequest {
+export interface RefusedRequest {
   readonly service: string;
+  /** Tells requests that are the same. */
+  readonly key: RequestKey;
   /** Milliseconds until there may be room at all. */
   readonly waitMs: number;
   /** Milliseconds for which its client would go on waiting for an answer. */
@@ -85,7 +67,6 @@
 
 interface Place {
   /** Steady times in milliseconds. */
-  readonly clientDeadlineAt: number;
   readonly returnAt: number;
   readonly firstAt: number;
 }
@@ -105,20 +86,15 @@
     return created;
   };
   /** In the order of telling. */
-  const places = new Map<string, readonly Place[]>();
-  const placesOf = (key: RequestKey, now: number): Place[] =>
-    (places.get(nameOf(key)) ?? []).filter(({ returnAt }) => now <= returnAt + LATE_MS);
-  const placeOf = ({ key, clientDeadlineAt }: ReturningRequest, now: number): Place | undefined =>
-    clientDeadlineAt === undefined
-      ? undefined
-      : placesOf(key, now).find((place) => isSameDeadline(place, clientDeadlineAt));
-  const keepPlace = (key: RequestKey, place: Place, now: number): void => {
-    const others = placesOf(key, now).filter(
-      ({ clientDeadlineAt }) => !isSameDeadline(place, clientDeadlineAt),
-    );
+  const places = new Map<string, Place>();
+  const placeOf = (key: RequestKey, now: number): Place | undefined => {
+    const place = places.get(nameOf(key));
+    return place && now <= place.returnAt + LATE_MS ? place : undefined;
+  };
+  const keepPlace = (key: RequestKey, place: Place): void => {
     const name = nameOf(key);
     places.delete(name);
-    places.set(name, [...others.slice(1 - MAX_ALIKE), place]);
+    places.set(name, place);
     const [oldest] = places.keys();
     if (oldest !== undefined && places.size > MAX_PLACES) {
       places.delete(oldest);
@@ -137,30 +113,23 @@
 
   return {
     noteServed: (service, now) => lineOf(service).served.add(now),
-    next: (refused, now) => {
-      const { service, key, clientDeadlineAt, waitMs, leftMs, startedAt } = refused;
-      const known = placeOf(refused, now);
+    next: ({ service, key, waitMs, leftMs, startedAt }, now) => {
+      const known = placeOf(key, now);
       if (known && startedAt < known.returnAt - EARLY_MS) {
         return Math.max(MIN_RETURN_MS, known.returnAt - now);
       }
       const heededAt = now + Math.max(MIN_RETURN_MS, leftMs * HEEDED_SHARE);
       const returnAt = Math.min(nextPlace(service, waitMs, now), heededAt);
-      if (clientDeadlineAt !== undefined) {
-        keepPlace(key, { clientDeadlineAt, returnAt, firstAt: known?.firstAt ?? startedAt }, now);
-      }
+      keepPlace(key, { returnAt, firstAt: known?.firstAt ?? startedAt });
       return returnAt - now;
     },
-    visitOf: (request, now) => {
-      const place = placeOf(request, now);
+    visitOf: (key, now) => {
+      const place = placeOf(key, now);
       return place && { firstAt: place.firstAt, isAsTold: now >= place.returnAt - EARLY_MS };
     },
   };
 }
 
-function isSameDeadline(place: Place, clientDeadlineAt: number): boolean {
-  return Math.abs(place.clientDeadlineAt - clientDeadlineAt) <= SAME_DEADLINE_MS;
-}
-
 function nameOf({ fingerprint, caller }: RequestKey): string {
   return `${fingerprint} ${caller}`;
 }
