--- a/src/directory/owner-directory.test.ts
+++ b/src/directory/owner-directory.test.ts
@@ -68,18 +68,6 @@
     expect(chosen(directory, 5_000)).toBe('1');
   });
 
-  it('asks an owner less whose node is slow to say its first word, until that is long ago', () => {
-    const directory = directoryOf(record('1'), record('2'));
-    entry(directory, '1').noteReport(peerReport({ inFlight: 0 }), 0);
-    entry(directory, '2').noteReport(peerReport({ inFlight: 1 }), 0);
-    expect(chosen(directory, 10)).toBe('1');
-    entry(directory, '1').noteReply(200, 10);
-    expect(chosen(directory, 20)).toBe('2');
-    entry(directory, '1').noteReport(peerReport({ inFlight: 0 }), 2_010);
-    entry(directory, '2').noteReport(peerReport({ inFlight: 1 }), 2_010);
-    expect(chosen(directory, 2_010)).toBe('1');
-  });
-
   it('leaves a busy owner alone for a moment, but offers it what is more urgent', () => {
     const directory = directoryOf(record('1'));
     entry(directory, '1').noteTurnedAway('busy', 2, 1_000, 0);
--- a/src/directory/owner-directory.ts
+++ b/src/directory/owner-directory.ts
@@ -127,8 +127,7 @@
       const jitter = 1 + this.random() * SCORE_JITTER;
       const factor = entry.isLocal ? LOCAL_FACTOR : 1;
       const expectedMs = entry.expectedMs(now, typicalMs) * jitter * factor;
-      const wayMs = entry.lagMs(now) + this.transferMs(entry, wish.bodyBytes ?? 0);
-      const score = expectedMs + wayMs;
+      const score = expectedMs + this.transferMs(entry, wish.bodyBytes ?? 0);
       if (group < bestGroup || score < bestScore) {
         best = entry;
         bestGroup = group;
--- a/src/directory/owner-entry.ts
+++ b/src/directory/owner-entry.ts
@@ -35,12 +35,6 @@
 /** A share above this makes no further difference. */
 const MAX_FAILURE_SHARE = 0.9;
 
-/** Weight of the newest first word in the moving average of the time that it takes. */
-const REPLY_WEIGHT = 0.3;
-
-/** How long an owner took for its first word is believed less and less for so long, in milliseconds. */
-const REPLY_LIFETIME_MS = 2_000;
-
 /** Assumed until an owner has reported. */
 const DEFAULT_SLOTS = 4;
 
@@ -57,8 +51,6 @@
   private version: string | undefined;
   private reportedAt = Number.NEGATIVE_INFINITY;
   private outstandingAtReport = 0;
-  private replyMs = 0;
-  private repliedAt = Number.NEGATIVE_INFINITY;
   private restUntil = 0;
   private restPriority = 0;
 
@@ -124,21 +116,6 @@
     return this.failureShare(now) >= FAILING_SHARE;
   }
 
-  /** The owner's node has said its first word on an offer after so many milliseconds. */
-  noteReply(tookMs: number, now: number): void {
-    const known = this.lagMs(now);
-    this.replyMs = known + (tookMs - known) * REPLY_WEIGHT;
-    this.repliedAt = now;
-  }
-
-  /**
-   * Milliseconds that the owner's node takes for its first word: long where its processor or a link is
-   * choked, whatever its back end could do. Forgotten in time, so that it is tried again.
-   */
-  lagMs(now: number): number {
-    return this.replyMs * Math.max(0, 1 - (now - this.repliedAt) / REPLY_LIFETIME_MS);
-  }
-
   /** How far the last report is believed: from 1 to 0 as it grows old. */
   private belief(now: number): number {
     return Math.max(0, 1 - (now - this.reportedAt) / SERVICE_TIME_LIFETIME_MS);
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -75,9 +75,6 @@
   /** True once a back end may have run the request. */
   private mayHaveRun = false;
   private lastNotRun: OwnerNotRun | undefined;
-  /** True if the client was refused before and has waited as it was told. */
-  private readonly hasWaited: boolean;
-  private readonly targetAt: number;
   private readonly choice: OwnerChoice;
   private readonly share: RequestShare;
   private readonly key: RequestKey;
@@ -94,17 +91,10 @@
     this.share = context.shares?.begin(task.service) ?? OPEN_SHARE;
     this.choice = createOwnerChoice({ ...context, task, bodyBytes, mayServe, share: this.share });
     this.key = crashKeyOf(task);
-    const startedAt = context.clock.now();
-    const earlier = context.returns.visitOf(this.key, startedAt);
-    this.hasWaited = earlier?.isAsTold ?? false;
-    // The target counts from a client's first try.
-    this.targetAt = task.targetAt - (startedAt - (earlier?.firstAt ?? startedAt));
     this.refusals = createDispatchRefusals({
       ...context,
       service: task.service,
       key: this.key,
-      deadlineAt: task.deadlineAt,
-      startedAt,
       mayServe,
     });
   }
@@ -192,8 +182,7 @@
     if (this.arrivals >= this.maxAttempts) {
       return this.giveUp('attempts-spent');
     }
-    const { route } = this.task;
-    if (!this.context.offerLimit.allows(route, this.tried.size, this.hasWaited)) {
+    if (!this.context.offerLimit.allows(this.task.service, this.tried.size)) {
       const hasNoRoom = !this.mayHaveRun && this.lastNotRun?.reason === 'busy';
       return hasNoRoom ? this.refusals.noRoom(this.fate) : this.giveUp('attempts-spent');
     }
@@ -227,8 +216,7 @@
     this.share.noteOffer(entry.record.node);
     // A suspect has this one owner to run at.
     const mayWait = this.choice.mayWaitAt(entry) || this.standing === Standing.Suspect;
-    const { hasWaited, targetAt } = this;
-    const task = { ...this.task, mayWait, hasWaited, targetAt };
+    const task = { ...this.task, mayWait };
     this.running.add(startAttempt({ entry, task, clock: this.context.clock, earlier }));
   }
 
@@ -247,7 +235,7 @@
     this.noteShare(entry, outcome);
     if (outcome.kind === 'answer' || (outcome.kind === 'not-run' && outcome.reason === 'busy')) {
       const isTaken = outcome.kind === 'answer';
-      this.context.offerLimit.note(this.task.route, attempt.earlier, isTaken);
+      this.context.offerLimit.note(this.task.service, attempt.earlier, isTaken);
     }
     if (outcome.kind === 'not-run') {
       const isBusyNear = outcome.reason === 'busy' && this.context.directory.isNear(entry);
--- a/src/ingress/dispatchRefusals.ts
+++ b/src/ingress/dispatchRefusals.ts
@@ -20,10 +20,6 @@
   readonly ledger: CrashLedger;
   readonly service: string;
   readonly key: RequestKey;
-  /** Steady time in milliseconds after which nobody waits for an answer. */
-  readonly deadlineAt: number;
-  /** Steady time in milliseconds at which the request came. */
-  readonly startedAt: number;
   readonly mayServe: OwnerWish['mayServe'];
 }
 
@@ -45,8 +41,7 @@
 }
 
 export function createDispatchRefusals(context: DispatchRefusalsContext): DispatchRefusals {
-  const { clock, directory, returns, ledger, service, key, deadlineAt, startedAt, mayServe } =
-    context;
+  const { clock, directory, returns, ledger, service, key, mayServe } = context;
 
   /** Milliseconds until some owner may be asked again; infinite when none is up. */
   const restMs = (): number => directory.restMs(service, clock.now());
@@ -62,9 +57,7 @@
     const rest = restMs();
     const waitMs =
       lastNotRun?.retryAfterMs ?? (Number.isFinite(rest) ? rest : NO_OWNER_RETRY_AFTER_MS);
-    const now = clock.now();
-    const leftMs = deadlineAt - now;
-    const retryAfterMs = returns.next({ service, key, waitMs, leftMs, startedAt }, now);
+    const retryAfterMs = returns.next(service, waitMs, clock.now());
     return { code: 'busy', status: 503, retryAfterMs };
   };
 
--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -11,14 +11,13 @@
 import type { MeshRoute } from '../routing/mesh-configuration.js';
 import type { MatchedRoute, RouteMatcher } from '../routing/route-matcher.js';
 import { AccessKind } from '../tenants/access.js';
-import { priorityOf } from '../tenants/priority.js';
 import type { QuotaDecision, QuotaGate, QuotaSight } from '../tenants/quotaGate.js';
 import type { MeshTenant } from '../tenants/tenant.js';
 import { type ClientRefusal, sendAnswer, sendRefusal } from './client-answer.js';
 import type { ClientAccess, ClientAccessContext } from './clientAccess.js';
 import { Dispatch, type DispatchContext } from './dispatch.js';
 import { type OwnerCheck, placementOf } from './placement.js';
-import { deadlineMsOf, hasBody, headBytes, takeBody } from './requestMessage.js';
+import { hasBody, headBytes, takeBody } from './requestMessage.js';
 import type { RequestRecord } from './requestRecord.js';
 
 /** A request without a deadline or a time-out is given up after this time, in milliseconds. */
@@ -225,13 +224,12 @@
       route: route.name,
       callerService: options.callerService(),
       tenant: this.tenant?.name,
-      priority: priorityOf(this.tenant, route),
+      priority: this.tenant?.priority ?? route.priority,
       repeatable: route.kind === 'safe' && body.kind === 'bytes',
       deadlineAt: this.startedAt + this.allowedMs,
       targetAt: this.startedAt + targetMs,
       hasBody: hasBody(request),
       mayWait: true,
-      hasWaited: false,
       cancellation: this.cancellation,
       heldBody: body.kind === 'bytes' ? body : undefined,
       loadBody: () => Promise.resolve(body),
@@ -241,7 +239,8 @@
 
   /** One timer gives the final answer at the client's deadline or the route's time-out. */
   private startTimer(route: MeshRoute, mayClose: () => boolean): void {
-    const deadlineMs = deadlineMsOf(this.request, this.options.names) ?? LONGEST_REQUEST_MS;
+    const asked = Number(this.request.headers[this.options.names.deadline.toLowerCase()]);
+    const deadlineMs = Number.isFinite(asked) && asked > 0 ? asked : LONGEST_REQUEST_MS;
     const timeoutMs = route.timeoutMs ?? LONGEST_REQUEST_MS;
     this.allowedMs = Math.min(deadlineMs, timeoutMs);
     this.cancelTimer = this.options.alarms.set(() => {
--- a/src/ingress/requestMessage.ts
+++ b/src/ingress/requestMessage.ts
@@ -1,6 +1,5 @@
 /** A client's request as it came: the size of its head, and its body. */
 import type http from 'node:http';
-import type { HeaderNames } from '../owner/header-names.js';
 import { collectBody, EMPTY_BODY, type MessageBody } from '../owner/message-body.js';
 import type { MeshLimits } from '../routing/mesh-configuration.js';
 
@@ -15,15 +14,6 @@
   return request.rawHeaders.reduce((sum, text) => sum + text.length + FIELD_FRAMING_BYTES, 0);
 }
 
-/** Milliseconds that the client waits for its answer, if it says. */
-export function deadlineMsOf(
-  request: http.IncomingMessage,
-  { deadline }: Pick<HeaderNames, 'deadline'>,
-): number | undefined {
-  const asked = Number(request.headers[deadline.toLowerCase()]);
-  return Number.isFinite(asked) && asked > 0 ? asked : undefined;
-}
-
 export function hasBody(request: http.IncomingMessage): boolean {
   const length = request.headers['content-length'];
   return request.headers['transfer-encoding'] !== undefined || Number(length ?? 0) > 0;
--- a/src/owner/admission-control.test.ts
+++ b/src/owner/admission-control.test.ts
@@ -1,7 +1,6 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { AdmissionControl, type Waiter } from './admission-control.js';
-import type { AdmissionRequest } from './admissionRequest.js';
+import { AdmissionControl, type AdmissionRequest, type Waiter } from './admission-control.js';
 
 function request(overrides: Partial<AdmissionRequest> = {}): AdmissionRequest {
   return {
@@ -88,21 +87,6 @@
     expect(decision.kind === 'busy' && decision.retryAfterMs).toBeGreaterThan(0);
   });
 
-  it('queues a task only if an uneven service time leaves it room, and lets it wait on after that', () => {
-    const admission = new AdmissionControl();
-    admission.setSlots(2, 0);
-    for (let index = 0; index < 200; index += 1) {
-      admission.started();
-      admission.finished(request(), index % 2 === 0 ? 50 : 150, 0);
-    }
-    admission.started();
-    admission.started();
-    // The wait is 50 ms, the service time 100 ms on average and 200 ms at the most.
-    expect(admission.decide(request({ targetAt: 200 }), 0).kind).toBe('busy');
-    expect(admission.decide(request({ targetAt: 270 }), 0).kind).toBe('wait');
-    expect(admission.latestStartAt(request({ targetAt: 270 }))).toBeGreaterThan(150);
-  });
-
   it('turns a task that may not wait away unless a slot is free', () => {
     const admission = full(2, 100);
     expect(admission.decide(request({ mayWait: false }), 0).kind).toBe('busy');
@@ -145,88 +129,6 @@
     expect(fate).toEqual(['stale is turned away', 'fresh runs']);
   });
 
-  it('lets calls of running back ends go before clients of the same priority, not of a higher one', () => {
-    const admission = full(1, 10);
-    const fate: string[] = [];
-    admission.enqueue(waiterOf(request(), fate, 'client'));
-    admission.enqueue(waiterOf(request({ isCall: true }), fate, 'call'));
-    admission.enqueue(waiterOf(request({ priority: 0 }), fate, 'urgent client'));
-    for (let index = 0; index < 3; index += 1) {
-      admission.finished(request(), 10, 20);
-      admission.started();
-    }
-    expect(fate).toEqual(['urgent client runs', 'call runs', 'client runs']);
-  });
-
-  it('lets clients that have waited as told go before new ones of the same priority', () => {
-    const admission = full(1, 10);
-    const fate: string[] = [];
-    admission.enqueue(waiterOf(request(), fate, 'new'));
-    admission.enqueue(waiterOf(request({ hasWaited: true }), fate, 'returned'));
-    for (let index = 0; index < 2; index += 1) {
-      admission.finished(request(), 10, 20);
-      admission.started();
-    }
-    expect(fate).toEqual(['returned runs', 'new runs']);
-  });
-
-  it('lets a call wait up to its deadline: its parent is lost if it fails', () => {
-    const admission = full(2, 100);
-    const late = { targetAt: 140, deadlineAt: 1_000 };
-    expect(admission.decide(request(late), 0).kind).toBe('busy');
-    expect(admission.decide(request({ ...late, isCall: true }), 0).kind).toBe('wait');
-    const hopeless = { targetAt: 140, deadlineAt: 140 };
-    expect(admission.decide(request({ ...hopeless, isCall: true }), 0).kind).toBe('busy');
-  });
-
-  it('leaves clients a part of the slots when calls would take them all', () => {
-    const admission = new AdmissionControl();
-    const fate: string[] = [];
-    const call = request({ isCall: true });
-    admission.setSlots(4, 0);
-    for (let index = 0; index < 4; index += 1) {
-      admission.started(call);
-    }
-    for (const [name, asked] of [
-      ['call', call],
-      ['client', request()],
-    ] as const) {
-      const waiter = waiterOf(asked, fate, name);
-      admission.enqueue({
-        ...waiter,
-        admit: () => {
-          admission.started(asked);
-          waiter.admit();
-        },
-      });
-    }
-    admission.finished(call, 10, 10);
-    expect(fate).toEqual(['client runs']);
-    admission.finished(call, 10, 10);
-    expect(fate).toEqual(['client runs', 'call runs']);
-  });
-
-  it('turns a task away as soon as those who came before it leave it no time', () => {
-    const admission = full(2, 100);
-    const fate: string[] = [];
-    const upload = request({ priority: 2, targetAt: 800 });
-    const pick = request({ targetAt: 3_000, deadlineAt: 3_000 });
-    admission.enqueue(waiterOf(upload, fate, 'upload'));
-    for (let index = 0; index < 20; index += 1) {
-      const waiter = waiterOf(pick, fate, 'pick');
-      admission.enqueue({
-        ...waiter,
-        admit: () => {
-          admission.started(pick);
-          waiter.admit();
-        },
-      });
-    }
-    admission.finished(pick, 100, 20);
-    // Twenty ahead of it take a second on two slots; it could wait 680 ms.
-    expect(fate).toEqual(['pick runs', 'upload is turned away']);
-  });
-
   it('forgets a task that was taken back', () => {
     const admission = full(1, 10);
     const fate: string[] = [];
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -4,8 +4,7 @@
 import type { BackEnd, Heartbeat } from '../registry/back-end-registry.js';
 import type { BackEndLife } from '../registry/backEndLife.js';
 import type { BackEndRun } from '../rollout/runCounts.js';
-import { AdmissionControl } from './admission-control.js';
-import type { AdmissionRequest } from './admissionRequest.js';
+import { AdmissionControl, type AdmissionRequest } from './admission-control.js';
 import { BackEndConnections } from './back-end-agent.js';
 import { BackEndPresence, type BackEndPresenceOptions } from './back-end-presence.js';
 import {
@@ -15,7 +14,6 @@
   type ObservedRun,
 } from './backEndObservations.js';
 import { backEndRunOf, type EndedCall } from './backEndRun.js';
-import { createCalledRoutes } from './calledRoutes.js';
 import type { MessageBody } from './message-body.js';
 import {
   crashKeyOf,
@@ -57,7 +55,6 @@
   private readonly admission: AdmissionControl;
   private readonly presence: BackEndPresence;
   private readonly connections = new BackEndConnections();
-  private readonly called = createCalledRoutes();
   private readonly observations: BackEndObservations;
   private readonly calls: WatchedCalls;
   private stopping = false;
@@ -139,9 +136,8 @@
     const times: TaskTimes = { arrivedAt: this.options.clock.now() };
     const outcome = await this.admitAndRun(task, times);
     const instance = this.presence.backEnd?.instance;
-    const isCall = this.called.isCalled(task.route);
     const now = this.options.clock.now();
-    this.options.onTask(taskRecordOf({ task, outcome, times, instance, isCall, now }));
+    this.options.onTask(taskRecordOf({ task, outcome, times, instance, now }));
     return outcome;
   }
 
@@ -154,12 +150,7 @@
       return turnedAway('busy', FENCED_RETRY_MS);
     }
     const { clock } = this.options;
-    this.called.note(task.route, task.callerService);
-    const request = {
-      ...task,
-      runsAlone: this.standingOf(task) === Standing.Suspect,
-      isCall: this.called.isCalled(task.route),
-    };
+    const request = { ...task, runsAlone: this.standingOf(task) === Standing.Suspect };
     const decision = this.admission.decide(request, clock.now());
     if (decision.kind === 'busy') {
       return turnedAway('busy', decision.retryAfterMs);
--- a/src/owner/owner-report.ts
+++ b/src/owner/owner-report.ts
@@ -1,4 +1,5 @@
 /** What an owner tells of itself and of its tasks. */
+
 /** One task that has left this owner, for logs and metrics. */
 export interface TaskRecord {
   readonly requestId: string;
@@ -6,9 +7,6 @@
   readonly fingerprint: string;
   readonly route: string;
   readonly service: string;
-  readonly priority: number;
-  /** True if a running back end waits for the answer, as far as known. */
-  readonly isCall: boolean;
   /** Kind of the outcome, with its status or reason. */
   readonly result: string;
   readonly instance: string | undefined;
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -24,13 +24,13 @@
   readonly callerService: string;
   /** Name of the tenant whose key the request carries; undefined for calls, public routes and without tenants. */
   readonly tenant: string | undefined;
-  /** 0 is the most urgent; see `priorityOf`. */
+  /** 0 is the most urgent. */
   readonly priority: number;
   /** True if a back end may run the request more than once. */
   readonly repeatable: boolean;
   /** Steady time in milliseconds after which nobody waits for an answer. */
   readonly deadlineAt: number;
-  /** Steady time in milliseconds until which an answer is worth most, counted from the first try. */
+  /** Steady time in milliseconds until which an answer is worth most. */
   readonly targetAt: number;
   readonly hasBody: boolean;
   /**
@@ -38,8 +38,6 @@
    * zone whose own owners are up, so waiting here would only change places.
    */
   readonly mayWait: boolean;
-  /** True if the client was refused before and has come back as it was told. */
-  readonly hasWaited: boolean;
   readonly cancellation: Cancellation;
   /** The body, if it is held whole and can so be sent more than once. */
   readonly heldBody: BytesBody | undefined;
--- a/src/owner/serviceTimes.test.ts
+++ b/src/owner/serviceTimes.test.ts
@@ -51,15 +51,4 @@
     pace = 10;
     expect(times.expectedMs('read')).toBeLessThan(150);
   });
-
-  it('bound an even time closely and an uneven one widely', () => {
-    const times = createServiceTimes();
-    for (let task = 0; task < 200; task += 1) {
-      times.note('even', 100, 1);
-      times.note('uneven', task % 2 === 0 ? 50 : 150, 1);
-    }
-    expect(times.boundMs('even')).toBeCloseTo(100);
-    expect(times.boundMs('uneven')).toBeGreaterThan(190);
-    expect(times.boundMs('uneven')).toBeLessThan(215);
-  });
 });
--- a/src/owner/serviceTimes.ts
+++ b/src/owner/serviceTimes.ts
@@ -11,13 +11,6 @@
 /** Assumed time, in milliseconds, until one has been seen. */
 const INITIAL_MS = 20;
 
-/**
- * Mean deviations above the expected time within which a task is counted on to be done: about nineteen in
- * twenty where times are spread evenly around their mean (Jacobson, "Congestion Avoidance and Control",
- * 1988, keeps mean and mean deviation alike).
- */
-const COUNTED_DEVIATIONS = 2;
-
 interface Averages {
   /** Milliseconds that tasks took. */
   plainMs: number;
@@ -28,8 +21,6 @@
 export interface ServiceTimes {
   /** Milliseconds that a task of a route is expected to take now. */
   expectedMs(route: string): number;
-  /** Milliseconds within which almost every task of a route is done. */
-  boundMs(route: string): number;
   /** The same over all routes; undefined until a task has ended. */
   readonly meanMs: number | undefined;
   /** Milliseconds over all routes, or what is assumed. */
@@ -41,23 +32,15 @@
 /** `slowness` tells how long work takes now, as a multiple of what is usual. */
 export function createServiceTimes(slowness: () => number = () => 1): ServiceTimes {
   const routes = new Map<string, Averages>();
-  /** Mean deviation of tasks of a route from what was expected of them, in milliseconds. */
-  const deviations = new Map<string, number>();
   let all: Averages | undefined;
   let plainError = 0;
   let toldError = 0;
 
-  const expectedAt = ({ plainMs, usualMs }: Averages, told: number): number =>
-    toldError < plainError ? usualMs * told : plainMs;
-
-  const expected = (averages: Averages | undefined): number =>
-    averages ? expectedAt(averages, slowness()) : INITIAL_MS;
-
-  const expectedMs = (route: string): number => expected(routes.get(route) ?? all);
-
-  const noteDeviation = (route: string, ms: number): void => {
-    const known = deviations.get(route) ?? 0;
-    deviations.set(route, known + (ms - known) * WEIGHT);
+  const expected = (averages: Averages | undefined): number => {
+    if (!averages) {
+      return INITIAL_MS;
+    }
+    return toldError < plainError ? averages.usualMs * slowness() : averages.plainMs;
   };
 
   const noteErrors = ({ plainMs, usualMs }: Averages, tookMs: number, told: number): void => {
@@ -66,8 +49,7 @@
   };
 
   return {
-    expectedMs,
-    boundMs: (route) => expectedMs(route) + COUNTED_DEVIATIONS * (deviations.get(route) ?? 0),
+    expectedMs: (route) => expected(routes.get(route) ?? all),
     get meanMs() {
       return all && expected(all);
     },
@@ -77,7 +59,6 @@
     note: (route, tookMs, told) => {
       const known = routes.get(route);
       if (known) {
-        noteDeviation(route, Math.abs(tookMs - expectedAt(known, told)));
         noteErrors(known, tookMs, told);
       }
       routes.set(route, averaged(known, tookMs, told));
--- a/src/owner/slotWait.ts
+++ b/src/owner/slotWait.ts
@@ -1,8 +1,7 @@
 /** A task's wait for a slot of the back end. */
 import type { Alarms } from '../model/alarms.js';
 import type { Clock } from '../model/clock.js';
-import type { AdmissionControl, Waiter } from './admission-control.js';
-import type { AdmissionRequest } from './admissionRequest.js';
+import type { AdmissionControl, AdmissionRequest, Waiter } from './admission-control.js';
 import { type NotRunReason, type OwnerOutcome, type OwnerTask, turnedAway } from './owner.js';
 
 /** What the wait needs of its owner. */
@@ -44,7 +43,7 @@
     const cancelTimer = alarms.set(() => {
       admission.remove(waiter);
       waiter.turnAway(admission.retryAfterMs());
-    }, admission.latestStartAt(request) - now);
+    }, admission.latestStartAt(task) - now);
     const release = () => {
       cancelTimer();
       forget();
--- a/src/owner/taskRecord.ts
+++ b/src/owner/taskRecord.ts
@@ -16,13 +16,10 @@
   readonly times: TaskTimes;
   /** Id of the back end that was to run it. */
   readonly instance: string | undefined;
-  /** True if a running back end waits for the answer, as far as known. */
-  readonly isCall: boolean;
   readonly now: number;
 }
 
-export function taskRecordOf(ended: EndedTask): TaskRecord {
-  const { task, outcome, times, instance, isCall, now } = ended;
+export function taskRecordOf({ task, outcome, times, instance, now }: EndedTask): TaskRecord {
   const { arrivedAt, admittedAt, sentAt } = times;
   const result =
     outcome.kind === 'answer' ? `answer ${outcome.status}` : `${outcome.kind} ${outcome.reason}`;
@@ -31,8 +28,6 @@
     fingerprint: task.fingerprint,
     route: task.route,
     service: task.service,
-    priority: task.priority,
-    isCall,
     result,
     instance,
     queuedMs: Math.round((admittedAt ?? now) - arrivedAt),
--- a/src/peer/peerMessages.test.ts
+++ b/src/peer/peerMessages.test.ts
@@ -37,7 +37,6 @@
     targetMs: fc.integer(),
     requestId: fc.string(),
     mayWait: fc.boolean(),
-    hasWaited: fc.boolean(),
     fingerprint: fc.string(),
   }),
   method: fc.string(),
--- a/src/peer/peerMessages.ts
+++ b/src/peer/peerMessages.ts
@@ -88,7 +88,6 @@
   readonly targetMs: number;
   readonly requestId: string;
   readonly mayWait: boolean;
-  readonly hasWaited: boolean;
   readonly fingerprint: string;
 }
 
@@ -232,7 +231,6 @@
     targetMs: Math.floor(task.targetAt - now),
     requestId: task.requestId,
     mayWait: task.mayWait,
-    hasWaited: task.hasWaited,
     fingerprint: task.fingerprint,
   };
 }
--- a/src/peer/taskCodec.ts
+++ b/src/peer/taskCodec.ts
@@ -18,7 +18,6 @@
     task.mayWait,
     task.fingerprint,
     task.tenant,
-    task.hasWaited,
   ];
 }
 
@@ -40,7 +39,6 @@
     mayWait,
     fingerprint,
     tenant,
-    hasWaited,
   ] = value as unknown[];
   if (typeof service !== 'string' || typeof id !== 'string') {
     return undefined;
@@ -63,7 +61,6 @@
     targetMs: target as number,
     requestId: id,
     mayWait: mayWait === true,
-    hasWaited: hasWaited === true,
     tenant: typeof tenant === 'string' ? tenant : undefined,
     fingerprint: typeof fingerprint === 'string' ? fingerprint : NO_FINGERPRINT,
   };
--- a/src/sidecar/ownerEntries.ts
+++ b/src/sidecar/ownerEntries.ts
@@ -36,10 +36,7 @@
       clock,
       sender,
       traits: { onSent, window: bulkWindowOf(settings().linkMbps, known.linkMbps) },
-      onReply: (tookMs) => {
-        entry.noteReply(tookMs, clock.now());
-        onReply(tookMs);
-      },
+      onReply,
       onReport: (told) => {
         entry.noteReport(told, clock.now());
         onVersion(known.address, told.version);
--- a/test/fixtures.ts
+++ b/test/fixtures.ts
@@ -42,7 +42,6 @@
     targetAt: 500,
     hasBody: false,
     mayWait: true,
-    hasWaited: false,
     cancellation: new Cancellation(),
     heldBody: EMPTY_BODY,
     loadBody: () => Promise.resolve(EMPTY_BODY),
