--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -11,6 +11,7 @@
 import type { MeshRoute } from '../routing/mesh-configuration.js';
 import type { MatchedRoute, RouteMatcher } from '../routing/route-matcher.js';
 import { AccessKind } from '../tenants/access.js';
+import { priorityOf } from '../tenants/priority.js';
 import type { QuotaDecision, QuotaGate, QuotaSight } from '../tenants/quotaGate.js';
 import type { MeshTenant } from '../tenants/tenant.js';
 import { type ClientRefusal, sendAnswer, sendRefusal } from './client-answer.js';
@@ -224,7 +225,7 @@
       route: route.name,
       callerService: options.callerService(),
       tenant: this.tenant?.name,
-      priority: this.tenant?.priority ?? route.priority,
+      priority: priorityOf(this.tenant, route),
       repeatable: route.kind === 'safe' && body.kind === 'bytes',
       deadlineAt: this.startedAt + this.allowedMs,
       targetAt: this.startedAt + targetMs,
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -24,7 +24,7 @@
   readonly callerService: string;
   /** Name of the tenant whose key the request carries; undefined for calls, public routes and without tenants. */
   readonly tenant: string | undefined;
-  /** 0 is the most urgent. */
+  /** 0 is the most urgent; see `priorityOf`. */
   readonly priority: number;
   /** True if a back end may run the request more than once. */
   readonly repeatable: boolean;
