--- a/test/quotaWays.test.ts
+++ b/test/quotaWays.test.ts
@@ -1,6 +1,7 @@
 /** Ways of keeping quotas together, played without a network: none may break the bound, the product's refuses few. */
 import { describe, expect, it } from 'vitest';
-import { playQuotaTrial, type QuotaTrial, QuotaWay } from '../lab/quotaTrial.js';
+import { playQuotaTrial, type QuotaTrial } from '../lab/quotaTrial.js';
+import { QuotaWay } from '../lab/quotaWays.js';
 
 const TROUBLES: readonly [string, Omit<QuotaTrial, 'way' | 'nodes' | 'seed'>][] = [
   ['hot, 3 times', { heat: 3 }],
