Roll-outs: no request to a version that was taken back from a node that has just met one of its owners

Cause: beside load one request of 40 runs of the test reached the version 0.9 s after every node knew that its order was gone. Two ways lead there: an owner that has come within the 100 ms in which a node looks at the versions was in neither group and so counted as another's, and one that has not told its version passed while a version was taken back, though not while it is ordered. Which of the two it was is not shown by a log; both have a test that failed first.

--- a/src/rollout/versionRules.ts
+++ b/src/rollout/versionRules.ts
@@ -43,8 +43,8 @@
   readonly phase: RolloutPhase;
   /** Nodes whose back ends the rule is about; an unknown version may be the one that is held back. */
   readonly limited: ReadonlySet<string>;
-  /** Owners of the service besides. */
-  readonly others: number;
+  /** Owners of the service besides; one in neither set has come since and may have any version. */
+  readonly others: ReadonlySet<string>;
 }
 
 export interface VersionRules {
@@ -162,8 +162,9 @@
       };
     }
     if (banned.size > 0) {
+      const mayBeBanned = knowsMost(survey);
       const isLimited = (version: string | undefined) =>
-        version !== undefined && banned.has(version);
+        version === undefined ? mayBeBanned : banned.has(version);
       return { key: 'withdrawn', isLimited, phase: RolloutPhase.Halt };
     }
     return isListed() ? appearing(service, survey) : unlisted(survey);
@@ -177,9 +178,12 @@
         return undefined;
       }
       const { key, phase, isLimited } = rule;
-      const named = [...survey.versionOf].filter(([, version]) => isLimited(version));
-      const limited = new Set(named.map(([node]) => node));
-      return { key, phase, limited, others: survey.versionOf.size - limited.size };
+      const limited = new Set<string>();
+      const others = new Set<string>();
+      for (const [node, version] of survey.versionOf) {
+        (isLimited(version) ? limited : others).add(node);
+      }
+      return { key, phase, limited, others };
     },
   };
 }
--- a/src/rollout/versionShares.test.ts
+++ b/src/rollout/versionShares.test.ts
@@ -190,6 +190,20 @@
     expect(alone.begin('desk').usual).toBeUndefined();
   });
 
+  it('sends nothing to owners that have not told a version, while one is taken back', () => {
+    const fresh = { node: 'new-3', version: undefined };
+    const shares = sharesOf({ withdrawn: ['v2'], owners: [...OWNERS, fresh] });
+    expect(shares.begin('desk').usual?.('new-3')).toBe(false);
+  });
+
+  it('sends nothing to owners that have come since it last looked, while a version is held back', () => {
+    for (const setup of [{ view: {} }, { withdrawn: ['v2'] }]) {
+      const share = sharesOf(setup).begin('desk');
+      expect(share.usual?.('old-1')).toBe(true);
+      expect(share.usual?.('new-3')).toBe(false);
+    }
+  });
+
   it('is open everywhere without bounds', () => {
     const shares = createVersionShares({
       clock: { now: () => 0 },
--- a/src/rollout/versionShares.ts
+++ b/src/rollout/versionShares.ts
@@ -139,7 +139,7 @@
       return (node) => limited.has(node);
     }
     const { service } = account;
-    const offered = mayBeAny ? limited : loadedOf(service, [...limited], others);
+    const offered = mayBeAny ? limited : loadedOf(service, [...limited], others.size);
     return (node) => offered.has(node) && account.bad < OWN_BAD_LIMIT && allows(account);
   };
 
@@ -150,7 +150,7 @@
     const mayBeAny = random() < SPREAD_SHARE;
     const ruleNow = (): VersionRule | undefined => {
       const rule = rules.of(service);
-      return rule && rule.limited.size > 0 && rule.others > 0 ? rule : undefined;
+      return rule && rule.limited.size > 0 && rule.others.size > 0 ? rule : undefined;
     };
     return {
       get preferred() {
@@ -164,9 +164,10 @@
         if (!rule) {
           return undefined;
         }
-        const { limited, phase } = rule;
+        const { limited, others, phase } = rule;
         const getsAll = phase === RolloutPhase.Shift || phase === RolloutPhase.Done;
-        return (node: string) => limited.has(node) === getsAll;
+        const served = getsAll ? limited : others;
+        return (node: string) => served.has(node);
       },
       noteOffer: (node) => {
         const rule = ruleNow();
