Roll-outs: versions are told on half a second after they are heard of, and once more when an order is gone

Cause: a decision log of the failing run: of seven nodes' directories four knew two or three of the seven versions when the order was taken back, half a second after it was made: unknown ones count as usual while most are unknown, so one request in 300 went to the version 1.1 s later. The decider told versions with its phases, every two seconds. Excluded: an order read again after its removal, requests that had waited (their own times).

--- a/src/directory/rolloutSteering.ts
+++ b/src/directory/rolloutSteering.ts
@@ -30,6 +30,9 @@
 const LEASE_RENEWAL_MS = 500;
 const PHASE_RENEWAL_MS = 2_000;
 
+/** Versions that this node has heard of since are told on after this time, in milliseconds: one report each. */
+const VERSION_RENEWAL_MS = 500;
+
 /** What changed, for the log. */
 export interface RolloutChange {
   readonly service: string;
@@ -56,6 +59,8 @@
   takeEvidence(evidence: EvidenceNews): void;
   /** Decides and carries out, if that falls to this node. */
   steer(rollout: RunningRollout): void;
+  /** An order is gone: what is known of the versions is told once more, since its version gets nothing now. */
+  noteRemoved(order: RolloutOrder): void;
   /** A status was written, or the store did not take it. */
   noteWritten(order: RolloutOrder, state: RolloutState, result: 'ok' | StoreFailure): void;
 }
@@ -65,6 +70,8 @@
   readonly begun: number;
   readonly decider: RolloutDecider;
   toldAt: number;
+  /** Owners whose version has been told with it. */
+  toldVersions: number;
   reason: string;
 }
 
@@ -82,6 +89,7 @@
       begun,
       decider: createRolloutDecider(clock, targetVersion),
       toldAt: Number.NEGATIVE_INFINITY,
+      toldVersions: 0,
       reason: '',
     };
     works.set(service, created);
@@ -90,8 +98,10 @@
 
   const tellPhase = (order: RolloutOrder, phase: RolloutPhase): void => {
     const work = works.get(order.service);
+    const versions = work?.decider.versions ?? [];
     if (work) {
       work.toldAt = clock.now();
+      work.toldVersions = versions.length;
     }
     const news: PhaseNews = {
       kind: RolloutNewsKind.Phase,
@@ -99,7 +109,7 @@
       orderId: order.id,
       phase,
       ageMs: book.running(order.service)?.ageMs ?? 0,
-      versions: work?.decider.versions ?? [],
+      versions,
     };
     context.onPhase(news);
     broadcast.tell(NewsTopic.RollOuts, listOfRolloutNews(news));
@@ -121,6 +131,13 @@
     contactMs: contactMs(),
   });
 
+  const renewalMs = (phase: RolloutPhase, { decider, toldVersions }: OrderWork): number => {
+    if (isLeased(phase) || phase === RolloutPhase.Halt) {
+      return LEASE_RENEWAL_MS;
+    }
+    return decider.versions.length > toldVersions ? VERSION_RENEWAL_MS : PHASE_RENEWAL_MS;
+  };
+
   const carryOut = (rollout: RunningRollout, { phase }: RolloutStep, work: OrderWork): void => {
     const { order } = rollout;
     if (phase === RolloutPhase.Done) {
@@ -130,9 +147,7 @@
     }
     // Until the status is written, the other versions get nothing and wait for their end.
     const shown = phase === RolloutPhase.Done ? RolloutPhase.Shift : phase;
-    const isUrgent = isLeased(shown) || shown === RolloutPhase.Halt;
-    const paceMs = isUrgent ? LEASE_RENEWAL_MS : PHASE_RENEWAL_MS;
-    if (shown !== rollout.phase || clock.now() - work.toldAt >= paceMs) {
+    if (shown !== rollout.phase || clock.now() - work.toldAt >= renewalMs(shown, work)) {
       tellPhase(order, shown);
     }
   };
@@ -162,6 +177,13 @@
       }
       carryOut(rollout, step, work);
     },
+    noteRemoved: (order) => {
+      const work = works.get(order.service);
+      if (work && election.isDecider(order.service)) {
+        tellPhase(order, RolloutPhase.Watch);
+      }
+      works.delete(order.service);
+    },
     noteWritten: (order, state, result) => {
       const { service, targetVersion } = order;
       context.onChange({ service, change: 'status', detail: { targetVersion, state, result } });
--- a/src/directory/rolloutSync.ts
+++ b/src/directory/rolloutSync.ts
@@ -82,7 +82,11 @@
 
   const removeObject = (service: string): void => {
     if (held.delete(service)) {
+      const order = book.running(service)?.order;
       book.remove(service);
+      if (order) {
+        steering.noteRemoved(order);
+      }
       onChange({ service, change: 'removed', detail: {} });
     }
   };
