A follower whose spare reader has ceased to read asks its first reader before the store

Cause, from a trace of 15 starts beside load (2 of 15 failed, both slow ones): a node whose first reader does not read yet at the start asks the spare one for 300 ms, and its watch of the crash records waits there for seconds. The spare reads for others until 5 s after it was last asked, so in the middle of that watch it ceases, follows the first reader itself and is no longer fresh: it says "unavailable", and the follower sent that watch to the store (history gone, one list more: 2 calls of 0), though its first reader would have answered.

Change: a watch that a reader ends with "unavailable" goes to a reader that comes before it in the follower's order and does not rest, and only then to the store. Readers after it are not asked (tried in: they know no earlier version, and send it whole). A configuration goes to the store at once, as before: its bound has room for one call more.

Excluded: a loss of history as such (the first reader's list took 1 ms in the trace), a late proof of reach.

--- a/src/relay/relayedStore.test.ts
+++ b/src/relay/relayedStore.test.ts
@@ -152,6 +152,47 @@
   expect(asked).toEqual([READER.address, spare.address]);
 });
 
+/**
+ * A follower whose first reader does not read yet when it is asked first, and whose spare reader reads
+ * for others only for as long as the first one rests, and a little longer.
+ */
+function followerOfSpareReader() {
+  const spare = { node: 'spare', zone: 'a', address: '10.0.0.2:1' };
+  const asked: string[] = [];
+  const { relayed, view } = nodeWith({
+    zonePart: () => ({ role: ZoneRole.Follower, readers: [READER, spare], elsewhere: () => [] }),
+    ask: async (address, { kind, revision = 0 }) => {
+      asked.push(`${address} ${kind}`);
+      if (address === spare.address) {
+        await new Promise((resolve) => setTimeout(resolve, 1.5 * PACE_MS));
+      }
+      return address === spare.address || asked.length === 1
+        ? { ok: false, failure: 'unavailable', detail: 'zone reader' }
+        : { ok: true, value: { events: [], revision } };
+    },
+  });
+  return { relayed, view, asked, spare };
+}
+
+it('a follower whose spare reader has ceased to read asks its first reader, not the store', async () => {
+  const { relayed, view, asked, spare } = followerOfSpareReader();
+  await relayed.watch(NODES, 1, 10_000);
+  const before = view.calls;
+  expect(await relayed.watch('quarantines', 1, 10_000)).toMatchObject({ ok: true });
+  expect(view.calls).toBe(before);
+  expect(asked.slice(1)).toEqual([`${spare.address} quarantines`, `${READER.address} quarantines`]);
+  expect(relayed.isFollowing).toBe(true);
+});
+
+it('a configuration that no reader told of in time is asked of the store at once', async () => {
+  const { relayed, view, asked, spare } = followerOfSpareReader();
+  await relayed.watch(NODES, 1, 10_000);
+  const before = view.calls;
+  expect(await relayed.watch(CONFIGURATION, 1, 10_000)).toMatchObject({ ok: true });
+  expect(view.calls).toBe(before + 1);
+  expect(asked.slice(1)).toEqual([`${spare.address} ${CONFIGURATION}`]);
+});
+
 it('a follower’s own watch ends once its reader may be asked again', async () => {
   let isFresh = false;
   const { relayed } = nodeWith({
--- a/src/relay/relayedStore.ts
+++ b/src/relay/relayedStore.ts
@@ -113,13 +113,9 @@
       context.onReader(next, cause);
     }
   };
-  const readerToAsk = (): ZoneNode | undefined => {
-    if (isReader()) {
-      return undefined;
-    }
-    const now = clock.now();
-    return zonePart().readers.find(({ address }) => now >= (restingUntil.get(address) ?? 0));
-  };
+  const isAwake = ({ address }: ZoneNode) => clock.now() >= (restingUntil.get(address) ?? 0);
+  const readerToAsk = (): ZoneNode | undefined =>
+    isReader() ? undefined : zonePart().readers.find(isAwake);
 
   const watchStore = async <Spec>(
     kind: string,
@@ -156,34 +152,49 @@
     return kind === nodeKind ? paceMs * DIRECTORY_PACES : Number.POSITIVE_INFINITY;
   };
 
-  /** Undefined when the reader cannot speak for the store now. */
+  /** Undefined when the reader is silent; as unavailable when it cannot speak for the store now. */
   const askReader = async (from: ZoneNode, question: StoreQuestion): Promise<ReaderAnswer> => {
     const isList = question.revision === undefined;
     const timeoutMs = isList ? LIST_PATIENCE_MS : question.waitMs + patienceMs;
     const base = cache.onlyRevision(question.kind);
     const result = await ask(from.address, { ...question, base }, timeoutMs);
-    if (result?.ok || result?.failure === 'history-gone') {
+    if (spoken(result)) {
       noteReader(from.node, 'answered');
       watches.release();
       return result;
     }
-    const cause = result ? 'unavailable' : 'silent';
     if (!result) {
       // What silenced one connection of this node may have silenced those to the store.
       store.closeIdle();
     }
     restingUntil.set(from.address, clock.now() + (result ? paceMs : SILENT_REST_MS));
-    noteReader(undefined, `${from.node} ${cause}`);
-    return undefined;
+    noteReader(undefined, `${from.node} ${result ? 'unavailable' : 'silent'}`);
+    return result;
+  };
+
+  /**
+   * Asks a reader, and if that has ceased to read, the one that it was asked in place of: a node that
+   * reads only because others asked it while their first reader rested ceases when they ask no more,
+   * and a watch that still waits there ends so. Readers that come after it are not asked: they know
+   * no earlier version of what this node holds, and would send it whole. A configuration is asked of
+   * the store at once, since the time within which it must be in force has room for one more call.
+   */
+  const watchReader = async (from: ZoneNode, question: StoreQuestion): Promise<ReaderAnswer> => {
+    const answer = await askReader(from, question);
+    const hasCeased = answer !== undefined && !spoken(answer);
+    if (!hasCeased || question.kind === hurriedKind || isReader()) {
+      return spoken(answer);
+    }
+    const { readers } = zonePart();
+    const place = readers.findIndex(({ address }) => address === from.address);
+    const preferred = readers.slice(0, Math.max(place, 0)).find(isAwake);
+    return preferred && (await watchReader(preferred, question));
   };
 
   /** The store has not answered this node: another zone's reader may have what it says. */
   const askElsewhere = async (question: StoreQuestion) => {
-    const now = clock.now();
-    const from = zonePart()
-      .elsewhere()
-      .find(({ address }) => now >= (restingUntil.get(address) ?? 0));
-    return from && (await askReader(from, question));
+    const from = zonePart().elsewhere().find(isAwake);
+    return from && spoken(await askReader(from, question));
   };
 
   /** What a reader has answered is known here from now on. */
@@ -257,7 +268,7 @@
         return alone.watch<Spec>(kind, revision, waitMs);
       }
       const longestMs = Math.min(waitMs, longestWaitMs(kind));
-      const answer = await askReader(from, { kind, revision, waitMs: longestMs });
+      const answer = await watchReader(from, { kind, revision, waitMs: longestMs });
       return answer
         ? taken<Spec>(kind, revision, answer)
         : alone.watch<Spec>(kind, revision, CATCH_UP_WAIT_MS);
@@ -284,3 +295,8 @@
     close: () => store.close(),
   };
 }
+
+/** An answer that speaks for the store. */
+function spoken(answer: ReaderAnswer): ReaderAnswer {
+  return answer?.ok || answer?.failure === 'history-gone' ? answer : undefined;
+}
