--- a/src/owner/back-end-agent.ts
+++ b/src/owner/back-end-agent.ts
@@ -5,6 +5,7 @@
  */
 import http from 'node:http';
 import type { Socket } from 'node:net';
+import { closeIdleConnections } from '../model/idleConnections.js';
 
 /** An idle connection is closed after this time, in milliseconds: sooner than servers usually do. */
 const IDLE_LIMIT_MS = 4_000;
@@ -52,14 +53,9 @@
     return repeatable ? this.kept : this.fresh;
   }
 
-  /**
-   * Closes kept connections that are idle, after one that was kept brought no answer: connections may
-   * go silent for good, without a reset, while new ones work.
-   */
+  /** Closes kept connections that are idle, after one that was kept brought no answer. */
   closeIdle(): void {
-    for (const socket of Object.values(this.kept.freeSockets).flatMap((sockets) => sockets ?? [])) {
-      socket.destroy();
-    }
+    closeIdleConnections(this.kept);
   }
 
   /** Another life of the back end is there: what leads to the one before is not used again. */
--- a/src/relay/storeCache.ts
+++ b/src/relay/storeCache.ts
@@ -4,6 +4,7 @@
  * to date, not to see every step.
  */
 import type { Clock } from '../model/clock.js';
+import { createWaiters, type Waiters } from '../model/waiters.js';
 import type {
   StoreChanges,
   StoredObject,
@@ -73,7 +74,8 @@
   since: number;
   revision: number;
   removed: number;
-  readonly waiting: Set<() => void>;
+  /** Those who are to be told of the next change. */
+  readonly waiting: Waiters;
 }
 
 export function createStoreCache({ clock, reach, freshMs }: StoreCacheContext): StoreCache {
@@ -81,11 +83,6 @@
   let askedAt = Number.NEGATIVE_INFINITY;
 
   const freshLeftMs = () => reach.answeredAt + freshMs - clock.now();
-  const wake = (cached: CachedKind) => {
-    for (const callback of [...cached.waiting]) {
-      callback();
-    }
-  };
   const answerOf = (cached: CachedKind, question: StoreQuestion) => {
     const { revision } = question;
     if (revision !== undefined && revision < cached.since) {
@@ -113,7 +110,7 @@
       const items = listing.items.map((object) => shareWithKnown(known, object));
       if (listing.revision > known.revision) {
         bringUpToDate(known, items, listing.revision);
-        wake(known);
+        known.waiting.wakeAll();
       }
       return { ...listing, items };
     },
@@ -131,7 +128,7 @@
       known.revision = Math.max(known.revision, revision);
       forgetRemoved(known);
       if (events.length > 0) {
-        wake(known);
+        known.waiting.wakeAll();
       }
       return { events, revision };
     },
@@ -144,7 +141,7 @@
       if (object.revision > known.revision) {
         noteChange(known, { object: shared, gone: false }, object.revision);
         known.revision = object.revision;
-        wake(known);
+        known.waiting.wakeAll();
       }
       return shared;
     },
@@ -170,7 +167,7 @@
         if (hasNews || question.revision === undefined || leftMs <= 0) {
           return answer;
         }
-        await nextChange(cached, Math.min(leftMs, freshLeftMs()));
+        await cached.waiting.wait(Math.min(leftMs, freshLeftMs()));
       }
       return failed('unavailable');
     },
@@ -181,7 +178,7 @@
   const changes = new Map(
     items.map((object) => [object.name, { event: { object, gone: false }, at: object.revision }]),
   );
-  return { changes, earlier: [], since: revision, revision, removed: 0, waiting: new Set() };
+  return { changes, earlier: [], since: revision, revision, removed: 0, waiting: createWaiters() };
 }
 
 /** The object of a kind that has no other. */
@@ -246,18 +243,6 @@
   }
 }
 
-function nextChange(cached: CachedKind, waitMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    const done = () => {
-      clearTimeout(timer);
-      cached.waiting.delete(done);
-      resolve();
-    };
-    const timer = setTimeout(done, waitMs);
-    cached.waiting.add(done);
-  });
-}
-
 function failed(failure: 'unavailable' | 'history-gone') {
   return { ok: false, failure, detail: 'zone reader' } as const;
 }
--- a/src/relay/storeReach.ts
+++ b/src/relay/storeReach.ts
@@ -4,6 +4,7 @@
  * for a while may never answer what it was sent meanwhile.
  */
 import type { Clock } from '../model/clock.js';
+import { createWaiters } from '../model/waiters.js';
 
 /** What is needed of the node. */
 export interface StoreReachContext {
@@ -26,7 +27,7 @@
 export function createStoreReach({ clock, onChange }: StoreReachContext): StoreReach {
   let answeredAt = Number.NEGATIVE_INFINITY;
   let isInDoubt = false;
-  const waiting = new Set<() => void>();
+  const waiting = createWaiters();
   const change = (next: boolean, detail: string) => {
     if (next !== isInDoubt) {
       isInDoubt = next;
@@ -43,20 +44,9 @@
     noteAnswered: () => {
       answeredAt = clock.now();
       change(false, 'answered');
-      for (const resume of [...waiting]) {
-        resume();
-      }
+      waiting.wakeAll();
     },
     noteSilence: (detail) => change(true, detail),
-    regained: (waitMs) =>
-      new Promise((resolve) => {
-        const resume = () => {
-          clearTimeout(timer);
-          waiting.delete(resume);
-          resolve();
-        };
-        const timer = setTimeout(resume, waitMs);
-        waiting.add(resume);
-      }),
+    regained: (waitMs) => waiting.wait(waitMs),
   };
 }
