--- a/src/quarantine/crashLedger.ts
+++ b/src/quarantine/crashLedger.ts
@@ -10,15 +10,11 @@
  * been beside a crash.
  */
 
-import { NO_FINGERPRINT } from './fingerprint.js';
+import { createCompletedRuns } from './completedRuns.js';
+import { crashesIn, createCrashEntries, noteLife } from './crashEntries.js';
+import { distinctKeys, keyText, type RequestKey } from './requestKey.js';
 
-/** A request, and who it came from. */
-export interface RequestKey {
-  /** See `fingerprintOf`. */
-  readonly fingerprint: string;
-  /** Service that runs on the machine where it began, and the tenant that sent it, if any. */
-  readonly caller: string;
-}
+export type { RequestKey } from './requestKey.js';
 
 /** A request that was under way when its back end crashed. */
 export interface RequestUnderWay extends RequestKey {
@@ -60,36 +56,6 @@
  */
 export const QUARANTINE_MS = 600_000;
 
-/**
- * What has run to its end here within this time, in milliseconds, is not to blame for a crash beside
- * others: so a request that many clients send alike stays clear, though it is under nearly every crash.
- */
-const COMPLETED_MS = 10_000;
-
-/** Requests that are remembered as completed: 400 a second for as long as they count. */
-const MAX_COMPLETED = 4_096;
-
-/** Requests of which crashes are remembered: 1 MB at the most; one crash adds up to the slots of a back end. */
-const MAX_ENTRIES = 2_048;
-
-/** Lives of back ends that are told apart for one request: more make no difference. */
-const MAX_LIVES = 8;
-
-interface Entry {
-  /** Names of the lives that ended under the request. */
-  readonly lives: Set<string>;
-  /** Callers whose request was under a crash. */
-  readonly callers: Set<string>;
-  /** Callers whose request ran to its end since. */
-  readonly cleared: Set<string>;
-  /** Callers whose request is quarantined, with the steady time of that in milliseconds. */
-  readonly quarantined: Map<string, number>;
-  /** Crashes that were told without naming the lives. */
-  toldCrashes: number;
-  /** Steady time in milliseconds of the last crash that was heard of. */
-  lastAt: number;
-}
-
 /** One per node. `now` is a steady time in milliseconds. */
 export interface CrashLedger {
   standingOf(key: RequestKey, now: number): Standing;
@@ -114,58 +80,18 @@
 }
 
 export function createCrashLedger(): CrashLedger {
-  const entries = new Map<string, Entry>();
-  /** Steady times in milliseconds of runs that ended well, the oldest first. */
-  const completed = new Map<string, number>();
-
-  const hasCompleted = (key: RequestKey, now: number): boolean =>
-    now - (completed.get(nameOf(key)) ?? Number.NEGATIVE_INFINITY) < COMPLETED_MS;
-
-  const noteRun = (key: RequestKey, now: number): void => {
-    const name = nameOf(key);
-    completed.delete(name);
-    completed.set(name, now);
-    if (completed.size > MAX_COMPLETED) {
-      completed.delete(completed.keys().next().value as string);
-    }
-  };
-
-  const entryOf = (fingerprint: string, now: number): Entry => {
-    const entry = entries.get(fingerprint) ?? newEntry();
-    entry.lastAt = now;
-    // Put in anew, so that the order stays that of the last crashes.
-    entries.delete(fingerprint);
-    entries.set(fingerprint, entry);
-    makeRoom();
-    return entry;
-  };
-
-  /** Requests that somebody makes up to fill the memory push out one another before any quarantine. */
-  const makeRoom = (): void => {
-    if (entries.size <= MAX_ENTRIES) {
-      return;
-    }
-    for (const [fingerprint, { quarantined }] of entries) {
-      if (quarantined.size === 0) {
-        entries.delete(fingerprint);
-        return;
-      }
-    }
-    entries.delete(entries.keys().next().value as string);
-  };
+  const entries = createCrashEntries();
+  const completed = createCompletedRuns();
 
-  const blame = (life: string, { fingerprint, caller }: RequestKey, now: number): Entry => {
-    const entry = entryOf(fingerprint, now);
-    if (entry.lives.size < MAX_LIVES) {
-      entry.lives.add(life);
-    }
+  const blame = (life: string, { fingerprint, caller }: RequestKey, now: number): void => {
+    const entry = entries.touch(fingerprint, now);
+    noteLife(entry, life);
     entry.callers.add(caller);
     entry.cleared.delete(caller);
-    return entry;
   };
 
   const quarantine = ({ fingerprint, caller }: RequestKey, now: number): boolean => {
-    const entry = entryOf(fingerprint, now);
+    const entry = entries.touch(fingerprint, now);
     const since = entry.quarantined.get(caller) ?? Number.NEGATIVE_INFINITY;
     const isNew = now - since >= QUARANTINE_MS;
     entry.toldCrashes = Math.max(entry.toldCrashes, SUSPECT_CRASHES);
@@ -213,15 +139,15 @@
       return since === undefined ? 0 : Math.max(0, since + QUARANTINE_MS - now);
     },
     noteCompleted: (key, now) => {
-      noteRun(key, now);
+      completed.note(key, now);
       const isSuspect = standingOf(key, now) === Standing.Suspect;
       clear(key);
       return isSuspect ? { ...NO_NEWS, cleared: [key] } : undefined;
     },
     noteCrash: (life, underWay, now) => {
       // The same request may run on a back end more than once at a time.
-      const isAlone = new Set(underWay.map(nameOf)).size === 1;
-      const suspects = uniqueOf(underWay).filter((key) => isAlone || !hasCompleted(key, now));
+      const isAlone = new Set(underWay.map(keyText)).size === 1;
+      const suspects = distinctKeys(underWay).filter((key) => isAlone || !completed.has(key, now));
       for (const key of suspects) {
         blame(life, key, now);
       }
@@ -234,7 +160,7 @@
     },
     takeNews: ({ life, suspects, quarantined, cleared }, now) => {
       for (const key of suspects) {
-        if (life !== undefined && !hasCompleted(key, now)) {
+        if (life !== undefined && !completed.has(key, now)) {
           blame(life, key, now);
         }
       }
@@ -242,8 +168,8 @@
       return quarantined.filter((key) => quarantine(key, now));
     },
     takeSuspicion: (key, crashes, now) => {
-      if (!hasCompleted(key, now)) {
-        const entry = entryOf(key.fingerprint, now);
+      if (!completed.has(key, now)) {
+        const entry = entries.touch(key.fingerprint, now);
         entry.toldCrashes = Math.max(entry.toldCrashes, crashes);
         entry.callers.add(key.caller);
       }
@@ -257,38 +183,14 @@
       return entry ? crashesIn(entry) : 0;
     },
     quarantined: (now) =>
-      [...entries].flatMap(([fingerprint, entry]) =>
-        [...entry.quarantined.keys()]
-          .map((caller) => ({ fingerprint, caller }))
-          .filter((key) => standingOf(key, now) === Standing.Quarantined),
-      ),
+      entries
+        .all()
+        .flatMap(([fingerprint, entry]) =>
+          [...entry.quarantined.keys()]
+            .map((caller) => ({ fingerprint, caller }))
+            .filter((key) => standingOf(key, now) === Standing.Quarantined),
+        ),
   };
 }
 
 const NO_NEWS: CrashNews = { life: undefined, suspects: [], quarantined: [], cleared: [] };
-
-function newEntry(): Entry {
-  return {
-    lives: new Set(),
-    callers: new Set(),
-    cleared: new Set(),
-    quarantined: new Map(),
-    toldCrashes: 0,
-    lastAt: 0,
-  };
-}
-
-function crashesIn({ lives, toldCrashes }: Entry): number {
-  return Math.max(lives.size, toldCrashes);
-}
-
-function nameOf({ fingerprint, caller }: RequestKey): string {
-  return `${fingerprint} ${caller}`;
-}
-
-function uniqueOf(keys: readonly RequestKey[]): RequestKey[] {
-  const known = keys
-    .filter(({ fingerprint }) => fingerprint !== NO_FINGERPRINT)
-    .map(({ fingerprint, caller }) => ({ fingerprint, caller }));
-  return [...new Map(known.map((key) => [nameOf(key), key])).values()];
-}
