--- a/src/cli/runCli.ts
+++ b/src/cli/runCli.ts
@@ -1,21 +1,13 @@
 /** The command line of the operators: words to commands, nothing else. */
 import yargs, { type Argv } from 'yargs';
-import {
-  apply,
-  type CommandContext,
-  diff,
-  explainRequest,
-  get,
-  putSecret,
-  status,
-  validate,
-  waitInForce,
-} from './commands.js';
+import { apply, waitInForce } from './applyCommand.js';
+import { type CommandContext, diff, explainRequest, get, status, validate } from './commands.js';
 import { ExitCode } from './exitCode.js';
 import type { OperatorOutside } from './operatorOutside.js';
 import { createOutput, type Write } from './output.js';
 import { liftQuarantine, listQuarantines } from './quarantineCommands.js';
 import { addRolloutCommands } from './rolloutWords.js';
+import { putSecret } from './secretCommands.js';
 import { listTenants, showTenant } from './tenantCommands.js';
 
 const DEFAULT_WAIT_SECONDS = 30;
--- /dev/null
+++ b/src/cli/secretCommands.ts
@@ -0,0 +1,34 @@
+/** The command about secrets: a configuration names them by their digests. */
+import { readFileSync } from 'node:fs';
+import { secretDigest } from '../routing/completeConfiguration.js';
+import { Reading } from '../source/object-store.js';
+import { SECRET_KIND, type SecretObject } from '../source/supplier.js';
+import type { CommandContext } from './commands.js';
+import { ExitCode } from './exitCode.js';
+import { unavailable } from './failures.js';
+import { reportWrite } from './writeReport.js';
+
+/** Writes the value of a secret and prints the digest by which a configuration names it. */
+export async function putSecret(
+  { store, output }: CommandContext,
+  name: string,
+  file: string,
+): Promise<ExitCode> {
+  const value = readFileSync(file, 'utf8').trimEnd();
+  const listed = await store.list<SecretObject>(SECRET_KIND, Reading.Now);
+  if (!listed.ok) {
+    return unavailable(listed.failure, output);
+  }
+  const known = listed.value.items.find((item) => item.name === name);
+  const result = known
+    ? await store.replace<SecretObject>(SECRET_KIND, { ...known, spec: { value } })
+    : await store.create<SecretObject>(SECRET_KIND, name, { value });
+  if (!result.ok) {
+    return result.failure === 'conflict'
+      ? reportWrite({ kind: 'conflict', version: undefined }, output)
+      : unavailable(result.failure, output);
+  }
+  const digest = secretDigest(value);
+  output.result({ name, digest }, () => `Secret ${name} has the digest ${digest}.`);
+  return ExitCode.Ok;
+}
--- /dev/null
+++ b/src/cli/writeReport.ts
@@ -0,0 +1,37 @@
+/** What became of a write to the store, as an operator is told. */
+import { ExitCode } from './exitCode.js';
+import type { Output } from './output.js';
+import type { WriteResult } from './storedConfiguration.js';
+
+/** Prints it and gives the program's exit code. */
+export function reportWrite(result: WriteResult, output: Output): ExitCode {
+  output.result(result, () => describeWrite(result));
+  switch (result.kind) {
+    case 'accepted':
+      return ExitCode.Ok;
+    case 'conflict':
+      return ExitCode.Conflict;
+    case 'rejected':
+      return ExitCode.Rejected;
+    case 'unavailable':
+      return ExitCode.Unavailable;
+    default:
+      return ExitCode.Unknown;
+  }
+}
+
+function describeWrite(result: WriteResult): string {
+  switch (result.kind) {
+    case 'accepted':
+      return `Accepted as version ${result.version}.`;
+    case 'conflict':
+      return (
+        `Somebody else has changed it: the store is at version ${result.version ?? '?'}. ` +
+        'Nothing was written.'
+      );
+    case 'unknown':
+      return 'It is not known whether the change was written: apply the same file again.';
+    default:
+      return `Not written: the store says ${result.failure}.`;
+  }
+}
