A client's request: its time limit and the task that owners are offered stand apart

No change of behaviour: src/ingress, test/sidecar-data-path, pipelining, whole-path, tenants and layout pass.

--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -6,23 +6,19 @@
 import { Cancellation } from '../owner/cancellation.js';
 import type { MessageBody } from '../owner/message-body.js';
 import type { OwnerTask } from '../owner/owner.js';
-import { endToEndFields, withField } from '../owner/raw-headers.js';
-import { fingerprintOf } from '../quarantine/fingerprint.js';
 import type { MeshRoute } from '../routing/mesh-configuration.js';
 import type { MatchedRoute, RouteMatcher } from '../routing/route-matcher.js';
 import { AccessKind } from '../tenants/access.js';
-import { priorityOf } from '../tenants/priority.js';
 import type { QuotaDecision, QuotaGate, QuotaSight } from '../tenants/quotaGate.js';
 import type { MeshTenant } from '../tenants/tenant.js';
 import { type ClientRefusal, sendAnswer, sendRefusal } from './client-answer.js';
 import type { ClientAccess, ClientAccessContext } from './clientAccess.js';
 import { Dispatch, type DispatchContext } from './dispatch.js';
+import { ownerTaskOf } from './ownerTask.js';
 import { type OwnerCheck, placementOf } from './placement.js';
 import { hasBody, headBytes, takeBody } from './requestMessage.js';
 import type { RequestRecord } from './requestRecord.js';
-
-/** A request without a deadline or a time-out is given up after this time, in milliseconds. */
-const LONGEST_REQUEST_MS = 300_000;
+import { timeLimitOf } from './timeLimit.js';
 
 /** Told while no configuration is known, or a newer one may exist, in milliseconds. */
 const NO_CONFIGURATION_RETRY_AFTER_MS = 250;
@@ -202,56 +198,36 @@
     }
   }
 
-  private taskOf({ route, credential }: MatchedRoute, body: MessageBody): OwnerTask {
-    const { request, options } = this;
-    const reserved = this.access.reservedFields(this.hasTenants);
-    const fields = endToEndFields(request.rawHeaders, request.headers.connection, reserved);
-    const targetMs = Math.min(this.allowedMs, route.targetLatencyMs ?? this.allowedMs);
-    const method = request.method ?? 'GET';
-    const target = request.url ?? '/';
-    this.fingerprint = fingerprintOf({
-      method,
-      host: request.headers.host ?? '',
-      target,
-      body: body.kind === 'bytes' ? [body.bytes] : body.head,
-    });
-    return {
+  private taskOf(matched: MatchedRoute, body: MessageBody): OwnerTask {
+    const task = ownerTaskOf({
+      request: this.request,
       requestId: this.requestId,
-      method,
-      target,
-      fingerprint: this.fingerprint,
-      headers: credential ? withField(fields, credential.header, credential.value) : fields,
+      matched,
+      body,
+      reserved: this.access.reservedFields(this.hasTenants),
       service: this.service,
-      route: route.name,
-      callerService: options.callerService(),
-      tenant: this.tenant?.name,
-      priority: priorityOf(this.tenant, route),
-      repeatable: route.kind === 'safe' && body.kind === 'bytes',
-      deadlineAt: this.startedAt + this.allowedMs,
-      targetAt: this.startedAt + targetMs,
-      hasBody: hasBody(request),
-      mayWait: true,
+      callerService: this.options.callerService(),
+      tenant: this.tenant,
+      startedAt: this.startedAt,
+      allowedMs: this.allowedMs,
       cancellation: this.cancellation,
-      heldBody: body.kind === 'bytes' ? body : undefined,
-      loadBody: () => Promise.resolve(body),
-      onProgress: () => {},
-    };
+    });
+    this.fingerprint = task.fingerprint;
+    return task;
   }
 
   /** One timer gives the final answer at the client's deadline or the route's time-out. */
   private startTimer(route: MeshRoute, mayClose: () => boolean): void {
-    const asked = Number(this.request.headers[this.options.names.deadline.toLowerCase()]);
-    const deadlineMs = Number.isFinite(asked) && asked > 0 ? asked : LONGEST_REQUEST_MS;
-    const timeoutMs = route.timeoutMs ?? LONGEST_REQUEST_MS;
-    this.allowedMs = Math.min(deadlineMs, timeoutMs);
+    const deadlineField = this.options.names.deadline.toLowerCase();
+    const { allowedMs, code } = timeLimitOf(this.request, deadlineField, route);
+    this.allowedMs = allowedMs;
     this.cancelTimer = this.options.alarms.set(() => {
       // The dispatch knows whether the request may have run, and ends at once.
       this.cancellation.cancel();
       if (!this.dispatch) {
-        const code = timeoutMs <= deadlineMs ? 'timeout' : 'deadline';
         this.refuse({ code, status: 503, retryAfterMs: 0 }, mayClose());
       }
-    }, this.allowedMs);
+    }, allowedMs);
   }
 
   private refuse(refusal: ClientRefusal, closes: boolean): void {
