--- a/src/directory/directory-sync.ts
+++ b/src/directory/directory-sync.ts
@@ -16,6 +16,7 @@
 import type { OwnerEntry, OwnerRecord } from './owner-entry.js';
 import { createOwnerProbes, type OwnerProbes } from './ownerProbes.js';
 import { isOwnerRecord, readOwnerRecords } from './ownerRecord.js';
+import { createOwnRecord, type OwnRecord } from './ownRecord.js';
 
 /** Kind of the objects by which nodes find one another. */
 export const NODE_KIND = 'spindlepaddle-nodes';
@@ -29,9 +30,6 @@
 /** The owners that another node knows are asked for at the most this long, in milliseconds. */
 const DIRECTORY_TIMEOUT_MS = 1_000;
 
-/** Pause before the own record is written again after a failure, in milliseconds. */
-const PUBLISH_RETRY_MS = 400;
-
 /** What the synchronisation needs of its node. */
 export interface DirectorySyncOptions {
   readonly clock: Clock;
@@ -51,9 +49,7 @@
 /** One per node. */
 export class DirectorySync {
   private readonly watcher: CollectionWatcher<OwnerRecord>;
-  private ownRevision: number | undefined;
-  private published: OwnerRecord | undefined;
-  private publishing = false;
+  private readonly ownRecord: OwnRecord;
   private stopped = false;
   private listed = false;
   /** True once another node has told its owners, while the store has not. */
@@ -87,6 +83,12 @@
       },
       options.timing,
     );
+    this.ownRecord = createOwnRecord({
+      store: options.store,
+      kind: NODE_KIND,
+      own,
+      refresh: () => this.watcher.refresh(),
+    });
   }
 
   /** True once the other nodes are known: from the store, or else from one of them. */
@@ -116,9 +118,7 @@
     this.stopped = true;
     clearInterval(this.timer);
     this.watcher.stop();
-    if (leaving && this.ownRevision !== undefined) {
-      await this.options.store.remove(NODE_KIND, this.options.own().node, this.ownRevision);
-    }
+    await this.ownRecord.stop(leaving);
   }
 
   /** Tells other nodes that the back end here is ready. */
@@ -157,48 +157,9 @@
 
   /** Publishes the own record if the store holds another one. */
   async publish(): Promise<void> {
-    if (this.publishing || this.stopped || !this.listed) {
-      return;
-    }
-    this.publishing = true;
-    while (!this.stopped && !this.isPublished()) {
-      const done = await this.write();
-      if (!done) {
-        await new Promise((resolve) =>
-          setTimeout(resolve, PUBLISH_RETRY_MS * (0.5 + Math.random())),
-        );
-      }
+    if (this.listed) {
+      await this.ownRecord.publish();
     }
-    this.publishing = false;
-  }
-
-  private isPublished(): boolean {
-    return JSON.stringify(this.published) === JSON.stringify(this.options.own());
-  }
-
-  private async write(): Promise<boolean> {
-    const { store, own } = this.options;
-    const record = own();
-    const result =
-      this.ownRevision === undefined
-        ? await store.create(NODE_KIND, record.node, record)
-        : await store.replace(NODE_KIND, {
-            name: record.node,
-            revision: this.ownRevision,
-            spec: record,
-          });
-    if (result.ok) {
-      this.ownRevision = result.value.revision;
-      this.published = record;
-      return true;
-    }
-    if (result.failure === 'conflict' || result.failure === 'not-found') {
-      // An earlier write of this node may have been carried out late: read what is there.
-      this.ownRevision = undefined;
-      this.published = undefined;
-      await this.watcher.refresh();
-    }
-    return false;
   }
 
   private onList(objects: readonly StoredObject<OwnerRecord>[]): void {
@@ -214,8 +175,7 @@
       }
     }
     if (!objects.some((object) => object.name === own)) {
-      this.ownRevision = undefined;
-      this.published = undefined;
+      this.ownRecord.noteMissing();
     }
     void this.publish();
   }
@@ -229,8 +189,7 @@
       return;
     }
     if (object.name === own) {
-      this.ownRevision = undefined;
-      this.published = undefined;
+      this.ownRecord.noteMissing();
       void this.publish();
       return;
     }
@@ -249,10 +208,7 @@
       onUnreadable(object.name);
     }
     if (object.name === own().node) {
-      if (object.revision >= (this.ownRevision ?? 0)) {
-        this.ownRevision = object.revision;
-        this.published = object.spec;
-      }
+      this.ownRecord.noteStored(object);
       return;
     }
     if (!isReadable) {
--- /dev/null
+++ b/src/directory/ownRecord.ts
@@ -0,0 +1,89 @@
+/** This node's own record in the store: written once, and again whenever the store holds another one. */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { ObjectStore, StoredObject } from '../source/object-store.js';
+import type { OwnerRecord } from './owner-entry.js';
+
+/** Pause before the own record is written again after a failure, in milliseconds, give or take a half. */
+const PUBLISH_RETRY_MS = 400;
+
+/** What is needed of the node. */
+export interface OwnRecordContext {
+  readonly store: ObjectStore;
+  /** Kind of the records. */
+  readonly kind: string;
+  readonly own: () => OwnerRecord;
+  /** Reads anew what the store holds. */
+  readonly refresh: () => Promise<unknown>;
+}
+
+export interface OwnRecord {
+  /** Writes the record until the store holds it as it is, unless that is under way already. */
+  publish(): Promise<void>;
+  /** The store holds this in its place. */
+  noteStored(object: StoredObject<OwnerRecord>): void;
+  /** The store holds none. */
+  noteMissing(): void;
+  /** Ends writing; `leaving` removes the record for good. */
+  stop(leaving: boolean): Promise<void>;
+}
+
+export function createOwnRecord({ store, kind, own, refresh }: OwnRecordContext): OwnRecord {
+  let revision: number | undefined;
+  let published: OwnerRecord | undefined;
+  let isPublishing = false;
+  let isStopped = false;
+
+  const isPublished = () => JSON.stringify(published) === JSON.stringify(own());
+  const noteMissing = () => {
+    revision = undefined;
+    published = undefined;
+  };
+
+  /** False if it has to be tried again. */
+  const write = async (): Promise<boolean> => {
+    const record = own();
+    const result =
+      revision === undefined
+        ? await store.create(kind, record.node, record)
+        : await store.replace(kind, { name: record.node, revision, spec: record });
+    if (result.ok) {
+      revision = result.value.revision;
+      published = record;
+      return true;
+    }
+    if (result.failure === 'conflict' || result.failure === 'not-found') {
+      // An earlier write of this node may have been carried out late: read what is there.
+      noteMissing();
+      await refresh();
+    }
+    return false;
+  };
+
+  return {
+    publish: async () => {
+      if (isPublishing || isStopped) {
+        return;
+      }
+      isPublishing = true;
+      while (!isStopped && !isPublished()) {
+        if (!(await write())) {
+          await delay(PUBLISH_RETRY_MS * (0.5 + Math.random()));
+        }
+      }
+      isPublishing = false;
+    },
+    noteStored: (object) => {
+      if (object.revision >= (revision ?? 0)) {
+        revision = object.revision;
+        published = object.spec;
+      }
+    },
+    noteMissing,
+    stop: async (leaving) => {
+      isStopped = true;
+      if (leaving && revision !== undefined) {
+        await store.remove(kind, own().node, revision);
+      }
+    },
+  };
+}
