--- /dev/null
+++ b/lab/storeView.ts
@@ -0,0 +1,190 @@
+/** One node's way to the store in memory, with the faults that it may show there. */
+import {
+  type ObjectStore,
+  Reading,
+  type StoreChanges,
+  type StoredObject,
+  type StoreEvent,
+  type StoreFailure,
+  type StoreListing,
+  type StoreResult,
+} from '../src/source/object-store.js';
+import type { MemoryStore } from './memory-store.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** One node's way to the store. */
+export class StoreView implements ObjectStore {
+  /** Answers every call with this failure while it is set. */
+  failure: StoreFailure | undefined;
+  /** Loses the answers of this many writes that are carried out. */
+  answersToLose = 0;
+  /** Answers this many writes with `unknown` and carries them out {@link lateMs} later. */
+  writesToDelay = 0;
+  /** Milliseconds by which a delayed write is late; its condition is checked then. */
+  lateMs = 200;
+  /** Lists are answered as they were at this revision while it is set. */
+  listsAsOf: number | undefined;
+  /** Lists that may lag are answered as they were at this revision while it is set. */
+  latelyAsOf: number | undefined;
+  /** Calls in one second, above which the store answers `throttled`. */
+  callsPerSecond = Number.POSITIVE_INFINITY;
+  calls = 0;
+  /** Probes, which cost little. */
+  probes = 0;
+  private readonly callTimes: number[] = [];
+
+  constructor(private readonly store: MemoryStore) {}
+
+  list<Spec>(kind: string, reading = Reading.Now): Promise<StoreResult<StoreListing<Spec>>> {
+    const asOf = this.listsAsOf ?? (reading === Reading.Lately ? this.latelyAsOf : undefined);
+    return this.answer(() => ({
+      ok: true,
+      value: {
+        items: this.store.objectsAt(kind, asOf) as StoredObject<Spec>[],
+        revision: asOf ?? this.store.revision,
+      },
+    }));
+  }
+
+  get<Spec>(kind: string, name: string): Promise<StoreResult<StoredObject<Spec>>> {
+    return this.answer(() => {
+      const object = this.store.kind(kind).get(name);
+      return object ? { ok: true, value: object as StoredObject<Spec> } : failed('not-found');
+    });
+  }
+
+  async watch<Spec>(
+    kind: string,
+    revision: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<StoreResult<StoreChanges<Spec>>> {
+    const until = performance.now() + waitMs;
+    const changes = () =>
+      this.store.log.filter((change) => change.kind === kind && change.revision > revision);
+    while (
+      !this.failure &&
+      !signal?.aborted &&
+      this.store.forgotten <= revision &&
+      changes().length === 0 &&
+      performance.now() < until
+    ) {
+      await this.store.nextChange(until - performance.now(), signal);
+    }
+    if (signal?.aborted) {
+      return failed('unknown');
+    }
+    return this.answer(() =>
+      this.store.forgotten > revision
+        ? failed('history-gone')
+        : {
+            ok: true,
+            value: {
+              events: changes() as unknown as StoreEvent<Spec>[],
+              revision: this.store.revision,
+            },
+          },
+    );
+  }
+
+  create<Spec>(kind: string, name: string, spec: Spec): Promise<StoreResult<StoredObject<Spec>>> {
+    return this.write(() =>
+      this.store.kind(kind).has(name)
+        ? failed('conflict')
+        : { ok: true, value: this.store.put(kind, name, spec) as StoredObject<Spec> },
+    );
+  }
+
+  replace<Spec>(
+    kind: string,
+    object: StoredObject<Spec>,
+  ): Promise<StoreResult<StoredObject<Spec>>> {
+    return this.write(() => {
+      const held = this.store.kind(kind).get(object.name);
+      if (!held) {
+        return failed('not-found');
+      }
+      return held.revision === object.revision
+        ? {
+            ok: true,
+            value: this.store.put(kind, object.name, object.spec) as StoredObject<Spec>,
+          }
+        : failed('conflict');
+    });
+  }
+
+  replaceStatus<Spec>(
+    kind: string,
+    { name, revision }: Pick<StoredObject<unknown>, 'name' | 'revision'>,
+    status: unknown,
+  ): Promise<StoreResult<StoredObject<Spec>>> {
+    return this.write(() => {
+      const held = this.store.kind(kind).get(name);
+      if (!held) {
+        return failed('not-found');
+      }
+      return held.revision === revision
+        ? { ok: true, value: this.store.putStatus(kind, name, status) as StoredObject<Spec> }
+        : failed('conflict');
+    });
+  }
+
+  remove(kind: string, name: string, revision: number): Promise<StoreResult<undefined>> {
+    return this.write(() => {
+      if (this.store.kind(kind).get(name)?.revision !== revision) {
+        return failed('conflict');
+      }
+      this.store.delete(kind, name);
+      return { ok: true, value: undefined };
+    });
+  }
+
+  async probe(): Promise<StoreResult<number>> {
+    this.probes += 1;
+    return this.failure ? failed(this.failure) : { ok: true, value: this.store.revision };
+  }
+
+  closeIdle(): void {}
+
+  close(): void {
+    this.failure = 'unavailable';
+    this.store.wake();
+  }
+
+  private write<Value>(carryOut: () => StoreResult<Value>): Promise<StoreResult<Value>> {
+    return this.answer(() => {
+      if (this.writesToDelay > 0) {
+        this.writesToDelay -= 1;
+        setTimeout(carryOut, this.lateMs);
+        return failed('unknown');
+      }
+      const result = carryOut();
+      if (this.answersToLose > 0) {
+        this.answersToLose -= 1;
+        return failed('unknown');
+      }
+      return result;
+    });
+  }
+
+  private answer<Value>(carryOut: () => StoreResult<Value>): Promise<StoreResult<Value>> {
+    this.calls += 1;
+    if (this.failure) {
+      return Promise.resolve(failed(this.failure));
+    }
+    return Promise.resolve(this.isThrottled() ? failed('throttled') : carryOut());
+  }
+
+  private isThrottled(): boolean {
+    const now = performance.now();
+    this.callTimes.push(now);
+    const recent = this.callTimes.filter((time) => now - time < MILLISECONDS_PER_SECOND);
+    this.callTimes.splice(0, this.callTimes.length, ...recent);
+    return recent.length > this.callsPerSecond;
+  }
+}
+
+function failed(failure: StoreFailure): { ok: false; failure: StoreFailure; detail: string } {
+  return { ok: false, failure, detail: 'stand-in' };
+}
