When an exchange takes an owner for silent stands apart (src/peer/ownerPatience.ts)

No change of behaviour: src/peer, test/silent-connections, suspended-machine, hanging-back-ends, sidecar-data-path and layout pass (60 tests).

--- /dev/null
+++ b/src/peer/ownerPatience.ts
@@ -0,0 +1,88 @@
+/** How long an exchange bears with an owner that says nothing, and when it asks whether it is still there. */
+import type { Clock } from '../model/clock.js';
+import type { PeerState } from './peerState.js';
+
+/** The next ping of a long exchange waits this many times longer than the last one did. */
+const PING_GROWTH = 2;
+
+/** What is needed of the exchange. */
+export interface OwnerPatienceContext {
+  readonly clock: Clock;
+  readonly peer: PeerState;
+  /** True until the owner has said its first word on an offer. */
+  readonly isOffered: () => boolean;
+  /** Asks whether the owner is still there; false if such an exchange is not asked about. */
+  readonly ping: () => boolean;
+  /** What was awaited has come after so many milliseconds. */
+  readonly onReply?: ((tookMs: number) => void) | undefined;
+  /** What was awaited has not come; `isHeardOf` if other exchanges have heard of the owner meanwhile. */
+  readonly onSilence: (isHeardOf: boolean) => void;
+}
+
+export interface OwnerPatience {
+  /** The offer is sent. */
+  begin(): void;
+  /** Something has come from the owner. */
+  noteHeard(): void;
+  /** The exchange is over. */
+  stop(): void;
+}
+
+export function createOwnerPatience(context: OwnerPatienceContext): OwnerPatience {
+  const { clock, peer, isOffered, ping, onReply, onSilence } = context;
+  /** Milliseconds after which a silent owner is asked whether it is still there. */
+  let patienceMs = peer.silence.ms;
+  /** Steady time in milliseconds since which something is awaited of the owner. */
+  let awaitingSince = 0;
+  let isPinged = false;
+  let isStopped = false;
+  let timer: NodeJS.Timeout | undefined;
+
+  const startTimer = (ms: number): void => {
+    clearTimeout(timer);
+    timer = setTimeout(() => {
+      // What has arrived while this process was held up is read before it counts as missing.
+      setImmediate(onSpent);
+    }, ms);
+  };
+
+  /** Nothing was heard for a while: a dead node is told from a busy one by a ping. */
+  const onSpent = (): void => {
+    if (isStopped) {
+      return;
+    }
+    if (isOffered() || isPinged) {
+      onSilence(peer.heardAt > awaitingSince);
+      return;
+    }
+    if (ping()) {
+      isPinged = true;
+      awaitingSince = clock.now();
+      startTimer(peer.silence.ms);
+    }
+  };
+
+  return {
+    begin: () => {
+      awaitingSince = clock.now();
+      startTimer(patienceMs);
+    },
+    noteHeard: () => {
+      const now = clock.now();
+      peer.heardAt = now;
+      if (isOffered() || isPinged) {
+        peer.silence.note(now - awaitingSince);
+        onReply?.(now - awaitingSince);
+      }
+      if (isPinged) {
+        isPinged = false;
+        patienceMs *= PING_GROWTH;
+        startTimer(patienceMs);
+      }
+    },
+    stop: () => {
+      isStopped = true;
+      clearTimeout(timer);
+    },
+  };
+}
--- a/src/peer/remoteRun.ts
+++ b/src/peer/remoteRun.ts
@@ -3,6 +3,7 @@
 import type { OwnerOutcome, OwnerTask, OwnerUnknown } from '../owner/owner.js';
 import { turnedAway } from '../owner/owner.js';
 import { type BodyReceiver, createBodyReceiver } from './bodyReceiver.js';
+import { createOwnerPatience, type OwnerPatience } from './ownerPatience.js';
 import { inlineBytes, type PeerConnection } from './peerConnection.js';
 import { type AnswerMessage, MessageKind, type PeerMessage, taskFieldsOf } from './peerMessages.js';
 import type { PeerState, RemoteOwnerContext } from './peerState.js';
@@ -17,9 +18,6 @@
  */
 const FRESH_MS = 1_000;
 
-/** The next ping of a long exchange waits this many times longer than the last one did. */
-const PING_GROWTH = 2;
-
 /** How far an exchange has come. */
 enum Stage {
   /** Offered; the owner has said nothing yet. */
@@ -37,12 +35,7 @@
   /** True from the owner's admission until the last chunk of the request's body is sent. */
   private owesBody = false;
   private answer: { readonly message: AnswerMessage; readonly receiver: BodyReceiver } | undefined;
-  /** Steady time in milliseconds since which something is awaited of the owner. */
-  private awaitingSince = 0;
-  private isPinged = false;
-  /** Milliseconds after which a silent owner is asked whether it is still there. */
-  private patienceMs: number;
-  private timer: NodeJS.Timeout | undefined;
+  private readonly patience: OwnerPatience;
   private readonly connection: PeerConnection;
   private forget: () => void = () => {};
   private resolve: (outcome: OwnerOutcome) => void = () => {};
@@ -53,7 +46,14 @@
     private readonly context: RemoteOwnerContext,
   ) {
     this.connection = peer.connections.take();
-    this.patienceMs = peer.silence.ms;
+    this.patience = createOwnerPatience({
+      clock: context.clock,
+      peer,
+      isOffered: () => this.stage === Stage.Offered,
+      ping: () => this.ping(),
+      onReply: context.onReply,
+      onSilence: (isHeardOf) => this.onSilence(isHeardOf),
+    });
   }
 
   run(): Promise<OwnerOutcome> {
@@ -72,7 +72,7 @@
     const { clock, sender } = this.context;
     const now = clock.now();
     const body = this.bodyToSendAtOnce(now);
-    this.awaitingSince = now;
+    this.patience.begin();
     this.connection.send({
       kind: MessageKind.Offer,
       sender: sender(),
@@ -86,7 +86,6 @@
       this.stage = Stage.Committed;
       this.task.onProgress('admitted');
     }
-    this.startTimer(this.patienceMs);
   }
 
   private bodyToSendAtOnce(now: number): Buffer | undefined {
@@ -96,7 +95,7 @@
   }
 
   private onMessage(message: PeerMessage): void {
-    this.noteHeard();
+    this.patience.noteHeard();
     switch (message.kind) {
       case MessageKind.Queued:
         this.stage = this.stage === Stage.Offered ? Stage.Queued : this.stage;
@@ -126,20 +125,6 @@
     }
   }
 
-  private noteHeard(): void {
-    const now = this.context.clock.now();
-    this.peer.heardAt = now;
-    if (this.stage === Stage.Offered || this.isPinged) {
-      this.peer.silence.note(now - this.awaitingSince);
-      this.context.onReply?.(now - this.awaitingSince);
-    }
-    if (this.isPinged) {
-      this.isPinged = false;
-      this.patienceMs *= PING_GROWTH;
-      this.startTimer(this.patienceMs);
-    }
-  }
-
   /** The owner has admitted the task: from the end of the body on, it may run. */
   private async commit(): Promise<void> {
     this.owesBody = true;
@@ -206,37 +191,18 @@
     this.connection.destroy();
   }
 
-  private startTimer(ms: number): void {
-    clearTimeout(this.timer);
-    this.timer = setTimeout(() => {
-      // What has arrived while this process was held up is read before it counts as missing.
-      setImmediate(() => this.onPatienceSpent());
-    }, ms);
-  }
-
-  /** Nothing was heard for a while: a dead node is told from a busy one by a ping. */
-  private onPatienceSpent(): void {
-    if (this.settled) {
-      return;
-    }
-    if (this.stage === Stage.Offered || this.isPinged) {
-      this.onSilence();
-      return;
-    }
+  private ping(): boolean {
     if (this.task.repeatable) {
-      this.isPinged = true;
-      this.awaitingSince = this.context.clock.now();
       this.connection.send({ kind: MessageKind.Ping });
-      this.startTimer(this.peer.silence.ms);
     }
+    return this.task.repeatable;
   }
 
   /**
    * A task that the owner may run is not given up: silence is no proof that the owner is gone, its
    * link may be full. Who sent the task is told, and may ask another owner meanwhile.
    */
-  private onSilence(): void {
-    const isHeardOf = this.peer.heardAt > this.awaitingSince;
+  private onSilence(isHeardOf: boolean): void {
     if (!isHeardOf) {
       this.context.onFailure('silent');
       // Connections may go silent for good while new ones work: those that are kept are as old.
@@ -262,7 +228,7 @@
   private settle(outcome: OwnerOutcome): void {
     if (!this.settled) {
       this.settled = true;
-      clearTimeout(this.timer);
+      this.patience.stop();
       this.forget();
       this.resolve(outcome);
     }
