Quotas: a tenant below its rate keeps depth for requests that come together; dry holders of a small one are asked again

Cause: not slow grants (that was a guess). In a window of a second, overage and slack leave no depth beside rate and burst, so the bucket held one request: the second of two that came together was refused, and its node then left the only holder alone for a second although it had a request again 20 ms later. Change: where the spread burst leaves less than the requests of a quarter second (four at the least), it gives way, down to the tenant's rate. Wider windows (5 s, overage 0.1, slack 20) are cut as before. Where all holders rest after having been dry, those that have a request again by their own word are asked; 250 ms after a vain round as before.

--- a/src/tenants/quotaGate.test.ts
+++ b/src/tenants/quotaGate.test.ts
@@ -144,6 +144,25 @@
     expect(asks.filter((node) => node === 'z0n1').length).toBe(1);
   });
 
+  it('asks a holder that was dry as soon as it has a request again, where there is no other', async () => {
+    const small = tenantOf(10);
+    const few = { windowMs: 1_000, overage: 0.1, slack: 0 };
+    for (const pool of pools.values()) {
+      pool.refresh({ version: 2, tenants: [small], members, bounds: few }, now);
+    }
+    now = 10_000;
+    const whole = admittedOf(await admitMany(20, small));
+    expect(whole).toBeGreaterThan(0);
+    expect(pools.get('z0n0')?.view('acme')?.own).toBe(undefined);
+    // Below its rate from now on; holders were last asked in vain.
+    let admitted = 0;
+    for (let sent = 0; sent < 10; sent += 1) {
+      now += 260;
+      admitted += admittedOf(await admitMany(2, small));
+    }
+    expect(admitted).toBe(20);
+  });
+
   it('lets nobody in by a grant that came too late', async () => {
     now = 10_000;
     slowness = 201;
--- a/src/tenants/quotaGate.ts
+++ b/src/tenants/quotaGate.ts
@@ -153,13 +153,16 @@
     borrowing: Borrowing,
     now: number,
   ): QuotaMember | undefined => {
-    const isRested = ({ node: name }: QuotaMember): boolean =>
-      name !== node &&
-      (borrowing.restedAt.get(name) ?? 0) <= now &&
-      (borrowing.silentUntil.get(name) ?? 0) <= now;
-    const rested = view.holders.filter(isRested);
+    const isPast = (times: ReadonlyMap<string, number>, { node: name }: QuotaMember): boolean =>
+      (times.get(name) ?? 0) <= now;
+    const others = view.holders.filter(
+      (holder) => holder.node !== node && isPast(borrowing.silentUntil, holder),
+    );
+    const rested = others.filter((holder) => isPast(borrowing.restedAt, holder));
     const near = rested.filter((holder) => holder.zone === zone);
-    const candidates = near.length > 0 ? near : rested;
+    // Where all rest, those that have something again: a tenant of few holders has no others.
+    const full = others.filter((holder) => isPast(borrowing.dryUntil, holder));
+    const candidates = [near, rested, full].find((each) => each.length > 0) ?? [];
     const [first] = rankNames(
       `${node}/${view.tenant.name}`,
       candidates.map((holder) => holder.node),
--- a/src/tenants/quotaParts.ts
+++ b/src/tenants/quotaParts.ts
@@ -35,6 +35,12 @@
  */
 const PART_DEPTH = 4;
 
+/**
+ * Requests that a tenant sends in this time, in milliseconds, may come together: a pause of its clients, or
+ * of the node that they ask, bunches them.
+ */
+const TOGETHER_MS = 250;
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** True for a tenant whose requests are limited. */
@@ -56,17 +62,25 @@
  * The limit as one bucket that keeps the bound in every window. A tenant may send rate and burst in each
  * window, so its tokens come as fast as that, the burst spread over the window: one that goes on sending
  * all it may is refused nothing. What the bound allows besides, overage and slack, is the depth. What
- * was granted just before a window may run in it.
+ * was granted just before a window may run in it. Where that leaves no depth for requests that come
+ * together, the spread burst gives way: a tenant below its rate is refused nothing either.
  */
 export function quotaOf(tenant: MeshTenant, bounds: QuotaBounds): BucketLimits {
   const bound = windowBound(tenant, bounds);
   const spanMs = bounds.windowMs + GRANT_LIFETIME_MS;
   const tokensPerMs = limitOf(tenant, bounds) / bounds.windowMs;
   const depth = bound - tokensPerMs * spanMs;
-  // Bounds that leave no room for one whole request beside the tokens that come: these give way.
-  return depth >= 1 || bound <= 1
-    ? { tokensPerMs, depth: Math.max(depth, 1) }
-    : { tokensPerMs: (bound - 1) / spanMs, depth: 1 };
+  const least = leastDepth(tenant, bound, spanMs);
+  return depth >= least
+    ? { tokensPerMs, depth }
+    : { tokensPerMs: bound > least ? (bound - least) / spanMs : tokensPerMs, depth: least };
+}
+
+/** What requests that come together need, as far as the tenant's rate leaves it; one request at the least. */
+function leastDepth({ ratePerS }: MeshTenant, bound: number, spanMs: number): number {
+  const ratePerMs = ratePerS / MILLISECONDS_PER_SECOND;
+  const together = Math.max(PART_DEPTH, ratePerMs * TOGETHER_MS);
+  return Math.max(1, Math.min(together, bound - ratePerMs * spanMs));
 }
 
 /** One of the equal parts of a quota. */
