Admission takes turns among tenants: who has had more than its share waits behind the others

Change: admission asks the turns; a task of a tenant that has had more of the back end lately than its limit's part of all limits goes behind others that are equally urgent, and gives up its place for them where the queue is full or it would be late. Nothing changes where nothing waits or no task names a tenant: calls and earlier deployments have none.

--- a/src/owner/admission-control.test.ts
+++ b/src/owner/admission-control.test.ts
@@ -18,11 +18,11 @@
   const admission = new AdmissionControl();
   admission.setSlots(slots, 0);
   for (let index = 0; index < 200; index += 1) {
-    admission.started();
+    admission.started({}, 0);
     admission.finished(request(), serviceMs, 0);
   }
   for (let index = 0; index < slots; index += 1) {
-    admission.started();
+    admission.started({}, 0);
   }
   return admission;
 }
@@ -41,7 +41,7 @@
     const admission = new AdmissionControl();
     admission.setSlots(1, 0);
     expect(admission.decide(request(), 0)).toEqual({ kind: 'run' });
-    admission.started();
+    admission.started({}, 0);
     expect(admission.decide(request(), 0).kind).not.toBe('run');
   });
 
@@ -50,19 +50,19 @@
     const fate: string[] = [];
     const alone = request({ runsAlone: true });
     admission.setSlots(3, 0);
-    admission.started();
+    admission.started({}, 0);
     expect(admission.decide(alone, 0).kind).toBe('wait');
     admission.enqueue({
       ...waiterOf(alone, fate, 'alone'),
       admit: () => {
-        admission.started(alone);
+        admission.started(alone, 0);
         fate.push('alone runs');
       },
     });
     expect(admission.decide(request(), 0).kind).toBe('wait');
     admission.enqueue(waiterOf(request(), fate, 'next'));
     expect(admission.decide(request({ priority: 0 }), 0).kind).toBe('run');
-    admission.started();
+    admission.started({}, 0);
     admission.finished(request(), 10, 1);
     expect(fate).toEqual([]);
     admission.finished(request(), 10, 1);
@@ -98,7 +98,7 @@
   it('counts on more urgent tasks to arrive while a less urgent one waits', () => {
     const admission = full(2, 100);
     for (let index = 0; index < 400; index += 1) {
-      admission.started();
+      admission.started({}, 0);
       admission.finished(request({ priority: index % 2 }), 100, 0);
     }
     // One ahead of it on average costs 50 ms, and half of the time goes to what is more urgent.
@@ -115,7 +115,7 @@
     admission.enqueue(waiterOf(request({ priority: 1 }), fate, 'second'));
     for (let index = 0; index < 3; index += 1) {
       admission.finished(request(), 10, 20);
-      admission.started();
+      admission.started({}, 0);
     }
     expect(fate).toEqual(['first runs', 'second runs', 'background runs']);
   });
@@ -151,7 +151,7 @@
         admission.setSlots(5, 0);
         let running = 0;
         const begin = () => {
-          admission.started();
+          admission.started({}, 0);
           running += 1;
           expect(running).toBeLessThanOrEqual(5);
         };
--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -1,15 +1,19 @@
 /**
  * Decides at an owner which tasks run, wait or are turned away. The back end
  * never gets more than its slots. A task waits only while it can still be
- * answered within its target latency; the most urgent go first.
+ * answered within its target latency; the most urgent go first, among equals
+ * tenants take turns.
  */
 
 import { createServiceTimes, type ServiceTimes } from './serviceTimes.js';
+import { createTenantTurns, type TenantShare, type TenantTurns } from './tenantTurns.js';
 import { createUrgencyMix } from './urgencyMix.js';
 
 /** What a task asks for. */
 export interface AdmissionRequest {
   readonly route: string;
+  /** Undefined for calls of back ends and without tenants. */
+  readonly tenant?: string | undefined;
   readonly priority: number;
   /** Steady time in milliseconds until which an answer is worth most. */
   readonly targetAt: number;
@@ -20,6 +24,9 @@
   readonly runsAlone?: boolean;
 }
 
+/** What is told of a task that begins. */
+export type StartedTask = Pick<AdmissionRequest, 'tenant' | 'runsAlone'>;
+
 /** What is told of a task that has ended. */
 export type AdmittedTask = Pick<AdmissionRequest, 'route' | 'priority' | 'runsAlone'>;
 
@@ -33,6 +40,13 @@
   turnAway(retryAfterMs: number): void;
 }
 
+/** A task in the queue. */
+interface QueuedTask {
+  readonly waiter: Waiter;
+  /** True if it waits behind those of other tenants that are equally urgent. */
+  readonly isBehind: boolean;
+}
+
 /** The answer to a task's arrival. */
 export type AdmissionDecision =
   | { readonly kind: 'run' }
@@ -47,13 +61,20 @@
 
 /** Owned by the local owner; the time is passed in. */
 export class AdmissionControl {
-  private readonly waiting: Waiter[] = [];
+  /** In order of priority, then those that are not behind, then of arrival. */
+  private readonly waiting: QueuedTask[] = [];
+  private readonly turns: TenantTurns;
   private readonly mix = createUrgencyMix();
   private running = 0;
   private slots = 0;
   private hasAloneTask = false;
 
-  constructor(private readonly times: ServiceTimes = createServiceTimes()) {}
+  constructor(
+    private readonly times: ServiceTimes = createServiceTimes(),
+    shareOf: TenantShare = () => 1,
+  ) {
+    this.turns = createTenantTurns(shareOf);
+  }
 
   get inFlight(): number {
     return this.running;
@@ -83,25 +104,25 @@
 
   /** Decides about a task; the caller adds a waiter after `wait`. */
   decide(request: AdmissionRequest, now: number): AdmissionDecision {
-    const ahead = this.aheadOf(request.priority);
-    if (ahead === 0 && this.hasRoomFor(request)) {
+    const [first] = this.waiting;
+    const isFirst = !first || first.waiter.request.priority > request.priority;
+    if (isFirst && this.hasRoomFor(request)) {
       return { kind: 'run' };
     }
-    // Tasks that are more urgent go on arriving meanwhile and are served first.
-    const left = 1 - this.mix.moreUrgentThan(request.priority);
-    const drainMs = request.runsAlone ? this.times.overallMs : 0;
-    const waitMs = Math.max(this.expectedWaitMs(ahead) / left, drainMs);
-    const inTime = now + waitMs + this.expectedServiceMs(request.route) <= horizonOf(request);
-    if (!request.mayWait || !inTime || this.waiting.length >= this.slots * MAX_WAITING_PER_SLOT) {
+    const isBehind = this.turns.isBehind(request.tenant, now);
+    const isFull = this.isFull && !this.takesPlaceOf(request, isBehind);
+    const ahead = this.placeOf(request.priority, isBehind);
+    if (!request.mayWait || !this.isInTime(request, ahead, now) || isFull) {
       return { kind: 'busy', retryAfterMs: this.retryAfterMs() };
     }
     return { kind: 'wait' };
   }
 
   /** A task begins to run. */
-  started({ runsAlone = false }: Pick<AdmissionRequest, 'runsAlone'> = {}): void {
+  started({ tenant, runsAlone = false }: StartedTask, now: number): void {
     this.running += 1;
     this.hasAloneTask = runsAlone;
+    this.turns.note(tenant, now);
   }
 
   /**
@@ -119,18 +140,22 @@
     this.fill(now);
   }
 
-  /** Adds a task after `wait`; the queue is kept in order of priority, then of arrival. */
+  /** Adds a task after `wait`; another tenant's task may have to give up its place for it. */
   enqueue(waiter: Waiter): void {
-    let index = this.waiting.length;
-    while (index > 0 && this.priorityAt(index - 1) > waiter.request.priority) {
-      index -= 1;
+    const { priority, tenant } = waiter.request;
+    const isBehind = this.turns.isBehind(tenant, waiter.since);
+    const other = this.takesPlaceOf(waiter.request, isBehind);
+    const wasFull = this.isFull;
+    this.waiting.splice(this.placeOf(priority, isBehind), 0, { waiter, isBehind });
+    if (other && (wasFull || !this.isStillInTime(other, waiter.since))) {
+      this.remove(other);
+      other.turnAway(this.retryAfterMs());
     }
-    this.waiting.splice(index, 0, waiter);
   }
 
   /** Takes back a task that no longer wants to run. */
   remove(waiter: Waiter): void {
-    const index = this.waiting.indexOf(waiter);
+    const index = this.waiting.findIndex((queued) => queued.waiter === waiter);
     if (index >= 0) {
       this.waiting.splice(index, 1);
     }
@@ -138,7 +163,7 @@
 
   /** Turns away every task that waits. */
   turnAllAway(): void {
-    for (const waiter of this.waiting.splice(0)) {
+    for (const { waiter } of this.waiting.splice(0)) {
       waiter.turnAway(MIN_RETRY_AFTER_MS);
     }
   }
@@ -157,18 +182,42 @@
   private fill(now: number): void {
     for (;;) {
       const [next] = this.waiting;
-      if (!next || !this.hasRoomFor(next.request)) {
+      if (!next || !this.hasRoomFor(next.waiter.request)) {
         return;
       }
+      const { waiter } = next;
       this.waiting.shift();
-      if (now > this.latestStartAt(next.request)) {
-        next.turnAway(this.retryAfterMs());
+      if (now > this.latestStartAt(waiter.request)) {
+        waiter.turnAway(this.retryAfterMs());
       } else {
-        next.admit();
+        waiter.admit();
       }
     }
   }
 
+  private get isFull(): boolean {
+    return this.waiting.length >= this.slots * MAX_WAITING_PER_SLOT;
+  }
+
+  /** The last of those that are equally urgent, if it is behind and the other task is not. */
+  private takesPlaceOf({ priority }: AdmissionRequest, isBehind: boolean): Waiter | undefined {
+    const last = this.waiting.findLast(({ waiter }) => waiter.request.priority === priority);
+    return !isBehind && last?.isBehind ? last.waiter : undefined;
+  }
+
+  private isStillInTime(waiter: Waiter, now: number): boolean {
+    const ahead = this.waiting.findIndex((queued) => queued.waiter === waiter);
+    return this.isInTime(waiter.request, ahead, now);
+  }
+
+  private isInTime(request: AdmissionRequest, ahead: number, now: number): boolean {
+    // Tasks that are more urgent go on arriving meanwhile and are served first.
+    const left = 1 - this.mix.moreUrgentThan(request.priority);
+    const drainMs = request.runsAlone ? this.times.overallMs : 0;
+    const waitMs = Math.max(this.expectedWaitMs(ahead) / left, drainMs);
+    return now + waitMs + this.expectedServiceMs(request.route) <= horizonOf(request);
+  }
+
   private expectedWaitMs(ahead: number): number {
     const { overallMs } = this.times;
     return this.slots === 0 ? overallMs : ((ahead + 1) * overallMs) / this.slots;
@@ -184,16 +233,12 @@
     return horizonOf(request) - this.expectedServiceMs(request.route);
   }
 
-  private aheadOf(priority: number): number {
-    let ahead = 0;
-    while (ahead < this.waiting.length && this.priorityAt(ahead) <= priority) {
-      ahead += 1;
-    }
-    return ahead;
-  }
-
-  private priorityAt(index: number): number {
-    return (this.waiting[index] as Waiter).request.priority;
+  /** How many go before a task that comes. */
+  private placeOf(priority: number, isBehind: boolean): number {
+    const goesAfter = ({ waiter: { request }, isBehind: other }: QueuedTask): boolean =>
+      request.priority > priority || (request.priority === priority && other && !isBehind);
+    const place = this.waiting.findIndex(goesAfter);
+    return place < 0 ? this.waiting.length : place;
   }
 }
 
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -26,6 +26,7 @@
 import type { OwnerReport, TaskRecord } from './owner-report.js';
 import { waitForSlot } from './slotWait.js';
 import { type TaskTimes, taskRecordOf } from './taskRecord.js';
+import type { TenantShare } from './tenantTurns.js';
 import { createWatchedCalls, type WatchedCalls, type WatchedCallsContext } from './watchedCalls.js';
 
 /** After a late or foreign answer, connections are not kept for this long, in milliseconds. */
@@ -46,6 +47,8 @@
   readonly onTask: (record: TaskRecord) => void;
   /** The back end has ended a request. */
   readonly onRun?: (run: BackEndRun) => void;
+  /** Part of what there is that a tenant may have beside others. */
+  readonly tenantShare?: TenantShare;
   /** True while a roll-out lets the back end finish what it runs and gives it nothing new. */
   readonly isFenced?: () => boolean;
 }
@@ -62,7 +65,7 @@
 
   constructor(private readonly options: LocalOwnerOptions) {
     this.observations = createBackEndObservations(options);
-    this.admission = new AdmissionControl(this.observations.times);
+    this.admission = new AdmissionControl(this.observations.times, options.tenantShare);
     this.calls = createWatchedCalls(options);
     this.presence = new BackEndPresence(options, {
       onNewLife: (life) => this.onNewLife(life),
@@ -165,7 +168,7 @@
         return refused;
       }
     } else {
-      this.admission.started(request);
+      this.admission.started(request, clock.now());
     }
     return this.runAdmitted(task, request, times);
   }
--- a/src/owner/slotWait.ts
+++ b/src/owner/slotWait.ts
@@ -25,7 +25,7 @@
       request,
       since: now,
       admit: () => {
-        admission.started(request);
+        admission.started(request, clock.now());
         release();
         resolve(undefined);
       },
--- a/src/owner/tenantTurns.ts
+++ b/src/owner/tenantTurns.ts
@@ -1,56 +1,50 @@
 /**
- * Who goes next at a full back end, among tenants: of those that are equally urgent the one that has had
- * least of late for its weight. What a tenant has had fades, so that one that was quiet saves nothing up.
+ * Who waits behind the others at a full back end: a tenant that has had more of it lately than its share. All others go in the order of arrival, so that a shortage falls on all alike. Calls of back ends
+ * have no tenant and are never behind.
  */
 
-/** What a tenant has had counts half after this time, in milliseconds: a client's retry or two. */
-const HALF_LIFE_MS = 2_000;
+/** Part of all that tenants may send, by their limits, that a tenant may; from 0 to 1. */
+export type TenantShare = (tenant: string) => number;
 
-/** What waits, as far as turns go by it. */
-export interface TurnWish {
-  readonly tenant: string | undefined;
-  /** 0 is the most urgent. */
-  readonly priority: number;
-}
+/** What a tenant has had counts half after this time, in milliseconds: the few seconds of a client's retries. */
+const HALF_LIFE_MS = 5_000;
+
+/** Requests by which it may have more than its share: those of a small tenant may well come together. */
+const FREE_REQUESTS = 3;
 
 export interface TenantTurns {
-  /** A request of a tenant has been given a slot. */
+  /** A task of a tenant has been given a slot. */
   note(tenant: string | undefined, now: number): void;
-  /** Place of the wish that goes next in a list in the order of arrival; -1 if it is empty. */
-  next(waiting: readonly TurnWish[], now: number): number;
-  /** Place of the wish that gives up its own for another: the last one of whom has had most. */
-  giveUp(waiting: readonly TurnWish[], now: number): number;
+  /** True if a task of a tenant waits behind those of others that are equally urgent. */
+  isBehind(tenant: string | undefined, now: number): boolean;
 }
 
-/** `weightOf` is what a tenant may have beside others, such as the rate of its limit; above 0. */
-export function createTenantTurns(weightOf: (tenant: string) => number): TenantTurns {
-  const had = new Map<string, { readonly amount: number; readonly at: number }>();
-
-  const hadOf = (tenant: string | undefined, now: number): number => {
-    const known = tenant === undefined ? undefined : had.get(tenant);
-    return known ? known.amount * 0.5 ** ((now - known.at) / HALF_LIFE_MS) : 0;
-  };
-
-  const compare = (left: TurnWish, right: TurnWish, now: number): number =>
-    left.priority - right.priority || hadOf(left.tenant, now) - hadOf(right.tenant, now);
-
-  const best = (
-    waiting: readonly TurnWish[],
-    isBetter: (wish: TurnWish, than: TurnWish) => boolean,
-  ): number =>
-    waiting.reduce(
-      (found, wish, place) =>
-        found < 0 || isBetter(wish, waiting[found] as TurnWish) ? place : found,
-      -1,
-    );
+/** A count that fades. */
+interface Amount {
+  readonly amount: number;
+  readonly at: number;
+}
 
+export function createTenantTurns(shareOf: TenantShare): TenantTurns {
+  const had = new Map<string, Amount>();
+  let all: Amount | undefined;
   return {
     note: (tenant, now) => {
       if (tenant !== undefined) {
-        had.set(tenant, { amount: hadOf(tenant, now) + 1 / weightOf(tenant), at: now });
+        had.set(tenant, { amount: faded(had.get(tenant), now) + 1, at: now });
+        all = { amount: faded(all, now) + 1, at: now };
+      }
+    },
+    isBehind: (tenant, now) => {
+      if (tenant === undefined) {
+        return false;
       }
+      const allowed = shareOf(tenant) * faded(all, now) + FREE_REQUESTS;
+      return faded(had.get(tenant), now) > allowed;
     },
-    next: (waiting, now) => best(waiting, (wish, than) => compare(wish, than, now) < 0),
-    giveUp: (waiting, now) => best(waiting, (wish, than) => compare(wish, than, now) >= 0),
   };
 }
+
+function faded(amount: Amount | undefined, now: number): number {
+  return amount ? amount.amount * 0.5 ** ((now - amount.at) / HALF_LIFE_MS) : 0;
+}
--- a/src/routing/route-matcher.ts
+++ b/src/routing/route-matcher.ts
@@ -1,6 +1,7 @@
 /** Finds the route of a request: the longest prefix of its path among the routes of its host. */
 import type { CompiledPolicy } from '../policy/placement-policy.js';
 import { createKeyring, type Keyring } from '../tenants/keyring.js';
+import { tenantShares } from '../tenants/tenantShares.js';
 import { type Complements, NO_COMPLEMENTS } from './completeConfiguration.js';
 import type { MeshConfiguration, MeshRoute, MeshService } from './mesh-configuration.js';
 import { TrafficSplit } from './traffic-split.js';
@@ -21,6 +22,8 @@
   private readonly services = new Map<string, MeshService>();
   /** Who holds which key in this version. */
   readonly keyring: Keyring;
+  /** Part of what there is that a tenant may have beside others. */
+  readonly tenantShare: (tenant: string) => number;
 
   /** A route that is the same object in `previous` keeps the state of its split. */
   constructor(
@@ -40,6 +43,7 @@
       this.hosts.set(host, prefixes);
     }
     this.keyring = createKeyring(configuration.tenants);
+    this.tenantShare = tenantShares(configuration.tenants);
     for (const service of configuration.services) {
       this.services.set(service.name, service);
     }
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -104,6 +104,7 @@
     drainMs: () => settings().drainMs,
     onBackEnd: (backEnd, cause) => onBackEnd(backEnd, cause),
     onRun: (run) => rollouts?.sync.noteRun(run),
+    tenantShare: (tenant) => configuration.routes?.tenantShare(tenant) ?? 1,
     isFenced: () => rollouts?.sync.isFenced ?? false,
     onTask: (task) => recordTask({ log, metrics }, task, owner.report),
     onOverdue: (run) => recordOverdue({ log, metrics }, run),
