explain says what a tenant's key opens; tenant show adds up its use over the fleet

A node counts what each tenant's limit let through and refused in the last ten seconds, and tells it to whom asks (`PeerQuestion.TenantUse`); `tenant show NAME` asks all nodes that the store names and says which did not answer. No command takes or prints a key. `explainRequest` moves out of commands.ts; the sliding count is in the model now, since tenants count by it too.

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -9,9 +9,8 @@
 import { configurationDiff } from './configurationDiff.js';
 import { readConfigurationFile } from './configurationFile.js';
 import { ExitCode } from './exitCode.js';
-import { type AskedRequest, explain } from './explanation.js';
 import { refuse, unavailable } from './failures.js';
-import { laggards, type NodeStatus, readFleet, readRecords } from './fleetStatus.js';
+import { laggards, type NodeStatus, readFleet } from './fleetStatus.js';
 import type { OperatorOutside } from './operatorOutside.js';
 import { type Output, tableOf } from './output.js';
 import { readStored, replaceStored, type Stored, type WriteResult } from './storedConfiguration.js';
@@ -163,40 +162,6 @@
   }
 }
 
-/** Prints how a request would be decided. */
-export async function explainRequest(
-  context: CommandContext,
-  asked: AskedRequest,
-): Promise<ExitCode> {
-  const found = await readRecords(context.store);
-  if ('failure' in found) {
-    return unavailable(found.failure, context.output);
-  }
-  return withStored(context, ({ version, configuration }) => {
-    if (!configuration) {
-      const message = 'the stored configuration does not pass the checks';
-      return refuse([{ code: 'invalid', path: '', message }], context.output);
-    }
-    const explanation = explain({ ...configuration, version }, found.records, asked);
-    context.output.result(explanation, () => {
-      const { route, policies, isAmbiguous, owners } = explanation;
-      const named = policies.length > 0 ? `, policies ${policies.join(', ')}` : '';
-      const refused = isAmbiguous ? ' The path is ambiguous: it is refused.' : '';
-      const rows = owners.map(({ node, zone, service, mayServe }) => [
-        node,
-        zone,
-        service,
-        mayServe ? 'yes' : 'no',
-      ]);
-      const head = `Version ${version}: ${route ? `route ${route}${named}` : 'no route'}.${refused}`;
-      return rows.length > 0
-        ? `${head}\n${tableOf(['OWNER', 'ZONE', 'SERVICE', 'MAY SERVE'], rows)}`
-        : head;
-    });
-    return ExitCode.Ok;
-  });
-}
-
 /** Writes the value of a secret and prints the digest by which a configuration names it. */
 export async function putSecret(
   { store, output }: CommandContext,
@@ -222,7 +187,8 @@
   return ExitCode.Ok;
 }
 
-async function withStored(
+/** Reads what the store holds; says so if it cannot be read or is not there. */
+export async function withStored(
   { outside, store, output }: CommandContext,
   use: (stored: Stored) => ExitCode,
 ): Promise<ExitCode> {
--- /dev/null
+++ b/src/cli/explainCommand.ts
@@ -0,0 +1,48 @@
+/** Prints how a request would be decided. */
+import { type CommandContext, withStored } from './commands.js';
+import { ExitCode } from './exitCode.js';
+import { type AskedRequest, type Explanation, explain } from './explanation.js';
+import { refuse, unavailable } from './failures.js';
+import { readRecords } from './fleetStatus.js';
+import { tableOf } from './output.js';
+
+export async function explainRequest(
+  context: CommandContext,
+  asked: AskedRequest,
+): Promise<ExitCode> {
+  const found = await readRecords(context.store);
+  if ('failure' in found) {
+    return unavailable(found.failure, context.output);
+  }
+  return withStored(context, ({ version, configuration }) => {
+    if (!configuration) {
+      const message = 'the stored configuration does not pass the checks';
+      return refuse([{ code: 'invalid', path: '', message }], context.output);
+    }
+    const { tenant } = asked;
+    if (tenant !== undefined && !configuration.tenants.some(({ name }) => name === tenant)) {
+      const message = `version ${version} has no tenant ${tenant}`;
+      return refuse([{ code: 'no-tenant', path: 'tenants', message }], context.output);
+    }
+    const explanation = explain({ ...configuration, version }, found.records, asked);
+    context.output.result(explanation, () => describe(explanation));
+    return ExitCode.Ok;
+  });
+}
+
+function describe(explanation: Explanation): string {
+  const { version, route, policies, isAmbiguous, owners, access } = explanation;
+  const named = policies.length > 0 ? `, policies ${policies.join(', ')}` : '';
+  const refused = isAmbiguous ? ' The path is ambiguous: it is refused.' : '';
+  const head = `Version ${version}: ${route ? `route ${route}${named}` : 'no route'}.${refused}`;
+  const lines = [head, ...(access ? [access.message] : [])];
+  const rows = owners.map(({ node, zone, service, mayServe }) => [
+    node,
+    zone,
+    service,
+    mayServe ? 'yes' : 'no',
+  ]);
+  return rows.length > 0
+    ? [...lines, tableOf(['OWNER', 'ZONE', 'SERVICE', 'MAY SERVE'], rows)].join('\n')
+    : lines.join('\n');
+}
--- a/src/cli/explanation.ts
+++ b/src/cli/explanation.ts
@@ -5,6 +5,7 @@
 import { completeConfiguration } from '../routing/completeConfiguration.js';
 import type { MeshConfiguration } from '../routing/mesh-configuration.js';
 import { RouteMatcher } from '../routing/route-matcher.js';
+import { type ExplainedAccess, explainAccess } from './explainedAccess.js';
 
 /** A request, as an operator describes it. */
 export interface AskedRequest {
@@ -15,6 +16,8 @@
   readonly headers: Readonly<Record<string, string>>;
   /** Zone in which it begins. */
   readonly zone: string;
+  /** Name of the tenant whose key it carries. */
+  readonly tenant?: string | undefined;
 }
 
 /** One owner of a service that the route leads to. */
@@ -33,6 +36,8 @@
   /** True when the path has no single reading, so that the route's policies refuse it. */
   readonly isAmbiguous: boolean;
   readonly owners: readonly ExplainedOwner[];
+  /** Undefined without a route, and where there are no tenants. */
+  readonly access?: ExplainedAccess | undefined;
 }
 
 export function explain(
@@ -73,5 +78,6 @@
       })),
   );
   const isAmbiguous = placements.some(({ check }) => check.isLeft());
-  return { version, route: name, policies, isAmbiguous, owners };
+  const access = explainAccess(configuration.tenants, matched.route, asked.tenant);
+  return { version, route: name, policies, isAmbiguous, owners, access };
 }
--- a/src/cli/fleetStatus.ts
+++ b/src/cli/fleetStatus.ts
@@ -6,6 +6,7 @@
 import { PeerCaller } from '../peer/peerCaller.js';
 import type { PeerReport } from '../peer/peerMessages.js';
 import { type ObjectStore, Reading, type StoreFailure } from '../source/object-store.js';
+import { readTenantUse, type TenantUse } from '../tenants/tenantUse.js';
 
 /** Nodes that are asked at the same time. */
 const CONCURRENCY = 32;
@@ -67,27 +68,44 @@
   if ('failure' in found) {
     return { kind: 'unavailable', failure: found.failure };
   }
+  const nodes = await askAll(found.records, async (caller, record): Promise<NodeStatus> => {
+    const { node, address, zone, service } = record;
+    const report = await caller.status(address, ANSWER_TIMEOUT_MS);
+    return {
+      node,
+      zone,
+      service,
+      version: report?.version,
+      ready: report?.ready ?? false,
+      backEndVersion: report?.backEndVersion,
+    };
+  });
+  const byZone = (left: NodeStatus, right: NodeStatus) =>
+    left.zone.localeCompare(right.zone) || left.node.localeCompare(right.node);
+  return { kind: 'known', nodes: [...nodes].sort(byZone) };
+}
+
+/** Asks for what tenants have used of late at each node; undefined for one that is out of reach. */
+export function readTenantUses(
+  records: readonly OwnerRecord[],
+): Promise<(readonly TenantUse[] | undefined)[]> {
+  return askAll(records, async (caller, { address }) => {
+    const bytes = await caller.tenantUse(address, ANSWER_TIMEOUT_MS);
+    return bytes && readTenantUse(bytes);
+  });
+}
+
+/** Asks nodes, some at a time. */
+function askAll<Answer>(
+  records: readonly OwnerRecord[],
+  ask: (caller: PeerCaller, record: OwnerRecord) => Promise<Answer>,
+): Promise<Answer[]> {
   const caller = new PeerCaller(
     () => ({ address: NO_ADDRESS, version: 0 }),
     () => NO_REPORT,
   );
   const queue = new PQueue({ concurrency: CONCURRENCY });
-  const nodes = await queue.addAll(
-    found.records.map(({ node, address, zone, service }) => async (): Promise<NodeStatus> => {
-      const report = await caller.status(address, ANSWER_TIMEOUT_MS);
-      return {
-        node,
-        zone,
-        service,
-        version: report?.version,
-        ready: report?.ready ?? false,
-        backEndVersion: report?.backEndVersion,
-      };
-    }),
-  );
-  const byZone = (left: NodeStatus, right: NodeStatus) =>
-    left.zone.localeCompare(right.zone) || left.node.localeCompare(right.node);
-  return { kind: 'known', nodes: [...nodes].sort(byZone) };
+  return queue.addAll(records.map((record) => () => ask(caller, record)));
 }
 
 /** Nodes that do not have a version in force, or a newer one. */
--- a/src/cli/runCli.ts
+++ b/src/cli/runCli.ts
@@ -4,7 +4,6 @@
   apply,
   type CommandContext,
   diff,
-  explainRequest,
   get,
   putSecret,
   status,
@@ -12,6 +11,7 @@
   waitInForce,
 } from './commands.js';
 import { ExitCode } from './exitCode.js';
+import { explainRequest } from './explainCommand.js';
 import type { OperatorOutside } from './operatorOutside.js';
 import { createOutput, type Write } from './output.js';
 import { liftQuarantine, listQuarantines } from './quarantineCommands.js';
@@ -121,10 +121,11 @@
           .positional('path', { type: 'string', demandOption: true })
           .option('method', { type: 'string', default: 'GET' })
           .option('zone', { type: 'string', default: '', describe: 'Where the request begins' })
+          .option('tenant', { type: 'string', describe: 'Tenant whose key it carries' })
           .option('header', { type: 'string', array: true, default: [] as string[] }),
-      ({ host, path, method, zone, header, ...rest }) =>
+      ({ host, path, method, zone, tenant, header, ...rest }) =>
         run(rest, (command) =>
-          explainRequest(command, { host, path, method, zone, headers: headersOf(header) }),
+          explainRequest(command, { host, path, method, zone, tenant, headers: headersOf(header) }),
         ),
     )
     .command(
@@ -154,7 +155,7 @@
     )
     .command(
       'tenant <action> [name]',
-      'Print the tenants (list), or one of them (show), with their limits',
+      'Print the tenants with their limits (list), or one and what it has used of late (show)',
       (options) =>
         withStore(options, context.defaultStore)
           .positional('action', { choices: ['list', 'show'] as const, demandOption: true })
--- a/src/cli/tenantCommands.ts
+++ b/src/cli/tenantCommands.ts
@@ -1,37 +1,68 @@
 /** Commands about tenants. Of keys they show digests' first digits only. */
 import { keyPrint } from '../tenants/keyring.js';
 import type { MeshTenant } from '../tenants/tenant.js';
+import { USE_WINDOW_MS } from '../tenants/tenantUse.js';
 import type { CommandContext } from './commands.js';
 import { ExitCode } from './exitCode.js';
 import { refuse, unavailable } from './failures.js';
+import { readRecords, readTenantUses } from './fleetStatus.js';
 import { tableOf } from './output.js';
 import { readStored } from './storedConfiguration.js';
 
+const MILLISECONDS_PER_SECOND = 1_000;
+
 /** A tenant as it is shown. */
 interface ShownTenant extends Omit<MeshTenant, 'apiKeys'> {
   readonly keys: readonly string[];
 }
 
+/** What a tenant has used of late over all nodes that answer. */
+interface FleetUse {
+  readonly windowMs: number;
+  /** Requests a second that its limit let through, and that it refused. */
+  readonly admittedPerS: number;
+  readonly refusedPerS: number;
+  /** Nodes that have answered, and those that the store names besides. */
+  readonly nodes: number;
+  readonly outOfReach: readonly string[];
+}
+
 /** Prints the tenants of the configuration that the store holds. */
 export function listTenants(context: CommandContext): Promise<ExitCode> {
   return withTenants(context, (tenants, version) => show(context, tenants, version));
 }
 
-/** Prints one of them. */
+/** Prints one of them, and what it has used of its limit over the fleet. */
 export function showTenant(context: CommandContext, name: string): Promise<ExitCode> {
-  return withTenants(context, (tenants, version) => {
+  return withTenants(context, async (tenants, version) => {
     const found = tenants.filter((tenant) => tenant.name === name);
-    if (found.length > 0) {
-      return show(context, found, version);
+    if (found.length === 0) {
+      const message = `version ${version} has no tenant ${name}`;
+      return refuse([{ code: 'no-tenant', path: 'tenants', message }], context.output);
     }
-    const message = `version ${version} has no tenant ${name}`;
-    return refuse([{ code: 'no-tenant', path: 'tenants', message }], context.output);
+    const listed = await readRecords(context.store);
+    if ('failure' in listed) {
+      return unavailable(listed.failure, context.output);
+    }
+    const uses = await readTenantUses(listed.records);
+    const sumOf = (kind: 'admitted' | 'refused'): number =>
+      uses
+        .flatMap((each) => each?.filter((use) => use.name === name) ?? [])
+        .reduce((sum, use) => sum + use[kind], 0);
+    const perS = (count: number): number => (count * MILLISECONDS_PER_SECOND) / USE_WINDOW_MS;
+    return show(context, found, version, {
+      windowMs: USE_WINDOW_MS,
+      admittedPerS: perS(sumOf('admitted')),
+      refusedPerS: perS(sumOf('refused')),
+      nodes: uses.filter((each) => each !== undefined).length,
+      outOfReach: listed.records.filter((_, index) => !uses[index]).map(({ node }) => node),
+    });
   });
 }
 
 async function withTenants(
   { store, outside, output }: CommandContext,
-  use: (tenants: readonly MeshTenant[], version: number) => ExitCode,
+  use: (tenants: readonly MeshTenant[], version: number) => ExitCode | Promise<ExitCode>,
 ): Promise<ExitCode> {
   const read = await readStored(store, outside);
   if (read.kind === 'unavailable') {
@@ -44,23 +75,37 @@
   { output }: CommandContext,
   tenants: readonly MeshTenant[],
   version: number,
+  use?: FleetUse,
 ): ExitCode {
   const shown = tenants.map(
     ({ apiKeys, ...rest }): ShownTenant => ({ ...rest, keys: apiKeys.map(keyPrint) }),
   );
-  output.result({ version, tenants: shown }, () =>
+  output.result({ version, tenants: shown, use }, () =>
     shown.length === 0
       ? `Version ${version} has no tenants.`
-      : tableOf(
-          ['TENANT', 'RATE', 'BURST', 'PRIORITY', 'KEYS'],
-          shown.map(({ name, ratePerS, burst, priority, keys }) => [
-            name,
-            ratePerS === 0 ? 'no limit' : `${ratePerS}/s`,
-            burst,
-            priority ?? 'of the route',
-            keys.join(' '),
-          ]),
-        ),
+      : [tableOfTenants(shown), ...(use ? [describeUse(use)] : [])].join('\n'),
   );
   return ExitCode.Ok;
 }
+
+function tableOfTenants(tenants: readonly ShownTenant[]): string {
+  return tableOf(
+    ['TENANT', 'RATE', 'BURST', 'PRIORITY', 'KEYS'],
+    tenants.map(({ name, ratePerS, burst, priority, keys }) => [
+      name,
+      ratePerS === 0 ? 'no limit' : `${ratePerS}/s`,
+      burst,
+      priority ?? 'of the route',
+      keys.join(' '),
+    ]),
+  );
+}
+
+function describeUse({ windowMs, admittedPerS, refusedPerS, nodes, outOfReach }: FleetUse): string {
+  const window = `${windowMs / MILLISECONDS_PER_SECOND} s`;
+  const missing = outOfReach.length > 0 ? `; out of reach: ${outOfReach.join(', ')}` : '';
+  return (
+    `In the last ${window}: ${admittedPerS}/s let through, ${refusedPerS}/s over the limit, ` +
+    `as ${nodes} nodes say${missing}.`
+  );
+}
--- a/src/ingress/returnTimes.ts
+++ b/src/ingress/returnTimes.ts
@@ -4,7 +4,7 @@
  * in memory: each is told a time at which one more request is likely to be served, at the pace at
  * which this ingress has seen its requests served.
  */
-import { createSlidingCount, type SlidingCount } from './slidingCount.js';
+import { createSlidingCount, type SlidingCount } from '../model/slidingCount.js';
 
 /** The pace is taken from so many milliseconds. */
 const PACE_WINDOW_MS = 1_000;
--- a/src/ingress/shared-retry-budget.ts
+++ b/src/ingress/shared-retry-budget.ts
@@ -6,7 +6,7 @@
  * allows may be spent at any moment of it, so that a short fault can use it whole.
  */
 
-import { createSlidingCount, type SlidingCount } from './slidingCount.js';
+import { createSlidingCount, type SlidingCount } from '../model/slidingCount.js';
 
 /** The bound that all nodes keep together. */
 export interface BudgetBound {
--- a/src/peer/peerCaller.ts
+++ b/src/peer/peerCaller.ts
@@ -48,6 +48,12 @@
     return told?.bytes;
   }
 
+  /** Asks for what tenants have used at another node of late. */
+  async tenantUse(address: string, timeoutMs: number): Promise<Buffer | undefined> {
+    const told = await this.ask(address, PeerQuestion.TenantUse, timeoutMs);
+    return told?.bytes;
+  }
+
   /** Tells news; false when nobody took it. */
   async tell(address: string, news: News, timeoutMs: number): Promise<boolean> {
     const message = { kind: MessageKind.News, sender: this.sender(), ...news } as const;
--- a/src/peer/peerMessages.ts
+++ b/src/peer/peerMessages.ts
@@ -65,6 +65,8 @@
   Status = 'status',
   Configuration = 'configuration',
   Directory = 'directory',
+  /** What tenants have used of late. */
+  TenantUse = 'tenant-use',
 }
 
 /**
--- a/src/peer/peerServer.test.ts
+++ b/src/peer/peerServer.test.ts
@@ -22,6 +22,7 @@
     report: () => peerReport(),
     configuration: () => undefined,
     directory: () => undefined,
+    tenantUse: () => Buffer.from('[]'),
     grant: () => undefined,
     read: () => Promise.reject(new Error('not used')),
     onNews: () => {},
--- a/src/peer/peerServer.ts
+++ b/src/peer/peerServer.ts
@@ -38,6 +38,8 @@
   readonly configuration: () => Buffer | undefined;
   /** The known owners as bytes, or undefined while they are not known. */
   readonly directory: () => Buffer | undefined;
+  /** What tenants have used here of late, as bytes. */
+  readonly tenantUse: () => Buffer;
   /** Answers a node that reads the store by way of this one. */
   readonly read: (question: StoreQuestion) => Promise<Buffer>;
   /** Answers a node that asks for requests of a tenant; undefined where no part of its quota is held. */
@@ -135,6 +137,8 @@
       return context.configuration();
     case PeerQuestion.Directory:
       return context.directory();
+    case PeerQuestion.TenantUse:
+      return context.tenantUse();
     default:
       return undefined;
   }
--- a/src/sidecar/decisionRecords.ts
+++ b/src/sidecar/decisionRecords.ts
@@ -7,6 +7,7 @@
 import type { OwnerReport, TaskRecord } from '../owner/owner-report.js';
 import type { CrashNews } from '../quarantine/crashLedger.js';
 import type { BackEndLife } from '../registry/backEndLife.js';
+import type { TenantUseCount } from '../tenants/tenantUse.js';
 
 /** Statuses from here on are failures, of the back end or of this node. */
 const FIRST_ERROR_STATUS = 400;
@@ -18,8 +19,14 @@
 }
 
 /** A client has its final answer, or has left; one that was answered at its first offer has no line. */
-export function recordRequest({ log, metrics }: RecordSinks, record: RequestRecord): void {
+export function recordRequest(
+  { log, metrics, tenantUse }: RecordSinks & { readonly tenantUse: TenantUseCount },
+  record: RequestRecord,
+): void {
   metrics.requestFinished(record);
+  if (record.tenant !== undefined) {
+    tenantUse.note(record.tenant, record.code === 'over-quota');
+  }
   const { status, offers, durationMs, allowedMs, ...rest } = record;
   const isPlain = status > 0 && status < FIRST_ERROR_STATUS && offers.length < 2;
   if (!isPlain) {
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -25,6 +25,7 @@
 import type { BackEnd } from '../registry/back-end-registry.js';
 import type { ZoneRelay } from '../relay/zoneRelay.js';
 import type { ConfigurationFollower } from '../source/configuration-follower.js';
+import { createTenantUseCount } from '../tenants/tenantUse.js';
 import { recordCrash, recordOverdue, recordRequest, recordTask } from './decisionRecords.js';
 import { createOwnerEntries, ownRecordOf } from './ownerEntries.js';
 import { createQuotaPart, type QuotaPart } from './quotaPart.js';
@@ -188,6 +189,8 @@
     isListed: () => sync.isListed,
   });
 
+  const tenantUse = createTenantUseCount(clock);
+
   const ingress = new IngressServer({
     clock,
     alarms,
@@ -208,7 +211,7 @@
     callerService: () => settings().service,
     own: record,
     quotas: quotas.gate,
-    onFinished: (request) => recordRequest({ log, metrics }, request),
+    onFinished: (request) => recordRequest({ log, metrics, tenantUse }, request),
   });
 
   const peers = new PeerServer({
@@ -218,6 +221,7 @@
     traits: { onSent, window: bulkWindowOf(settings().linkMbps) },
     configuration: () => configuration.bytes(),
     directory: () => sync.bytes(),
+    tenantUse: tenantUse.bytes,
     read: (question) => relay.answer(question),
     grant: quotas.grant,
     onNews: broadcast.take,
--- /dev/null
+++ b/src/tenants/tenantUse.ts
@@ -0,0 +1,64 @@
+/** What tenants have used of late at one node: for operators, who add it up over the fleet. */
+import * as z from 'zod';
+import type { Clock } from '../model/clock.js';
+import { createSlidingCount, type SlidingCount } from '../model/slidingCount.js';
+
+/** Counted are the requests of this time, in milliseconds: long enough for a tenant of one in a few seconds. */
+export const USE_WINDOW_MS = 10_000;
+
+const useSchema = z.object({
+  name: z.string(),
+  /** Requests of the window that the limit let through, and that it refused. */
+  admitted: z.number().int().min(0),
+  refused: z.number().int().min(0),
+});
+
+/** What one tenant has used at one node. */
+export type TenantUse = z.infer<typeof useSchema>;
+
+export interface TenantUseCount {
+  /** A request of a tenant has ended, or was refused by its limit. */
+  note(tenant: string, isRefused: boolean): void;
+  /** As it travels to an operator. */
+  bytes(): Buffer;
+}
+
+interface Counts {
+  readonly admitted: SlidingCount;
+  readonly refused: SlidingCount;
+}
+
+/** Keeps one pair of counts for each tenant that has sent a request here: as many as configurations name. */
+export function createTenantUseCount(clock: Clock): TenantUseCount {
+  const counts = new Map<string, Counts>();
+  return {
+    note: (tenant, isRefused) => {
+      const known = counts.get(tenant) ?? {
+        admitted: createSlidingCount(USE_WINDOW_MS),
+        refused: createSlidingCount(USE_WINDOW_MS),
+      };
+      counts.set(tenant, known);
+      (isRefused ? known.refused : known.admitted).add(clock.now());
+    },
+    bytes: () => {
+      const now = clock.now();
+      const uses = [...counts].map(
+        ([name, { admitted, refused }]): TenantUse => ({
+          name,
+          admitted: admitted.atMost(now),
+          refused: refused.atMost(now),
+        }),
+      );
+      return Buffer.from(JSON.stringify(uses));
+    },
+  };
+}
+
+/** Undefined if a node has said anything else. */
+export function readTenantUse(bytes: Buffer): readonly TenantUse[] | undefined {
+  try {
+    return z.array(useSchema).parse(JSON.parse(bytes.toString()));
+  } catch {
+    return undefined;
+  }
+}
