Placement policies ask for the tenant

`request.tenant` is the name of the tenant whose key a request carries. With tenants a policy sees no key and no client's word for its tenant in `request.headers`; without tenants it sees what it saw. A body that ends after its key has passed to another tenant is placed as that one's. Tests: test/tenants.test.ts over sockets (off: the re-check after the body, or the hidden fields, and one of its two fails), placement-policy.test.ts.

--- a/src/cli/explanation.ts
+++ b/src/cli/explanation.ts
@@ -60,9 +60,11 @@
   const { name, policies, split } = matched.route;
   const own = { node: '', address: '', zone: asked.zone, service: '' };
   const request = { method: asked.method, url: asked.path, headers: asked.headers };
+  const access = explainAccess(configuration.tenants, matched.route, asked.tenant);
+  const caller = { tenant: access?.tenant, hiddenFields: new Set<string>() };
   const placements = split.map(({ service }) => ({
     service,
-    check: placementOf(request, matched, service, own),
+    check: placementOf(request, matched, service, own, caller),
   }));
   const owners = placements.flatMap(({ service, check }) =>
     records
@@ -78,6 +80,5 @@
       })),
   );
   const isAmbiguous = placements.some(({ check }) => check.isLeft());
-  const access = explainAccess(configuration.tenants, matched.route, asked.tenant);
   return { version, route: name, policies, isAmbiguous, owners, access };
 }
--- a/src/ingress/clientAccess.ts
+++ b/src/ingress/clientAccess.ts
@@ -20,8 +20,12 @@
   decide(request: http.IncomingMessage, routes: RouteMatcher, route: MeshRoute): Access;
   /** Names of header fields, in lower case, that clients may not set. */
   reservedFields(hasTenants: boolean): ReadonlySet<string>;
+  /** Those of them that are about tenants; none without tenants. */
+  tenantFields(hasTenants: boolean): ReadonlySet<string>;
 }
 
+const NO_FIELDS: ReadonlySet<string> = new Set();
+
 export function createClientAccess({
   names,
   mayBeBehind,
@@ -30,11 +34,8 @@
   const keyField = names.apiKey.toLowerCase();
   const always = [names.deadline, names.expectInstance, names.callerService];
   const reserved = new Set(always.map((name) => name.toLowerCase()));
-  const reservedWithTenants = new Set([
-    ...reserved,
-    ...spellingsOf(names.apiKey),
-    ...spellingsOf(names.tenant),
-  ]);
+  const ofTenants = new Set([...spellingsOf(names.apiKey), ...spellingsOf(names.tenant)]);
+  const reservedWithTenants = new Set([...reserved, ...ofTenants]);
   return {
     decide: (request, { keyring }, { isPublic }) =>
       decideAccess({
@@ -44,6 +45,7 @@
         mayBeBehind: mayBeBehind(),
         isOutdated: isOutdated(),
       }),
+    tenantFields: (hasTenants) => (hasTenants ? ofTenants : NO_FIELDS),
     reservedFields: (hasTenants) => (hasTenants ? reservedWithTenants : reserved),
   };
 }
--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -6,16 +6,14 @@
 import { Cancellation } from '../owner/cancellation.js';
 import type { MessageBody } from '../owner/message-body.js';
 import type { OwnerTask } from '../owner/owner.js';
-import { endToEndFields, withField } from '../owner/raw-headers.js';
-import { fingerprintOf } from '../quarantine/fingerprint.js';
 import type { MeshRoute } from '../routing/mesh-configuration.js';
 import type { MatchedRoute, RouteMatcher } from '../routing/route-matcher.js';
 import { AccessKind } from '../tenants/access.js';
-import { priorityOf } from '../tenants/priority.js';
 import type { QuotaDecision, QuotaGate, QuotaSight } from '../tenants/quotaGate.js';
 import type { MeshTenant } from '../tenants/tenant.js';
 import { type ClientRefusal, sendAnswer, sendRefusal } from './client-answer.js';
 import type { ClientAccess, ClientAccessContext } from './clientAccess.js';
+import { clientTaskOf, fingerprintOfRequest } from './clientTask.js';
 import { Dispatch, type DispatchContext } from './dispatch.js';
 import { type OwnerCheck, placementOf } from './placement.js';
 import { hasBody, headBytes, takeBody } from './requestMessage.js';
@@ -115,12 +113,13 @@
       this.refuse({ code: 'stopping', ...refusal }, mayClose());
       return;
     }
-    const placement = placementOf(this.request, matched, this.service, this.options.own());
+    const placement = this.placementFor(matched);
     if (placement.isLeft()) {
       this.refuse({ code: 'ambiguous-path', status: 400 }, mayClose());
       return;
     }
-    const decision = this.tenant && (await this.options.quotas?.admit(this.tenant));
+    const { tenant } = this;
+    const decision = tenant && (await this.options.quotas?.admit(tenant));
     if (decision && !this.isWithinQuota(decision, mayClose)) {
       return;
     }
@@ -128,7 +127,10 @@
     if (body === 'too-large') {
       this.refuse({ code: 'too-large', status: 413 }, true);
     } else if (body && !this.isFinished && this.isStillAdmitted(routes, matched.route, mayClose)) {
-      await this.bringToOwner(matched, body, placement.orDefault(undefined), mayClose);
+      // While the body came in, the key may have passed to another tenant.
+      const isSame = this.tenant?.name === tenant?.name;
+      const placed = isSame ? placement : this.placementFor(matched);
+      await this.bringToOwner(matched, body, placed.orDefault(undefined), mayClose);
     }
   }
 
@@ -202,40 +204,32 @@
     }
   }
 
-  private taskOf({ route, credential }: MatchedRoute, body: MessageBody): OwnerTask {
+  /** Undefined policies allow all owners; Left: the path has no single reading. */
+  private placementFor(matched: MatchedRoute): ReturnType<typeof placementOf> {
+    const caller = {
+      tenant: this.tenant?.name,
+      hiddenFields: this.access.tenantFields(this.hasTenants),
+    };
+    return placementOf(this.request, matched, this.service, this.options.own(), caller);
+  }
+
+  private taskOf(matched: MatchedRoute, body: MessageBody): OwnerTask {
     const { request, options } = this;
-    const reserved = this.access.reservedFields(this.hasTenants);
-    const fields = endToEndFields(request.rawHeaders, request.headers.connection, reserved);
-    const targetMs = Math.min(this.allowedMs, route.targetLatencyMs ?? this.allowedMs);
-    const method = request.method ?? 'GET';
-    const target = request.url ?? '/';
-    this.fingerprint = fingerprintOf({
-      method,
-      host: request.headers.host ?? '',
-      target,
-      body: body.kind === 'bytes' ? [body.bytes] : body.head,
-    });
-    return {
+    this.fingerprint = fingerprintOfRequest(request, body);
+    return clientTaskOf({
+      request,
       requestId: this.requestId,
-      method,
-      target,
       fingerprint: this.fingerprint,
-      headers: credential ? withField(fields, credential.header, credential.value) : fields,
+      reservedFields: this.access.reservedFields(this.hasTenants),
+      matched,
       service: this.service,
-      route: route.name,
       callerService: options.callerService(),
-      tenant: this.tenant?.name,
-      priority: priorityOf(this.tenant, route),
-      repeatable: route.kind === 'safe' && body.kind === 'bytes',
-      deadlineAt: this.startedAt + this.allowedMs,
-      targetAt: this.startedAt + targetMs,
-      hasBody: hasBody(request),
-      mayWait: true,
+      tenant: this.tenant,
+      startedAt: this.startedAt,
+      allowedMs: this.allowedMs,
+      body,
       cancellation: this.cancellation,
-      heldBody: body.kind === 'bytes' ? body : undefined,
-      loadBody: () => Promise.resolve(body),
-      onProgress: () => {},
-    };
+    });
   }
 
   /** One timer gives the final answer at the client's deadline or the route's time-out. */
--- a/src/policy/placement-policy.test.ts
+++ b/src/policy/placement-policy.test.ts
@@ -2,7 +2,7 @@
 import { compilePolicy, type PolicyContext } from './placement-policy.js';
 
 const context: PolicyContext = {
-  request: { method: 'GET', path: '/x', headers: { 'x-class': 'a' } },
+  request: { method: 'GET', path: '/x', headers: { 'x-class': 'a' }, tenant: 'acme' },
   route: { name: 'r', service: 's', kind: 'safe' },
   node: { zone: 'z1', region: 'r1', labels: {} },
   endpoint: { zone: 'z2', region: 'r1', labels: { audited: 'yes' } },
@@ -13,6 +13,8 @@
   ['endpoint.zone == node.zone', false],
   ['endpoint.labels["audited"] == "yes"', true],
   ['request.path.startsWith("/x") && route.kind == "safe"', true],
+  ['request.tenant == "acme" || endpoint.zone == "z1"', true],
+  ['request.tenant in ["beta", ""]', false],
   ['endpoint.labels["absent"] == "yes"', false],
 ])('%s gives %s', (program, expected) => {
   const policy = compilePolicy('p', program).unsafeCoerce();
--- a/src/policy/placement-policy.ts
+++ b/src/policy/placement-policy.ts
@@ -12,6 +12,8 @@
   readonly path: string;
   /** Header names in lower case. */
   readonly headers: Readonly<Record<string, string>>;
+  /** Name of the tenant whose key it carries; empty for calls, public routes and without tenants. */
+  readonly tenant: string;
 }
 
 /** What a policy sees of the matched route. */
@@ -65,7 +67,7 @@
 })
   .registerVariable({
     name: 'request',
-    schema: { method: 'string', path: 'string', headers: 'map<string, string>' },
+    schema: { method: 'string', path: 'string', headers: 'map<string, string>', tenant: 'string' },
   })
   .registerVariable({
     name: 'route',
--- a/src/policy/request-normalizer.ts
+++ b/src/policy/request-normalizer.ts
@@ -8,7 +8,7 @@
 import type { PolicyRequest } from './placement-policy.js';
 
 /** A request in the only form that matching and policies see. */
-export interface NormalizedRequest extends PolicyRequest {
+export interface NormalizedRequest extends Omit<PolicyRequest, 'tenant'> {
   /** Query with its question mark, unchanged; empty when there is none. */
   readonly query: string;
 }
--- a/test/tenants.test.ts
+++ b/test/tenants.test.ts
@@ -1,7 +1,13 @@
 /** Tenants' keys over real sockets: who is let in, until when, and what back ends see of it. */
 import http from 'node:http';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { call, type MachineOptions, SidecarMesh, waitFor } from '../lab/sidecar-mesh.js';
+import {
+  call,
+  type Machine,
+  type MachineOptions,
+  SidecarMesh,
+  waitFor,
+} from '../lab/sidecar-mesh.js';
 
 const KEY = 'spindlepaddle-api-key';
 const TENANT = 'spindlepaddle-tenant';
@@ -194,3 +200,59 @@
     expect(found.status).toBe(503);
   });
 });
+
+describe('a placement policy', () => {
+  const POLICIES = [
+    {
+      name: 'home',
+      allow: `request.tenant == "acme" ? endpoint.zone == "a" : request.tenant == "beta" && endpoint.zone == "b"`,
+    },
+    { name: 'blind', allow: `!("${KEY}" in request.headers) && !("${TENANT}" in request.headers)` },
+  ];
+  const PLACED = ROUTES.map((route) => ({ ...route, policies: ['home', 'blind'] }));
+
+  async function twoHomes() {
+    const near = await mesh.add('desk', { zone: 'a' });
+    const far = await mesh.add('desk', { zone: 'b' });
+    mesh.configure(PLACED, { tenants: [ACME, BETA], policies: POLICIES });
+    await mesh.settled();
+    return { near, far, address: near.node.addresses.clients };
+  }
+
+  it('asks for the tenant of the key, whatever the client claims, and sees no key', async () => {
+    const { near, far, address } = await twoHomes();
+    for (const key of ['acme-key', 'beta-key']) {
+      for (const claim of ['acme', 'beta']) {
+        const headers = { [KEY]: key, [TENANT]: claim };
+        expect((await call(address, '/read/1', { headers })).status).toBe(200);
+      }
+    }
+    const tenantsOf = (machine: Machine) =>
+      machine.application.runs.map((run) => run.headers[TENANT]);
+    expect(tenantsOf(near)).toEqual(['acme', 'acme']);
+    expect(tenantsOf(far)).toEqual(['beta', 'beta']);
+    // Without a tenant neither zone is allowed.
+    const headers = { [TENANT]: 'acme' };
+    expect((await call(address, '/open/1', { headers })).status).toBe(503);
+  });
+
+  it('goes by the tenant that holds the key once the body has come in', async () => {
+    const { near, far, address } = await twoHomes();
+    const agent = new http.Agent();
+    const held = heldUpload(address, agent);
+    await waitFor(() => near.node.status.inFlight === 1);
+    const version = mesh.configure(PLACED, {
+      tenants: [
+        { ...ACME, apiKeys: ['acme-next'] },
+        { ...BETA, apiKeys: ['acme-key'] },
+      ],
+      policies: POLICIES,
+    });
+    await waitFor(() => near.node.status.version === version);
+    held.end();
+    expect(await held.status).toBe(200);
+    expect(near.application.runs).toHaveLength(0);
+    expect(far.application.runs.map((run) => run.headers[TENANT])).toEqual(['beta']);
+    agent.destroy();
+  });
+});
