--- a/src/cli/explanation.ts
+++ b/src/cli/explanation.ts
@@ -5,6 +5,7 @@
 import { completeConfiguration } from '../routing/completeConfiguration.js';
 import type { MeshConfiguration } from '../routing/mesh-configuration.js';
 import { RouteMatcher } from '../routing/route-matcher.js';
+import { type ExplainedAccess, explainAccess } from './explainedAccess.js';
 
 /** A request, as an operator describes it. */
 export interface AskedRequest {
@@ -15,6 +16,8 @@
   readonly headers: Readonly<Record<string, string>>;
   /** Zone in which it begins. */
   readonly zone: string;
+  /** Name of the tenant whose key it carries. */
+  readonly tenant?: string | undefined;
 }
 
 /** One owner of a service that the route leads to. */
@@ -33,6 +36,8 @@
   /** True when the path has no single reading, so that the route's policies refuse it. */
   readonly isAmbiguous: boolean;
   readonly owners: readonly ExplainedOwner[];
+  /** Undefined without a route, and where there are no tenants. */
+  readonly access?: ExplainedAccess | undefined;
 }
 
 export function explain(
@@ -55,9 +60,11 @@
   const { name, policies, split } = matched.route;
   const own = { node: '', address: '', zone: asked.zone, service: '' };
   const request = { method: asked.method, url: asked.path, headers: asked.headers };
+  const access = explainAccess(configuration.tenants, matched.route, asked.tenant);
+  const caller = { tenant: access?.tenant, hiddenFields: new Set<string>() };
   const placements = split.map(({ service }) => ({
     service,
-    check: placementOf(request, matched, service, own),
+    check: placementOf(request, matched, service, own, caller),
   }));
   const owners = placements.flatMap(({ service, check }) =>
     records
@@ -73,5 +80,5 @@
       })),
   );
   const isAmbiguous = placements.some(({ check }) => check.isLeft());
-  return { version, route: name, policies, isAmbiguous, owners };
+  return { version, route: name, policies, isAmbiguous, owners, access };
 }
--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -111,12 +111,13 @@
       this.refuse({ code: 'stopping', ...refusal }, mayClose());
       return;
     }
-    const placement = placementOf(this.request, matched, this.service, this.options.own());
+    const placement = this.placementFor(matched);
     if (placement.isLeft()) {
       this.refuse({ code: 'ambiguous-path', status: 400 }, mayClose());
       return;
     }
-    const decision = this.tenant && (await this.options.quotas?.admit(this.tenant));
+    const { tenant } = this;
+    const decision = tenant && (await this.options.quotas?.admit(tenant));
     if (decision && !this.isWithinQuota(decision, mayClose)) {
       return;
     }
@@ -124,7 +125,10 @@
     if (body === 'too-large') {
       this.refuse({ code: 'too-large', status: 413 }, true);
     } else if (body && !this.isFinished && this.isStillAdmitted(routes, matched.route, mayClose)) {
-      await this.bringToOwner(matched, body, placement.orDefault(undefined), mayClose);
+      // While the body came in, the key may have passed to another tenant.
+      const isSame = this.tenant?.name === tenant?.name;
+      const placed = isSame ? placement : this.placementFor(matched);
+      await this.bringToOwner(matched, body, placed.orDefault(undefined), mayClose);
     }
   }
 
@@ -198,6 +202,15 @@
     }
   }
 
+  /** Undefined policies allow all owners; Left: the path has no single reading. */
+  private placementFor(matched: MatchedRoute): ReturnType<typeof placementOf> {
+    const caller = {
+      tenant: this.tenant?.name,
+      hiddenFields: this.access.tenantFields(this.hasTenants),
+    };
+    return placementOf(this.request, matched, this.service, this.options.own(), caller);
+  }
+
   private taskOf(matched: MatchedRoute, body: MessageBody): OwnerTask {
     const task = ownerTaskOf({
       request: this.request,
