--- a/src/tenants/quotaParts.test.ts
+++ b/src/tenants/quotaParts.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { type QuotaBounds, quotaOf, windowBound } from './quotaParts.js';
+import { holdersOf, type QuotaBounds, quotaOf, windowBound } from './quotaParts.js';
 import { tenantSchema } from './tenant.js';
 import { createTokenBucket } from './tokenBucket.js';
 
@@ -21,6 +21,22 @@
   return admitted / asked;
 }
 
+const MEMBERS = Array.from({ length: 20 }, (_, index) => ({ node: `n${index}`, zone: 'a' }));
+
+describe('the holders of a quota', () => {
+  it('are three for a small tenant, so that a silent one has not all refused', () => {
+    const small = tenantSchema.parse({ name: 'small', ratePerS: 2, burst: 2 });
+    const few = [CALM, small].map((tenant) => quotaOf(tenant, NARROW));
+    expect(few.map((quota) => holdersOf('small', quota, MEMBERS).length)).toEqual([3, 3]);
+    const least = quotaOf(tenantSchema.parse({ name: 'least', ratePerS: 0.1 }), {
+      windowMs: 1_000,
+      overage: 0,
+      slack: 0,
+    });
+    expect(holdersOf('least', least, MEMBERS)).toHaveLength(1);
+  });
+});
+
 describe('the bucket of a quota', () => {
   // A node that stands still for a moment sees all that came meanwhile at once.
   it.each([1, 2, 5, 8])(
--- a/src/tenants/quotaParts.ts
+++ b/src/tenants/quotaParts.ts
@@ -35,6 +35,12 @@
  */
 const PART_DEPTH = 4;
 
+/**
+ * Even a small tenant's parts have so many holders, as long as each has a whole request: one that is silent
+ * does not have all refused, and a request can ask each of them.
+ */
+const LEAST_HOLDERS = 3;
+
 /**
  * Requests that a tenant sends in this time, in milliseconds, may come together: a pause of its clients, or
  * of the node that they ask, bunches them.
@@ -89,7 +95,7 @@
 }
 
 /**
- * The holders of a tenant's parts: as many as leave each part deep enough, at the most all. Each zone has
+ * The holders of a tenant's parts: as many as leave each part deep enough, a few at the least, at the most all. Each zone has
  * its share of them, so that one that is cut off has its share of the limit.
  */
 export function holdersOf(
@@ -97,7 +103,8 @@
   quota: BucketLimits,
   members: readonly QuotaMember[],
 ): readonly QuotaMember[] {
-  const wanted = Math.max(1, Math.floor(quota.depth / PART_DEPTH));
+  const deep = Math.floor(quota.depth / PART_DEPTH);
+  const wanted = Math.max(1, deep, Math.min(LEAST_HOLDERS, Math.floor(quota.depth)));
   if (wanted >= members.length) {
     return members;
   }
