--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -4,7 +4,7 @@
  * answered within its target latency; the most urgent go first.
  */
 
-import { heldUntil, nextInTurn, rankOf } from './callTurns.js';
+import { heldUntil, nextInTurn, type QueuedTurn, rankOf, type TurnContext } from './callTurns.js';
 import { createServiceTimes, type ServiceTimes } from './serviceTimes.js';
 import { createUrgencyMix } from './urgencyMix.js';
 
@@ -150,6 +150,12 @@
     return Math.max(MIN_RETRY_AFTER_MS, this.expectedWaitMs(this.waiting.length));
   }
 
+  private turnContext(now: number): TurnContext {
+    const { runningCalls, slots } = this;
+    const latestStartAt: TurnContext['latestStartAt'] = (request) => this.latestStartAt(request);
+    return { runningCalls, slots, now, latestStartAt };
+  }
+
   private hasRoomFor({ runsAlone }: AdmissionRequest): boolean {
     const limit = runsAlone ? Math.min(1, this.slots) : this.slots;
     return this.running < limit && !this.hasAloneTask;
@@ -158,7 +164,7 @@
   /** A task that runs alone holds up those behind it until the back end has nothing else to do. */
   private fill(now: number): void {
     for (;;) {
-      const next = nextInTurn(this.waiting, this.runningCalls, this.slots);
+      const next = nextInTurn(this.waiting, this.turnContext(now));
       if (!next || !this.hasRoomFor(next.request)) {
         return;
       }
@@ -182,7 +188,7 @@
   }
 
   /** Steady time in milliseconds by which a task must have begun to be worth its slot. */
-  latestStartAt(request: AdmissionRequest): number {
+  latestStartAt(request: QueuedTurn['request']): number {
     return heldUntil(request) - this.expectedServiceMs(request.route);
   }
 
--- a/src/owner/callTurns.test.ts
+++ b/src/owner/callTurns.test.ts
@@ -1,10 +1,18 @@
 import { describe, expect, it } from 'vitest';
-import { heldUntil, nextInTurn, rankOf, type TurnRequest } from './callTurns.js';
+import { heldUntil, nextInTurn, rankOf, type TurnContext, type TurnRequest } from './callTurns.js';
 
 function queued(name: string, overrides: Partial<TurnRequest> = {}) {
-  return { name, request: { priority: 1, targetAt: 100, deadlineAt: 400, ...overrides } };
+  const request = { route: name, priority: 1, targetAt: 100, deadlineAt: 400, ...overrides };
+  return { name, since: 0, request };
 }
 
+const context: TurnContext = {
+  runningCalls: 0,
+  slots: 4,
+  now: 0,
+  latestStartAt: ({ targetAt }) => targetAt - 20,
+};
+
 describe('the turns of calls and clients', () => {
   it('put calls first among equals, also among tenants whose routes differ', () => {
     const ranks = [
@@ -27,15 +35,22 @@
     const call = queued('call', { isCall: true });
     const client = queued('client');
     const idler = queued('idler', { priority: 2 });
-    expect(nextInTurn([call, client], 2, 4)).toBe(call);
-    expect(nextInTurn([call, client], 3, 4)).toBe(client);
-    expect(nextInTurn([call, idler], 3, 4)).toBe(call);
-    expect(nextInTurn([call], 4, 4)).toBe(call);
+    expect(nextInTurn([call, client], { ...context, runningCalls: 2 })).toBe(call);
+    expect(nextInTurn([call, client], { ...context, runningCalls: 3 })).toBe(client);
+    expect(nextInTurn([call, idler], { ...context, runningCalls: 3 })).toBe(call);
+    expect(nextInTurn([call], { ...context, runningCalls: 4 })).toBe(call);
+  });
+
+  it('go to a client that has let calls pass for half of its time', () => {
+    const call = queued('call', { isCall: true });
+    const client = queued('client');
+    expect(nextInTurn([call, client], { ...context, now: 40 })).toBe(call);
+    expect(nextInTurn([call, client], { ...context, now: 41 })).toBe(client);
   });
 
   it('change nothing where no calls are known', () => {
     const [first, second] = [queued('first'), queued('second')];
-    expect(nextInTurn([first, second], 0, 4)).toBe(first);
-    expect(nextInTurn([], 0, 4)).toBeUndefined();
+    expect(nextInTurn([first, second], context)).toBe(first);
+    expect(nextInTurn([], context)).toBeUndefined();
   });
 });
