The expected wait is the work of those ahead, and calls that go on arriving count where they go first

Cause: a wait was the number ahead times the mean time of all routes, so behind a few short calls long work was refused, and behind long work short tasks were queued that came late; and what clients were told to expect left out the calls that go before them.

--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -5,6 +5,7 @@
  */
 
 import { heldUntil, nextInTurn, type QueuedTurn, rankOf, type TurnContext } from './callTurns.js';
+import { drainMs, type QueueWaitContext, queueWaitMs } from './queueWait.js';
 import { createServiceTimes, type ServiceTimes } from './serviceTimes.js';
 import { createUrgencyMix } from './urgencyMix.js';
 
@@ -91,10 +92,8 @@
     if (ahead === 0 && this.hasRoomFor(request)) {
       return { kind: 'run' };
     }
-    // Tasks that are more urgent go on arriving meanwhile and are served first.
-    const left = 1 - this.mix.moreUrgentThan(request.priority);
-    const drainMs = request.runsAlone ? this.times.overallMs : 0;
-    const waitMs = Math.max(this.expectedWaitMs(ahead) / left, drainMs);
+    const aloneMs = request.runsAlone ? this.times.overallMs : 0;
+    const waitMs = Math.max(this.expectedWaitMs(request, ahead), aloneMs);
     const inTime = now + waitMs + this.expectedServiceMs(request.route) <= horizonOf(request);
     if (!request.mayWait || !inTime || this.waiting.length >= this.slots * MAX_WAITING_PER_SLOT) {
       return { kind: 'busy', retryAfterMs: this.retryAfterMs() };
@@ -114,12 +113,12 @@
    * is what the back end told meanwhile.
    */
   finished(task: AdmittedTask, serviceMs: number | undefined, now: number, slowness = 1): void {
-    const { route, priority, isCall } = task;
+    const { route, isCall } = task;
     this.running -= 1;
     this.runningCalls -= isCall ? 1 : 0;
     this.hasAloneTask = false;
     if (serviceMs !== undefined) {
-      this.mix.note(priority, serviceMs);
+      this.mix.note(rankOf(task), serviceMs);
       this.times.note(route, serviceMs, slowness);
     }
     this.fill(now);
@@ -147,7 +146,7 @@
 
   /** Milliseconds after which there is likely to be room. */
   retryAfterMs(): number {
-    return Math.max(MIN_RETRY_AFTER_MS, this.expectedWaitMs(this.waiting.length));
+    return Math.max(MIN_RETRY_AFTER_MS, drainMs(requestsOf(this.waiting), this.context));
   }
 
   private turnContext(now: number): TurnContext {
@@ -177,9 +176,12 @@
     }
   }
 
-  private expectedWaitMs(ahead: number): number {
-    const { overallMs } = this.times;
-    return this.slots === 0 ? overallMs : ((ahead + 1) * overallMs) / this.slots;
+  private expectedWaitMs(request: AdmissionRequest, ahead: number): number {
+    return queueWaitMs(request, requestsOf(this.waiting.slice(0, ahead)), this.context);
+  }
+
+  private get context(): QueueWaitContext {
+    return { slots: this.slots, times: this.times, mix: this.mix };
   }
 
   /** Milliseconds that the back end is expected to take for a task of a route. */
@@ -205,3 +207,7 @@
 function horizonOf(request: AdmissionRequest): number {
   return Math.min(request.targetAt, request.deadlineAt);
 }
+
+function requestsOf(waiters: readonly Waiter[]): AdmissionRequest[] {
+  return waiters.map(({ request }) => request);
+}
--- a/src/owner/callTurns.ts
+++ b/src/owner/callTurns.ts
@@ -10,7 +10,7 @@
  * Part of the slots that calls may hold before waiting clients that are equally urgent: a quarter stays
  * for the service's own clients, so that a burst at its callers does not stop them.
  */
-const CALLS_SHARE = 0.75;
+export const CALLS_SHARE = 0.75;
 
 /**
  * Part of the time that a client can wait in which it lets calls go first. Where long work of a lower
