--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -4,7 +4,13 @@
  * answered within its target latency; the most urgent go first.
  */
 
-import { heldUntil, nextInTurn, type QueuedTurn, rankOf, type TurnContext } from './callTurns.js';
+import {
+  createCallTurns,
+  heldUntil,
+  type QueuedTurn,
+  rankOf,
+  type TurnContext,
+} from './callTurns.js';
 import { drainMs, type QueueWaitContext, queueWaitMs } from './queueWait.js';
 import { createServiceTimes, type ServiceTimes } from './serviceTimes.js';
 import { createUrgencyMix } from './urgencyMix.js';
@@ -53,10 +59,10 @@
 export class AdmissionControl {
   private readonly waiting: Waiter[] = [];
   private readonly mix = createUrgencyMix();
+  private readonly turns = createCallTurns();
   private running = 0;
   private slots = 0;
   private hasAloneTask = false;
-  private runningCalls = 0;
 
   constructor(private readonly times: ServiceTimes = createServiceTimes()) {}
 
@@ -104,7 +110,7 @@
   /** A task begins to run. */
   started({ runsAlone = false, isCall = false }: Partial<AdmittedTask> = {}): void {
     this.running += 1;
-    this.runningCalls += isCall ? 1 : 0;
+    this.turns.noteStarted({ isCall });
     this.hasAloneTask = runsAlone;
   }
 
@@ -113,9 +119,9 @@
    * is what the back end told meanwhile.
    */
   finished(task: AdmittedTask, serviceMs: number | undefined, now: number, slowness = 1): void {
-    const { route, isCall } = task;
+    const { route } = task;
     this.running -= 1;
-    this.runningCalls -= isCall ? 1 : 0;
+    this.turns.noteEnded(task);
     this.hasAloneTask = false;
     if (serviceMs !== undefined) {
       this.mix.note(rankOf(task), serviceMs);
@@ -150,9 +156,8 @@
   }
 
   private turnContext(now: number): TurnContext {
-    const { runningCalls, slots } = this;
     const latestStartAt: TurnContext['latestStartAt'] = (request) => this.latestStartAt(request);
-    return { runningCalls, slots, now, latestStartAt };
+    return { slots: this.slots, now, latestStartAt };
   }
 
   private hasRoomFor({ runsAlone }: AdmissionRequest): boolean {
@@ -163,7 +168,7 @@
   /** A task that runs alone holds up those behind it until the back end has nothing else to do. */
   private fill(now: number): void {
     for (;;) {
-      const next = nextInTurn(this.waiting, this.turnContext(now));
+      const next = this.turns.next(this.waiting, this.turnContext(now));
       if (!next || !this.hasRoomFor(next.request)) {
         return;
       }
--- a/src/owner/admissionLoad.test.ts
+++ b/src/owner/admissionLoad.test.ts
@@ -38,10 +38,10 @@
 }
 
 /** What has become of each kind after a minute. */
-function play(kinds: readonly Kind[], seed = 7): Map<string, Fate> {
+function play(kinds: readonly Kind[], slots = SLOTS, seed = 7): Map<string, Fate> {
   const random = chancesFrom(seed);
   const admission = new AdmissionControl();
-  admission.setSlots(SLOTS, 0);
+  admission.setSlots(slots, 0);
   const fates = new Map<string, Fate>();
   const events: { at: number; act: (now: number) => void }[] = [];
   const plan = (at: number, act: (now: number) => void) => {
@@ -176,6 +176,15 @@
     expect(shareOf(fates, 'order', 'inTime')).toBeGreaterThan(0.15);
   });
 
+  it('serves clients beside calls where long work of a lower priority holds most slots', () => {
+    const lookup = { ...call, route: 'lookup', perSecond: 18, workMs: 62, targetMs: 230 };
+    const upload = { ...order, route: 'upload', perSecond: 2.8, workMs: 300, targetMs: 800 };
+    const read = { ...order, route: 'read', priority: 2, perSecond: 5.2, workMs: 1_000 };
+    const fates = play([lookup, upload, { ...read, targetMs: 2_500 }], 6);
+    expect(shareOf(fates, 'upload', 'inTime')).toBeGreaterThan(0.9);
+    expect(shareOf(fates, 'lookup', 'refused')).toBeLessThan(0.05);
+  });
+
   it('serves what is urgent beside long work of the last priority', () => {
     const pick = { ...order, route: 'pick', priority: 0, workMs: 134, targetMs: 550 };
     const upload = { ...order, route: 'upload', priority: 2, targetMs: 3_000 };
--- a/src/owner/callTurns.test.ts
+++ b/src/owner/callTurns.test.ts
@@ -1,5 +1,12 @@
 import { describe, expect, it } from 'vitest';
-import { heldUntil, nextInTurn, rankOf, type TurnContext, type TurnRequest } from './callTurns.js';
+import {
+  type CallTurns,
+  createCallTurns,
+  heldUntil,
+  rankOf,
+  type TurnContext,
+  type TurnRequest,
+} from './callTurns.js';
 
 function queued(name: string, overrides: Partial<TurnRequest> = {}) {
   const request = { route: name, priority: 1, targetAt: 100, deadlineAt: 400, ...overrides };
@@ -7,7 +14,6 @@
 }
 
 const context: TurnContext = {
-  runningCalls: 0,
   slots: 4,
   now: 0,
   latestStartAt: ({ targetAt }) => targetAt - 20,
@@ -35,22 +41,43 @@
     const call = queued('call', { isCall: true });
     const client = queued('client');
     const idler = queued('idler', { priority: 2 });
-    expect(nextInTurn([call, client], { ...context, runningCalls: 2 })).toBe(call);
-    expect(nextInTurn([call, client], { ...context, runningCalls: 3 })).toBe(client);
-    expect(nextInTurn([call, idler], { ...context, runningCalls: 3 })).toBe(call);
-    expect(nextInTurn([call], { ...context, runningCalls: 4 })).toBe(call);
+    expect(afterCalls(2).next([call, client], context)).toBe(call);
+    expect(afterCalls(3).next([call, client], context)).toBe(client);
+    expect(afterCalls(3).next([call, idler], context)).toBe(call);
+    expect(afterCalls(4).next([call], context)).toBe(call);
   });
 
-  it('go to a client that has let calls pass for half of its time', () => {
+  it('go after three calls to a client that has waited half of what it can', () => {
     const call = queued('call', { isCall: true });
     const client = queued('client');
-    expect(nextInTurn([call, client], { ...context, now: 40 })).toBe(call);
-    expect(nextInTurn([call, client], { ...context, now: 41 })).toBe(client);
+    const many = { ...context, slots: 40 };
+    expect(afterCalls(3).next([call, client], { ...many, now: 40 })).toBe(call);
+    expect(afterCalls(3).next([call, client], { ...many, now: 41 })).toBe(client);
+    expect(afterCalls(2).next([call, client], { ...many, now: 41 })).toBe(call);
+    const turns = afterCalls(3);
+    turns.noteStarted(client.request);
+    expect(turns.next([call, client], { ...many, now: 41 })).toBe(call);
+  });
+
+  it('count the calls that run', () => {
+    const call = queued('call', { isCall: true });
+    const client = queued('client');
+    const turns = afterCalls(3);
+    turns.noteEnded(call.request);
+    expect(turns.next([call, client], context)).toBe(call);
   });
 
   it('change nothing where no calls are known', () => {
     const [first, second] = [queued('first'), queued('second')];
-    expect(nextInTurn([first, second], context)).toBe(first);
-    expect(nextInTurn([], context)).toBeUndefined();
+    expect(createCallTurns().next([first, second], context)).toBe(first);
+    expect(createCallTurns().next([], context)).toBeUndefined();
   });
 });
+
+function afterCalls(count: number): CallTurns {
+  const turns = createCallTurns();
+  for (let index = 0; index < count; index += 1) {
+    turns.noteStarted({ isCall: true });
+  }
+  return turns;
+}
--- a/src/owner/callTurns.ts
+++ b/src/owner/callTurns.ts
@@ -13,11 +13,12 @@
 export const CALLS_SHARE = 0.75;
 
 /**
- * Part of the time that a client can wait in which it lets calls go first. Where long work of a lower
- * priority holds the other slots, calls may take every slot that comes free; a client that let them
- * all pass would be refused in the end. Half leaves it as many more chances as it has given away.
+ * Where long work of a lower priority holds the other slots, calls may take every slot that comes free,
+ * and a client that let them all pass would be refused in the end. So one that has waited this part of
+ * what it can goes after so many calls: three to one, as with the slots.
  */
 const YIELDING_SHARE = 0.5;
+const CALLS_IN_A_ROW = 3;
 
 /** Turns within one priority: calls, then clients. */
 const TURNS = 2;
@@ -43,8 +44,6 @@
 
 /** What turns go by besides the queue. */
 export interface TurnContext {
-  /** Calls that run. */
-  readonly runningCalls: number;
   /** Tasks that may run at once. */
   readonly slots: number;
   /** Steady time in milliseconds. */
@@ -53,6 +52,17 @@
   readonly latestStartAt: (request: QueuedTurn['request']) => number;
 }
 
+/** Kept by the admission control of one back end. */
+export interface CallTurns {
+  noteStarted(request: Pick<TurnRequest, 'isCall'>): void;
+  noteEnded(request: Pick<TurnRequest, 'isCall'>): void;
+  /** The next of a queue that is kept in order of rank. */
+  next<Queued extends QueuedTurn>(
+    waiting: readonly Queued[],
+    context: TurnContext,
+  ): Queued | undefined;
+}
+
 /** Place in the queue; smaller goes first. */
 export function rankOf({ priority, isCall }: Pick<TurnRequest, 'priority' | 'isCall'>): number {
   return priority * PRIORITIES * TURNS + (isCall ? 0 : 1);
@@ -63,23 +73,36 @@
   return isCall ? deadlineAt : Math.min(targetAt, deadlineAt);
 }
 
-/**
- * The next of a queue that is kept in order of rank: its first, or, in place of a call, the first client
- * that is as urgent, if calls hold their part of the slots or it has waited half of what it can.
- */
-export function nextInTurn<Queued extends QueuedTurn>(
+export function createCallTurns(): CallTurns {
+  let running = 0;
+  let inARow = 0;
+  return {
+    noteStarted: ({ isCall }) => {
+      running += isCall ? 1 : 0;
+      inARow = isCall ? inARow + 1 : 0;
+    },
+    noteEnded: ({ isCall }) => {
+      running -= isCall ? 1 : 0;
+    },
+    next: (waiting, { slots, now, latestStartAt }) => {
+      const [first] = waiting;
+      const client = first?.request.isCall ? firstClientLike(first, waiting) : undefined;
+      if (!client) {
+        return first;
+      }
+      const canWaitMs = latestStartAt(client.request) - client.since;
+      const hasWaitedLong = now - client.since > canWaitMs * YIELDING_SHARE;
+      const isItsTurn = hasWaitedLong && inARow >= CALLS_IN_A_ROW;
+      return isItsTurn || running >= slots * CALLS_SHARE ? client : first;
+    },
+  };
+}
+
+/** The first client that is as urgent as a call, if none more urgent is ahead of it. */
+function firstClientLike<Queued extends QueuedTurn>(
+  call: Queued,
   waiting: readonly Queued[],
-  { runningCalls, slots, now, latestStartAt }: TurnContext,
 ): Queued | undefined {
-  const [first] = waiting;
-  if (!first?.request.isCall) {
-    return first;
-  }
   const client = waiting.find(({ request }) => !request.isCall);
-  if (client?.request.priority !== first.request.priority) {
-    return first;
-  }
-  const canWaitMs = latestStartAt(client.request) - client.since;
-  const hasWaitedLong = now - client.since > canWaitMs * YIELDING_SHARE;
-  return hasWaitedLong || runningCalls >= slots * CALLS_SHARE ? client : first;
+  return client?.request.priority === call.request.priority ? client : undefined;
 }
