The second to fourth offer are made while they are worth it, by route

Cause: where a service is full everywhere a refused request had asked four owners in any case: each costs both nodes a message and the client time, on machines whose processors are short.

--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -182,7 +182,7 @@
     if (this.arrivals >= this.maxAttempts) {
       return this.giveUp('attempts-spent');
     }
-    if (!this.context.offerLimit.allows(this.task.service, this.tried.size)) {
+    if (!this.context.offerLimit.allows(this.task.route, this.tried.size)) {
       const hasNoRoom = !this.mayHaveRun && this.lastNotRun?.reason === 'busy';
       return hasNoRoom ? this.refusals.noRoom(this.fate) : this.giveUp('attempts-spent');
     }
@@ -235,7 +235,7 @@
     this.noteShare(entry, outcome);
     if (outcome.kind === 'answer' || (outcome.kind === 'not-run' && outcome.reason === 'busy')) {
       const isTaken = outcome.kind === 'answer';
-      this.context.offerLimit.note(this.task.service, attempt.earlier, isTaken);
+      this.context.offerLimit.note(this.task.route, attempt.earlier, isTaken);
     }
     if (outcome.kind === 'not-run') {
       const isBusyNear = outcome.reason === 'busy' && this.context.directory.isNear(entry);
