A call waits no longer than its target

Cause supposed: a call held to its deadline makes its parent late, where another owner had room for it or its client's second try.

--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -4,13 +4,7 @@
  * answered within its target latency; the most urgent go first.
  */
 
-import {
-  createCallTurns,
-  heldUntil,
-  type QueuedTurn,
-  rankOf,
-  type TurnContext,
-} from './callTurns.js';
+import { createCallTurns, type QueuedTurn, rankOf, type TurnContext } from './callTurns.js';
 import { drainMs, type QueueWaitContext, queueWaitMs } from './queueWait.js';
 import { createServiceTimes, type ServiceTimes } from './serviceTimes.js';
 import { createUrgencyMix } from './urgencyMix.js';
@@ -194,9 +188,9 @@
     return this.times.expectedMs(route);
   }
 
-  /** Steady time in milliseconds by which a task must have begun to be worth its slot. */
+  /** Steady time in milliseconds by which a task must have begun to be in time. */
   latestStartAt(request: QueuedTurn['request']): number {
-    return heldUntil(request) - this.expectedServiceMs(request.route);
+    return horizonOf(request) - this.expectedServiceMs(request.route);
   }
 
   private aheadOf(request: AdmissionRequest): number {
@@ -209,7 +203,7 @@
 }
 
 /** A task that can no longer meet its target is not worth a slot that others can use in time. */
-function horizonOf(request: AdmissionRequest): number {
+function horizonOf(request: Pick<AdmissionRequest, 'targetAt' | 'deadlineAt'>): number {
   return Math.min(request.targetAt, request.deadlineAt);
 }
 
--- a/src/owner/callTurns.ts
+++ b/src/owner/callTurns.ts
@@ -1,7 +1,7 @@
 /**
  * Whose turn it is at a full back end among calls and clients. A call is made by a request that holds a
  * slot elsewhere and has run for nothing if the call fails. So calls go before clients that are equally
- * urgent, and stay in the queue while their parent waits.
+ * urgent. They wait no longer than their target, as clients do: a late call makes its parent late.
  */
 
 import { PRIORITIES } from '../tenants/priority.js';
@@ -48,7 +48,7 @@
   readonly slots: number;
   /** Steady time in milliseconds. */
   readonly now: number;
-  /** Steady time in milliseconds by which a task must have begun to be worth its slot. */
+  /** Steady time in milliseconds by which a task must have begun to be in time. */
   readonly latestStartAt: (request: QueuedTurn['request']) => number;
 }
 
@@ -68,11 +68,6 @@
   return priority * PRIORITIES * TURNS + (isCall ? 0 : 1);
 }
 
-/** Steady time in milliseconds up to which it is worth to hold a task in the queue. */
-export function heldUntil({ isCall, targetAt, deadlineAt }: TurnRequest): number {
-  return isCall ? deadlineAt : Math.min(targetAt, deadlineAt);
-}
-
 export function createCallTurns(): CallTurns {
   let running = 0;
   let inARow = 0;
