--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -1,17 +1,21 @@
 /**
  * Decides at an owner which tasks run, wait or are turned away. The back end
  * never gets more than its slots. A task waits only while it can still be
- * answered within its target latency; the most urgent go first.
+ * answered within its target latency; the most urgent go first, among equals
+ * tenants take turns.
  */
 
 import { createCallTurns, type QueuedTurn, rankOf, type TurnContext } from './callTurns.js';
 import { drainMs, type QueueWaitContext, queueWaitMs } from './queueWait.js';
 import { createServiceTimes, type ServiceTimes } from './serviceTimes.js';
+import { createTenantTurns, type TenantShare, type TenantTurns } from './tenantTurns.js';
 import { createUrgencyMix } from './urgencyMix.js';
 
 /** What a task asks for. */
 export interface AdmissionRequest {
   readonly route: string;
+  /** Undefined for calls of back ends and without tenants. */
+  readonly tenant?: string | undefined;
   readonly priority: number;
   /** Steady time in milliseconds until which an answer is worth most. */
   readonly targetAt: number;
@@ -24,6 +28,9 @@
   readonly isCall?: boolean;
 }
 
+/** What is told of a task that begins. */
+export type StartedTask = Pick<AdmissionRequest, 'tenant' | 'runsAlone' | 'isCall'>;
+
 /** What is told of a task that has ended. */
 export type AdmittedTask = Pick<AdmissionRequest, 'route' | 'priority' | 'runsAlone' | 'isCall'>;
 
@@ -37,6 +44,13 @@
   turnAway(retryAfterMs: number): void;
 }
 
+/** A task in the queue. */
+interface QueuedTask {
+  readonly waiter: Waiter;
+  /** True if it waits behind those of other tenants that are equally urgent. */
+  readonly isBehind: boolean;
+}
+
 /** The answer to a task's arrival. */
 export type AdmissionDecision =
   | { readonly kind: 'run' }
@@ -51,14 +65,21 @@
 
 /** Owned by the local owner; the time is passed in. */
 export class AdmissionControl {
-  private readonly waiting: Waiter[] = [];
+  /** In order of rank, then those that are not behind, then of arrival. */
+  private readonly waiting: QueuedTask[] = [];
+  private readonly tenantTurns: TenantTurns;
   private readonly mix = createUrgencyMix();
-  private readonly turns = createCallTurns();
+  private readonly callTurns = createCallTurns();
   private running = 0;
   private slots = 0;
   private hasAloneTask = false;
 
-  constructor(private readonly times: ServiceTimes = createServiceTimes()) {}
+  constructor(
+    private readonly times: ServiceTimes = createServiceTimes(),
+    shareOf: TenantShare = () => 1,
+  ) {
+    this.tenantTurns = createTenantTurns(shareOf);
+  }
 
   get inFlight(): number {
     return this.running;
@@ -88,24 +109,26 @@
 
   /** Decides about a task; the caller adds a waiter after `wait`. */
   decide(request: AdmissionRequest, now: number): AdmissionDecision {
-    const ahead = this.aheadOf(request);
-    if (ahead === 0 && this.hasRoomFor(request)) {
+    const [first] = this.waiting;
+    const isFirst = !first || rankOf(first.waiter.request) > rankOf(request);
+    if (isFirst && this.hasRoomFor(request)) {
       return { kind: 'run' };
     }
-    const aloneMs = request.runsAlone ? this.times.overallMs : 0;
-    const waitMs = Math.max(this.expectedWaitMs(request, ahead), aloneMs);
-    const inTime = now + waitMs + this.expectedServiceMs(request.route) <= horizonOf(request);
-    if (!request.mayWait || !inTime || this.waiting.length >= this.slots * MAX_WAITING_PER_SLOT) {
+    const isBehind = this.tenantTurns.isBehind(request.tenant, now);
+    const isFull = this.isFull && !this.takesPlaceOf(request, isBehind);
+    const ahead = this.placeOf(request, isBehind);
+    if (!request.mayWait || !this.isInTime(request, ahead, now) || isFull) {
       return { kind: 'busy', retryAfterMs: this.retryAfterMs() };
     }
     return { kind: 'wait' };
   }
 
   /** A task begins to run. */
-  started({ runsAlone = false, isCall = false }: Partial<AdmittedTask> = {}): void {
+  started({ tenant, runsAlone = false, isCall = false }: StartedTask, now: number): void {
     this.running += 1;
-    this.turns.noteStarted({ isCall });
+    this.callTurns.noteStarted({ isCall });
     this.hasAloneTask = runsAlone;
+    this.tenantTurns.note(tenant, now);
   }
 
   /**
@@ -115,7 +138,7 @@
   finished(task: AdmittedTask, serviceMs: number | undefined, now: number, slowness = 1): void {
     const { route } = task;
     this.running -= 1;
-    this.turns.noteEnded(task);
+    this.callTurns.noteEnded(task);
     this.hasAloneTask = false;
     if (serviceMs !== undefined) {
       this.mix.note(rankOf(task), serviceMs);
@@ -124,14 +147,22 @@
     this.fill(now);
   }
 
-  /** Adds a task after `wait`; the queue is kept in order of rank, then of arrival. */
+  /** Adds a task after `wait`; another tenant's task may have to give up its place for it. */
   enqueue(waiter: Waiter): void {
-    this.waiting.splice(this.aheadOf(waiter.request), 0, waiter);
+    const { tenant } = waiter.request;
+    const isBehind = this.tenantTurns.isBehind(tenant, waiter.since);
+    const other = this.takesPlaceOf(waiter.request, isBehind);
+    const wasFull = this.isFull;
+    this.waiting.splice(this.placeOf(waiter.request, isBehind), 0, { waiter, isBehind });
+    if (other && (wasFull || !this.isStillInTime(other, waiter.since))) {
+      this.remove(other);
+      other.turnAway(this.retryAfterMs());
+    }
   }
 
   /** Takes back a task that no longer wants to run. */
   remove(waiter: Waiter): void {
-    const index = this.waiting.indexOf(waiter);
+    const index = this.waiting.findIndex((queued) => queued.waiter === waiter);
     if (index >= 0) {
       this.waiting.splice(index, 1);
     }
@@ -139,7 +170,7 @@
 
   /** Turns away every task that waits. */
   turnAllAway(): void {
-    for (const waiter of this.waiting.splice(0)) {
+    for (const { waiter } of this.waiting.splice(0)) {
       waiter.turnAway(MIN_RETRY_AFTER_MS);
     }
   }
@@ -162,7 +193,10 @@
   /** A task that runs alone holds up those behind it until the back end has nothing else to do. */
   private fill(now: number): void {
     for (;;) {
-      const next = this.turns.next(this.waiting, this.turnContext(now));
+      const next = this.callTurns.next(
+        this.waiting.map(({ waiter }) => waiter),
+        this.turnContext(now),
+      );
       if (!next || !this.hasRoomFor(next.request)) {
         return;
       }
@@ -175,6 +209,27 @@
     }
   }
 
+  private get isFull(): boolean {
+    return this.waiting.length >= this.slots * MAX_WAITING_PER_SLOT;
+  }
+
+  /** The last of those that are equally urgent, if it is behind and the other task is not. */
+  private takesPlaceOf({ priority }: AdmissionRequest, isBehind: boolean): Waiter | undefined {
+    const last = this.waiting.findLast(({ waiter }) => waiter.request.priority === priority);
+    return !isBehind && last?.isBehind ? last.waiter : undefined;
+  }
+
+  private isStillInTime(waiter: Waiter, now: number): boolean {
+    const ahead = this.waiting.findIndex((queued) => queued.waiter === waiter);
+    return this.isInTime(waiter.request, ahead, now);
+  }
+
+  private isInTime(request: AdmissionRequest, ahead: number, now: number): boolean {
+    const aloneMs = request.runsAlone ? this.times.overallMs : 0;
+    const waitMs = Math.max(this.expectedWaitMs(request, ahead), aloneMs);
+    return now + waitMs + this.expectedServiceMs(request.route) <= horizonOf(request);
+  }
+
   private expectedWaitMs(request: AdmissionRequest, ahead: number): number {
     return queueWaitMs(request, requestsOf(this.waiting.slice(0, ahead)), this.context);
   }
@@ -193,12 +248,15 @@
     return horizonOf(request) - this.expectedServiceMs(request.route);
   }
 
-  private aheadOf(request: AdmissionRequest): number {
-    let ahead = this.waiting.length;
-    while (ahead > 0 && rankOf((this.waiting[ahead - 1] as Waiter).request) > rankOf(request)) {
-      ahead -= 1;
-    }
-    return ahead;
+  /** How many go before a task that comes. */
+  private placeOf(request: AdmissionRequest, isBehind: boolean): number {
+    const rank = rankOf(request);
+    const goesAfter = ({ waiter, isBehind: other }: QueuedTask): boolean => {
+      const otherRank = rankOf(waiter.request);
+      return otherRank > rank || (otherRank === rank && other && !isBehind);
+    };
+    const place = this.waiting.findIndex(goesAfter);
+    return place < 0 ? this.waiting.length : place;
   }
 }
 
@@ -207,6 +265,6 @@
   return Math.min(request.targetAt, request.deadlineAt);
 }
 
-function requestsOf(waiters: readonly Waiter[]): AdmissionRequest[] {
-  return waiters.map(({ request }) => request);
+function requestsOf(queued: readonly QueuedTask[]): AdmissionRequest[] {
+  return queued.map(({ waiter }) => waiter.request);
 }
--- a/src/owner/admissionLoad.test.ts
+++ b/src/owner/admissionLoad.test.ts
@@ -61,7 +61,7 @@
     };
     let clock = now;
     const run = () => {
-      admission.started(request);
+      admission.started(request, clock);
       const workMs = kind.workMs * (1 + kind.spread * (2 * random() - 1));
       plan(clock + workMs, (end) => {
         const isInTime = end <= request.targetAt;
