--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -5,6 +5,8 @@
  * tenants take turns.
  */
 
+import { createCallTurns, type QueuedTurn, rankOf, type TurnContext } from './callTurns.js';
+import { drainMs, type QueueWaitContext, queueWaitMs } from './queueWait.js';
 import { createServiceTimes, type ServiceTimes } from './serviceTimes.js';
 import { createTenantTurns, type TenantShare, type TenantTurns } from './tenantTurns.js';
 import { createUrgencyMix } from './urgencyMix.js';
@@ -22,13 +24,15 @@
   readonly mayWait: boolean;
   /** True if nothing else may run beside the task. */
   readonly runsAlone?: boolean;
+  /** True if a running back end waits for the answer. */
+  readonly isCall?: boolean;
 }
 
 /** What is told of a task that begins. */
-export type StartedTask = Pick<AdmissionRequest, 'tenant' | 'runsAlone'>;
+export type StartedTask = Pick<AdmissionRequest, 'tenant' | 'runsAlone' | 'isCall'>;
 
 /** What is told of a task that has ended. */
-export type AdmittedTask = Pick<AdmissionRequest, 'route' | 'priority' | 'runsAlone'>;
+export type AdmittedTask = Pick<AdmissionRequest, 'route' | 'priority' | 'runsAlone' | 'isCall'>;
 
 /** A task that waits. */
 export interface Waiter {
@@ -61,10 +65,11 @@
 
 /** Owned by the local owner; the time is passed in. */
 export class AdmissionControl {
-  /** In order of priority, then those that are not behind, then of arrival. */
+  /** In order of rank, then those that are not behind, then of arrival. */
   private readonly waiting: QueuedTask[] = [];
-  private readonly turns: TenantTurns;
+  private readonly tenantTurns: TenantTurns;
   private readonly mix = createUrgencyMix();
+  private readonly callTurns = createCallTurns();
   private running = 0;
   private slots = 0;
   private hasAloneTask = false;
@@ -73,7 +78,7 @@
     private readonly times: ServiceTimes = createServiceTimes(),
     shareOf: TenantShare = () => 1,
   ) {
-    this.turns = createTenantTurns(shareOf);
+    this.tenantTurns = createTenantTurns(shareOf);
   }
 
   get inFlight(): number {
@@ -105,13 +110,13 @@
   /** Decides about a task; the caller adds a waiter after `wait`. */
   decide(request: AdmissionRequest, now: number): AdmissionDecision {
     const [first] = this.waiting;
-    const isFirst = !first || first.waiter.request.priority > request.priority;
+    const isFirst = !first || rankOf(first.waiter.request) > rankOf(request);
     if (isFirst && this.hasRoomFor(request)) {
       return { kind: 'run' };
     }
-    const isBehind = this.turns.isBehind(request.tenant, now);
+    const isBehind = this.tenantTurns.isBehind(request.tenant, now);
     const isFull = this.isFull && !this.takesPlaceOf(request, isBehind);
-    const ahead = this.placeOf(request.priority, isBehind);
+    const ahead = this.placeOf(request, isBehind);
     if (!request.mayWait || !this.isInTime(request, ahead, now) || isFull) {
       return { kind: 'busy', retryAfterMs: this.retryAfterMs() };
     }
@@ -119,10 +124,11 @@
   }
 
   /** A task begins to run. */
-  started({ tenant, runsAlone = false }: StartedTask, now: number): void {
+  started({ tenant, runsAlone = false, isCall = false }: StartedTask, now: number): void {
     this.running += 1;
+    this.callTurns.noteStarted({ isCall });
     this.hasAloneTask = runsAlone;
-    this.turns.note(tenant, now);
+    this.tenantTurns.note(tenant, now);
   }
 
   /**
@@ -130,11 +136,12 @@
    * is what the back end told meanwhile.
    */
   finished(task: AdmittedTask, serviceMs: number | undefined, now: number, slowness = 1): void {
-    const { route, priority } = task;
+    const { route } = task;
     this.running -= 1;
+    this.callTurns.noteEnded(task);
     this.hasAloneTask = false;
     if (serviceMs !== undefined) {
-      this.mix.note(priority, serviceMs);
+      this.mix.note(rankOf(task), serviceMs);
       this.times.note(route, serviceMs, slowness);
     }
     this.fill(now);
@@ -142,11 +149,11 @@
 
   /** Adds a task after `wait`; another tenant's task may have to give up its place for it. */
   enqueue(waiter: Waiter): void {
-    const { priority, tenant } = waiter.request;
-    const isBehind = this.turns.isBehind(tenant, waiter.since);
+    const { tenant } = waiter.request;
+    const isBehind = this.tenantTurns.isBehind(tenant, waiter.since);
     const other = this.takesPlaceOf(waiter.request, isBehind);
     const wasFull = this.isFull;
-    this.waiting.splice(this.placeOf(priority, isBehind), 0, { waiter, isBehind });
+    this.waiting.splice(this.placeOf(waiter.request, isBehind), 0, { waiter, isBehind });
     if (other && (wasFull || !this.isStillInTime(other, waiter.since))) {
       this.remove(other);
       other.turnAway(this.retryAfterMs());
@@ -170,7 +177,12 @@
 
   /** Milliseconds after which there is likely to be room. */
   retryAfterMs(): number {
-    return Math.max(MIN_RETRY_AFTER_MS, this.expectedWaitMs(this.waiting.length));
+    return Math.max(MIN_RETRY_AFTER_MS, drainMs(requestsOf(this.waiting), this.context));
+  }
+
+  private turnContext(now: number): TurnContext {
+    const latestStartAt: TurnContext['latestStartAt'] = (request) => this.latestStartAt(request);
+    return { slots: this.slots, now, latestStartAt };
   }
 
   private hasRoomFor({ runsAlone }: AdmissionRequest): boolean {
@@ -181,16 +193,18 @@
   /** A task that runs alone holds up those behind it until the back end has nothing else to do. */
   private fill(now: number): void {
     for (;;) {
-      const [next] = this.waiting;
-      if (!next || !this.hasRoomFor(next.waiter.request)) {
+      const next = this.callTurns.next(
+        this.waiting.map(({ waiter }) => waiter),
+        this.turnContext(now),
+      );
+      if (!next || !this.hasRoomFor(next.request)) {
         return;
       }
-      const { waiter } = next;
-      this.waiting.shift();
-      if (now > this.latestStartAt(waiter.request)) {
-        waiter.turnAway(this.retryAfterMs());
+      this.remove(next);
+      if (now > this.latestStartAt(next.request)) {
+        next.turnAway(this.retryAfterMs());
       } else {
-        waiter.admit();
+        next.admit();
       }
     }
   }
@@ -211,16 +225,17 @@
   }
 
   private isInTime(request: AdmissionRequest, ahead: number, now: number): boolean {
-    // Tasks that are more urgent go on arriving meanwhile and are served first.
-    const left = 1 - this.mix.moreUrgentThan(request.priority);
-    const drainMs = request.runsAlone ? this.times.overallMs : 0;
-    const waitMs = Math.max(this.expectedWaitMs(ahead) / left, drainMs);
+    const aloneMs = request.runsAlone ? this.times.overallMs : 0;
+    const waitMs = Math.max(this.expectedWaitMs(request, ahead), aloneMs);
     return now + waitMs + this.expectedServiceMs(request.route) <= horizonOf(request);
   }
 
-  private expectedWaitMs(ahead: number): number {
-    const { overallMs } = this.times;
-    return this.slots === 0 ? overallMs : ((ahead + 1) * overallMs) / this.slots;
+  private expectedWaitMs(request: AdmissionRequest, ahead: number): number {
+    return queueWaitMs(request, requestsOf(this.waiting.slice(0, ahead)), this.context);
+  }
+
+  private get context(): QueueWaitContext {
+    return { slots: this.slots, times: this.times, mix: this.mix };
   }
 
   /** Milliseconds that the back end is expected to take for a task of a route. */
@@ -229,20 +244,27 @@
   }
 
   /** Steady time in milliseconds by which a task must have begun to be in time. */
-  latestStartAt(request: AdmissionRequest): number {
+  latestStartAt(request: QueuedTurn['request']): number {
     return horizonOf(request) - this.expectedServiceMs(request.route);
   }
 
   /** How many go before a task that comes. */
-  private placeOf(priority: number, isBehind: boolean): number {
-    const goesAfter = ({ waiter: { request }, isBehind: other }: QueuedTask): boolean =>
-      request.priority > priority || (request.priority === priority && other && !isBehind);
+  private placeOf(request: AdmissionRequest, isBehind: boolean): number {
+    const rank = rankOf(request);
+    const goesAfter = ({ waiter, isBehind: other }: QueuedTask): boolean => {
+      const otherRank = rankOf(waiter.request);
+      return otherRank > rank || (otherRank === rank && other && !isBehind);
+    };
     const place = this.waiting.findIndex(goesAfter);
     return place < 0 ? this.waiting.length : place;
   }
 }
 
 /** A task that can no longer meet its target is not worth a slot that others can use in time. */
-function horizonOf(request: AdmissionRequest): number {
+function horizonOf(request: Pick<AdmissionRequest, 'targetAt' | 'deadlineAt'>): number {
   return Math.min(request.targetAt, request.deadlineAt);
 }
+
+function requestsOf(queued: readonly QueuedTask[]): AdmissionRequest[] {
+  return queued.map(({ waiter }) => waiter.request);
+}
