A node that leaves for good says so in its last record, and its part of each quota is the others' at once

Cause: a node whose record is gone keeps its part of every quota for two minutes, since it may be cut off and go on using it (src/directory/quotaMembers.ts). That held as well for nodes that had left by a planned stop.

Change: before a node that leaves removes its record, it replaces it by one with `hasLeft`; whoever sees that, or sees the removal of such a record, forgets the owner without asking it and does not count it any more. A record that is only gone, of a node that was cut off, killed or turned away, counts for two minutes as before. One more write for a node that leaves.

--- a/src/cli/fleetStatus.ts
+++ b/src/cli/fleetStatus.ts
@@ -47,7 +47,7 @@
   | { readonly kind: 'known'; readonly nodes: readonly NodeStatus[] }
   | { readonly kind: 'unavailable'; readonly failure: StoreFailure };
 
-/** The records of all nodes in the store. */
+/** The records of all nodes in the store that have not left. */
 export async function readRecords(
   store: ObjectStore,
 ): Promise<{ records: OwnerRecord[] } | { failure: StoreFailure }> {
@@ -55,7 +55,7 @@
   return listed.ok
     ? {
         records: listed.value.items
-          .filter(({ spec }) => isOwnerRecord(spec))
+          .filter(({ spec }) => isOwnerRecord(spec) && !spec.hasLeft)
           .map(({ name, spec }) => ({ ...spec, node: name })),
       }
     : { failure: listed.failure };
--- a/src/directory/directory-sync.ts
+++ b/src/directory/directory-sync.ts
@@ -40,6 +40,8 @@
   readonly timing: WatchTiming;
   readonly onConnected: CollectionHandler<unknown>['onConnected'];
   readonly onOwner: (node: string, change: string, detail: string) => void;
+  /** The node has left for good, by its own word. */
+  readonly onLeft?: (node: string) => void;
   readonly onReport: (address: string, report: PeerReport) => void;
   /** The record of this name cannot be read. */
   readonly onUnreadable: (name: string) => void;
@@ -193,7 +195,20 @@
       void this.publish();
       return;
     }
-    this.missing.add(object.name);
+    if (hasLeft(object)) {
+      this.noteLeft(object.name);
+    } else {
+      this.missing.add(object.name);
+    }
+  }
+
+  /** Its record goes next: it is not asked whether it is still there. */
+  private noteLeft(node: string): void {
+    this.missing.remove(node);
+    if (this.options.directory.remove(node)) {
+      this.options.onOwner(node, 'removed', 'left');
+    }
+    this.options.onLeft?.(node);
   }
 
   private forget(node: string): void {
@@ -215,6 +230,10 @@
       // What was known of the node holds.
       return;
     }
+    if (hasLeft(object)) {
+      this.noteLeft(object.name);
+      return;
+    }
     this.missing.remove(object.name);
     directory.put({ ...object.spec, node: object.name });
   }
@@ -228,3 +247,8 @@
     this.options.onReport(entry.record.address, report);
   }
 }
+
+/** True for the last record of a node that has left for good, also as what was there when it went. */
+function hasLeft({ spec }: StoredObject<OwnerRecord>): boolean {
+  return isOwnerRecord(spec) && spec.hasLeft === true;
+}
--- a/src/directory/ownRecord.ts
+++ b/src/directory/ownRecord.ts
@@ -23,7 +23,7 @@
   noteStored(object: StoredObject<OwnerRecord>): void;
   /** The store holds none. */
   noteMissing(): void;
-  /** Ends writing; `leaving` removes the record for good. */
+  /** Ends writing; `leaving` says in the record that the node has left, and removes it for good. */
   stop(leaving: boolean): Promise<void>;
 }
 
@@ -81,9 +81,13 @@
     noteMissing,
     stop: async (leaving) => {
       isStopped = true;
-      if (leaving && revision !== undefined) {
-        await store.remove(kind, own().node, revision);
+      if (!leaving || revision === undefined) {
+        return;
       }
+      // A record that is only gone may be that of a node which is cut off, and goes on.
+      const spec: OwnerRecord = { ...own(), hasLeft: true };
+      const marked = await store.replace(kind, { name: spec.node, revision, spec });
+      await store.remove(kind, spec.node, marked.ok ? marked.value.revision : revision);
     },
   };
 }
--- a/src/directory/owner-directory.ts
+++ b/src/directory/owner-directory.ts
@@ -93,13 +93,14 @@
     this.byService.set(record.service, [...this.ownersOf(record.service), entry]);
   }
 
-  /** Forgets an owner. */
-  remove(node: string): void {
+  /** Forgets an owner; false if it was not known. */
+  remove(node: string): boolean {
     const entry = this.entries.get(node);
     if (entry) {
       entry.close();
       this.take(entry);
     }
+    return entry !== undefined;
   }
 
   /** Owners of a service, whether or not they can be asked. */
--- a/src/directory/owner-entry.ts
+++ b/src/directory/owner-entry.ts
@@ -15,6 +15,8 @@
   /** For placement policies, where the settings tell them. */
   readonly region?: string;
   readonly labels?: Readonly<Record<string, string>>;
+  /** True in the last record of a node that leaves for good: it lets nothing through any more. */
+  readonly hasLeft?: true;
 }
 
 /** Why an owner is not asked. */
--- a/src/directory/ownerRecord.ts
+++ b/src/directory/ownerRecord.ts
@@ -13,6 +13,7 @@
   linkMbps: z.number().positive().optional(),
   region: z.string().min(1).optional(),
   labels: z.record(z.string(), z.string()).optional(),
+  hasLeft: z.literal(true).optional(),
 });
 
 /** True for a record as the store keeps it: the object's name counts as the node's. */
--- a/src/directory/quotaMembers.test.ts
+++ b/src/directory/quotaMembers.test.ts
@@ -27,3 +27,19 @@
   put('1');
   expect(names()).toEqual(['1', '2']);
 });
+
+it('do not count a node that has left by its own word, until it is back', () => {
+  const directory = new OwnerDirectory('a', (each) => new OwnerEntry(each, NO_OWNER));
+  const put = (node: string) =>
+    directory.put({ node, address: `10.0.0.1:${node}`, zone: 'a', service: 'desk' });
+  const members = createQuotaMembers(directory, { now: () => 0 });
+  const names = () => members.list().map(({ node }) => node);
+  put('1');
+  put('2');
+  expect(names()).toEqual(['1', '2']);
+  directory.remove('1');
+  members.noteLeft('1');
+  expect(names()).toEqual(['2']);
+  put('1');
+  expect(names()).toEqual(['1', '2']);
+});
--- a/src/directory/quotaMembers.ts
+++ b/src/directory/quotaMembers.ts
@@ -14,6 +14,8 @@
 export interface QuotaMembers {
   /** In the order of their names; the same list as before unless there is a change. */
   list(): readonly QuotaMember[];
+  /** The node has left by its own word: it lets nothing through any more, and does not count. */
+  noteLeft(node: string): void;
 }
 
 export function createQuotaMembers(directory: OwnerDirectory, clock: Clock): QuotaMembers {
@@ -35,5 +37,8 @@
       members = isDeepStrictEqual(next, members) ? members : next;
       return members;
     },
+    noteLeft: (node) => {
+      seen.delete(node);
+    },
   };
 }
--- a/src/sidecar/quotaPart.ts
+++ b/src/sidecar/quotaPart.ts
@@ -28,6 +28,8 @@
   readonly gate: QuotaGate | undefined;
   /** Answers another node; undefined where no part is held. */
   grant(tenant: string, wanted: number): QuotaGrant | undefined;
+  /** Another node has left for good, by its own word. */
+  noteLeft(node: string): void;
   /** A configuration has come into force. */
   refresh(): void;
   start(): void;
@@ -37,6 +39,7 @@
 const NO_QUOTAS: QuotaPart = {
   gate: undefined,
   grant: () => undefined,
+  noteLeft: () => {},
   refresh: () => {},
   start: () => {},
   stop: () => {},
@@ -80,6 +83,7 @@
   return {
     gate: createQuotaGate({ clock, node, zone, windowMs: bounds.windowMs, pool, ask }),
     grant: (tenant, wanted) => pool.grant(tenant, wanted, clock.now()),
+    noteLeft: members.noteLeft,
     refresh,
     start: () => {
       timer = setInterval(refresh, REFRESH_MS);
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -140,6 +140,7 @@
     },
     onConnected: onStore('directory'),
     onOwner: (name, change, detail) => log.event('owner', { owner: name, change, detail }),
+    onLeft: (name) => quotas.noteLeft(name),
     onReport: (address, told) => configuration.noteVersion(address, told.version),
     onUnreadable: (name) => noteUnreadable(EntryKind.OwnerRecord, name, 'not readable'),
   });
