--- a/src/directory/directory-sync.test.ts
+++ b/src/directory/directory-sync.test.ts
@@ -1,9 +1,10 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { MemoryStore, StoreView } from '../../lab/memory-store.js';
 import { peerReport } from '../../test/fixtures.js';
 import type { PeerCaller } from '../peer/peerCaller.js';
 import type { PeerReport } from '../peer/peerMessages.js';
 import type { ObjectStore } from '../source/object-store.js';
-import { DirectorySync } from './directory-sync.js';
+import { DirectorySync, type DirectorySyncOptions, NODE_KIND } from './directory-sync.js';
 import { OwnerDirectory } from './owner-directory.js';
 import { OwnerEntry, type OwnerRecord } from './owner-entry.js';
 
@@ -23,7 +24,10 @@
 }
 
 /** The directory of one node in a large fleet, and whom it asks. */
-function fleet(answer: (address: string) => PeerReport | undefined) {
+function fleet(
+  answer: (address: string) => PeerReport | undefined,
+  options: Partial<DirectorySyncOptions> = {},
+) {
   const own = recordOf(0);
   const asked: string[] = [];
   const clock = { now: () => performance.now() };
@@ -52,6 +56,7 @@
     onOwner: () => {},
     onReport: () => {},
     onUnreadable: () => {},
+    ...options,
   });
   return { own, asked, directory, sync };
 }
@@ -104,3 +109,39 @@
   expect(asked).not.toContain(own.address);
   expect(asked.length - zone.length).toBe(8);
 });
+
+describe('a node whose record is gone', () => {
+  const others = [recordOf(1), recordOf(2)];
+
+  /** The directory of one node that sees these records, then the end of the first one as `last`. */
+  async function seeingEndOf(last: OwnerRecord) {
+    const store = new MemoryStore();
+    for (const record of others) {
+      store.put(NODE_KIND, record.node, record);
+    }
+    const left = new Set<string>();
+    const { directory, sync } = fleet(() => undefined, {
+      store: new StoreView(store),
+      onLeft: (node) => left.add(node),
+    });
+    sync.start();
+    await vi.waitFor(() => expect(sync.isListed).toBe(true));
+    store.put(NODE_KIND, last.node, last);
+    store.delete(NODE_KIND, last.node);
+    // A change that comes after it is known: so is the end.
+    store.put(NODE_KIND, 'node-new', { ...recordOf(3), node: 'node-new', address: '10.9.9.9:1' });
+    const has = (node: string) => directory.all().some(({ record }) => record.node === node);
+    await vi.waitFor(() => expect(has('node-new')).toBe(true));
+    await sync.stop(false);
+    return { isKnown: has(last.node), left: [...left] };
+  }
+
+  it('is forgotten at once if that said that it leaves', async () => {
+    const found = await seeingEndOf({ ...recordOf(1), hasLeft: true });
+    expect(found).toEqual({ isKnown: false, left: ['node-1'] });
+  });
+
+  it('is asked first if it did not: it may be cut off', async () => {
+    expect(await seeingEndOf(recordOf(1))).toEqual({ isKnown: true, left: [] });
+  });
+});
