--- a/src/directory/directory-sync.ts
+++ b/src/directory/directory-sync.ts
@@ -37,6 +37,8 @@
   readonly directory: OwnerDirectory;
   readonly caller: PeerCaller;
   readonly own: () => OwnerRecord;
+  /** True while other nodes go by whether this one has left; left out: they do not. */
+  readonly tellsLeaving?: () => boolean;
   readonly timing: WatchTiming;
   readonly onConnected: CollectionHandler<unknown>['onConnected'];
   readonly onOwner: (node: string, change: string, detail: string) => void;
@@ -89,6 +91,7 @@
       store: options.store,
       kind: NODE_KIND,
       own,
+      tellsLeaving: options.tellsLeaving ?? (() => false),
       refresh: () => this.watcher.refresh(),
     });
   }
--- a/src/directory/ownRecord.test.ts
+++ b/src/directory/ownRecord.test.ts
@@ -7,7 +7,7 @@
 const KIND = 'nodes';
 
 /** A node's own record in a store, which tells it of what stands there when it reads anew. */
-function recordIn(store: MemoryStore) {
+function recordIn(store: MemoryStore, tellsLeaving = true) {
   const view = new StoreView(store);
   let zone = 'a';
   const stored = () => store.kind(KIND).get('one') as StoredObject<OwnerRecord> | undefined;
@@ -15,6 +15,7 @@
     store: view,
     kind: KIND,
     own: () => ({ node: 'one', zone, address: '10.0.0.1:1' }) as unknown as OwnerRecord,
+    tellsLeaving: () => tellsLeaving,
     refresh: async () => {
       const object = stored();
       if (object) {
@@ -70,3 +71,12 @@
   const last = store.log.at(-1);
   expect(last).toMatchObject({ gone: true, object: { spec: { node: 'one', hasLeft: true } } });
 });
+
+it('goes with one write where no node goes by who has left', async () => {
+  const { record, view, stored } = recordIn(new MemoryStore(), false);
+  await record.publish();
+  const before = view.calls;
+  await record.stop(true);
+  expect(stored()).toBeUndefined();
+  expect(view.calls).toBe(before + 1);
+});
--- a/src/directory/ownRecord.ts
+++ b/src/directory/ownRecord.ts
@@ -12,6 +12,8 @@
   /** Kind of the records. */
   readonly kind: string;
   readonly own: () => OwnerRecord;
+  /** True while other nodes go by whether this one has left: it costs a write more at a planned stop. */
+  readonly tellsLeaving: () => boolean;
   /** Reads anew what the store holds. */
   readonly refresh: () => Promise<unknown>;
 }
@@ -27,7 +29,8 @@
   stop(leaving: boolean): Promise<void>;
 }
 
-export function createOwnRecord({ store, kind, own, refresh }: OwnRecordContext): OwnRecord {
+export function createOwnRecord(context: OwnRecordContext): OwnRecord {
+  const { store, kind, own, tellsLeaving, refresh } = context;
   let revision: number | undefined;
   let published: OwnerRecord | undefined;
   let isPublishing = false;
@@ -84,10 +87,14 @@
       if (!leaving || revision === undefined) {
         return;
       }
-      // A record that is only gone may be that of a node which is cut off, and goes on.
-      const spec: OwnerRecord = { ...own(), hasLeft: true };
-      const marked = await store.replace(kind, { name: spec.node, revision, spec });
-      await store.remove(kind, spec.node, marked.ok ? marked.value.revision : revision);
+      const record = own();
+      if (tellsLeaving()) {
+        // A record that is only gone may be that of a node which is cut off, and goes on.
+        const spec: OwnerRecord = { ...record, hasLeft: true };
+        const marked = await store.replace(kind, { name: record.node, revision, spec });
+        revision = marked.ok ? marked.value.revision : revision;
+      }
+      await store.remove(kind, record.node, revision);
     },
   };
 }
--- a/src/sidecar/quotaPart.ts
+++ b/src/sidecar/quotaPart.ts
@@ -26,6 +26,8 @@
 export interface QuotaPart {
   /** Undefined without bounds: then no tenant is limited. */
   readonly gate: QuotaGate | undefined;
+  /** True while the configuration holds tenants whose limits this node keeps. */
+  readonly isUsed: boolean;
   /** Answers another node; undefined where no part is held. */
   grant(tenant: string, wanted: number): QuotaGrant | undefined;
   /** Another node has left for good, by its own word. */
@@ -38,6 +40,7 @@
 
 const NO_QUOTAS: QuotaPart = {
   gate: undefined,
+  isUsed: false,
   grant: () => undefined,
   noteLeft: () => {},
   refresh: () => {},
@@ -82,6 +85,9 @@
 
   return {
     gate: createQuotaGate({ clock, node, zone, windowMs: bounds.windowMs, pool, ask }),
+    get isUsed() {
+      return (routes()?.configuration.tenants.length ?? 0) > 0;
+    },
     grant: (tenant, wanted) => pool.grant(tenant, wanted, clock.now()),
     noteLeft: members.noteLeft,
     refresh,
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -136,6 +136,7 @@
     directory,
     caller,
     own: record,
+    tellsLeaving: () => quotas.isUsed,
     timing: {
       waitMs: DIRECTORY_WAIT_MS,
       settleMs: () => (relay.store.isFollowing ? 0 : DIRECTORY_SETTLE_MS),
