--- a/src/quarantine/fingerprint.test.ts
+++ b/src/quarantine/fingerprint.test.ts
@@ -19,6 +19,17 @@
     expect(new Set([whole, ...others]).size).toBe(6);
   });
 
+  it('is the same for no body and an empty one, also before one that comes', () => {
+    const none = fingerprintOf(REQUEST);
+    expect(none).toMatch(/^[0-9a-f]{32}$/);
+    expect(fingerprintOf({ ...REQUEST, body: [Buffer.alloc(0)] })).toBe(none);
+    const late = [Buffer.alloc(0), Buffer.from('a')];
+    expect(fingerprintOf({ ...REQUEST, body: late })).not.toBe(none);
+    expect(fingerprintOf({ ...REQUEST, body: late })).toBe(
+      fingerprintOf({ ...REQUEST, body: [Buffer.from('a')] }),
+    );
+  });
+
   it('takes of a long body its beginning alone, cut at the same byte', () => {
     const body = Buffer.alloc(1_500_000, 'x');
     const inPieces = [body.subarray(0, 700_001), body.subarray(700_001, 1_100_000)];
--- a/src/quarantine/fingerprint.ts
+++ b/src/quarantine/fingerprint.ts
@@ -2,7 +2,7 @@
  * Which requests are the same: those of one method, host, target and body. The id is new with each of
  * them and does not count, nor do other header fields, nor how the body was framed.
  */
-import { createHash } from 'node:crypto';
+import { createHash, hash as hashAtOnce } from 'node:crypto';
 
 /** Of a longer body only its beginning counts, in bytes: the rest is not held for this. */
 const COUNTED_BODY_BYTES = 1024 * 1024;
@@ -22,9 +22,14 @@
   readonly body: readonly Buffer[];
 }
 
-/** Hexadecimal. Takes 3 microseconds without a body, 57 for 60,000 bytes, 0.9 ms for 1 MiB (one run of a loop on one core). */
+/** Hexadecimal. Takes 2 microseconds without a body, 57 for 60,000 bytes, 0.9 ms for 1 MiB (one run of a loop on one core). */
 export function fingerprintOf({ method, host, target, body }: FingerprintedRequest): string {
-  const hash = createHash('sha256').update(`${method}\n${host.toLowerCase()}\n${target}\n`);
+  const head = `${method}\n${host.toLowerCase()}\n${target}\n`;
+  if (body.every(({ length }) => length === 0)) {
+    // Most requests have none: a hash that is made for one text costs a quarter of one that is fed.
+    return hashAtOnce('sha256', head, 'hex').slice(0, 2 * KEPT_BYTES);
+  }
+  const hash = createHash('sha256').update(head);
   let left = COUNTED_BODY_BYTES;
   for (const piece of body) {
     hash.update(piece.subarray(0, left));
