--- a/src/cli/explanation.ts
+++ b/src/cli/explanation.ts
@@ -61,6 +61,8 @@
   const own = { node: '', address: '', zone: asked.zone, service: '' };
   const request = { method: asked.method, url: asked.path, headers: asked.headers };
   const access = explainAccess(configuration.tenants, matched.route, asked.tenant);
+  // The command does not know the nodes' header names: a key or tenant field given with --header is seen
+  // by policies here, which nodes hide from them.
   const caller = { tenant: access?.tenant, hiddenFields: new Set<string>() };
   const placements = split.map(({ service }) => ({
     service,
--- a/src/cli/tenantCommands.ts
+++ b/src/cli/tenantCommands.ts
@@ -19,7 +19,7 @@
 /** What a tenant has used of late over all nodes that answer. */
 interface FleetUse {
   readonly windowMs: number;
-  /** Requests a second that its limit let through, and that it refused. */
+  /** Requests a second that its limit did not refuse, and that it refused. */
   readonly admittedPerS: number;
   readonly refusedPerS: number;
   /** Nodes that have answered, and those that the store names besides. */
--- a/src/directory/ownRecord.ts
+++ b/src/directory/ownRecord.ts
@@ -18,6 +18,7 @@
   readonly refresh: () => Promise<unknown>;
 }
 
+/** One per node; kept by the directory's synchronisation. */
 export interface OwnRecord {
   /** Writes the record until the store holds it as it is, unless that is under way already. */
   publish(): Promise<void>;
@@ -25,7 +26,7 @@
   noteStored(object: StoredObject<OwnerRecord>): void;
   /** The store holds none. */
   noteMissing(): void;
-  /** Ends writing; `leaving` says in the record that the node has left, and removes it for good. */
+  /** Ends writing. A node that is `leaving` for good removes its record, and says so in it first where others go by that. */
   stop(leaving: boolean): Promise<void>;
 }
 
--- a/src/directory/rolloutSteering.ts
+++ b/src/directory/rolloutSteering.ts
@@ -180,6 +180,7 @@
     noteRemoved: (order) => {
       const work = works.get(order.service);
       if (work && election.isDecider(order.service)) {
+        // Watch is the least that a node which still holds the order may give the version.
         tellPhase(order, RolloutPhase.Watch);
       }
       works.delete(order.service);
--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -128,6 +128,7 @@
       // While the body came in, the key may have passed to another tenant.
       const isSame = this.tenant?.name === tenant?.name;
       const placed = isSame ? placement : this.placementFor(matched);
+      // Never Left here: the path has been read already.
       await this.bringToOwner(matched, body, placed.orDefault(undefined), mayClose);
     }
   }
@@ -202,7 +203,7 @@
     }
   }
 
-  /** Undefined policies allow all owners; Left: the path has no single reading. */
+  /** The check of owners by the route's policies, undefined if it has none; Left: the path has no single reading. */
   private placementFor(matched: MatchedRoute): ReturnType<typeof placementOf> {
     const caller = {
       tenant: this.tenant?.name,
--- a/src/ingress/ownerTask.ts
+++ b/src/ingress/ownerTask.ts
@@ -29,6 +29,7 @@
   readonly cancellation: Cancellation;
 }
 
+/** The task of a request that is admitted. */
 export function ownerTaskOf(admitted: AdmittedRequest): OwnerTask {
   const { request, matched, body, tenant, startedAt, allowedMs } = admitted;
   const { route, credential } = matched;
@@ -55,6 +56,7 @@
     deadlineAt: startedAt + allowedMs,
     targetAt: startedAt + Math.min(allowedMs, route.targetLatencyMs ?? allowedMs),
     hasBody: hasBody(request),
+    // Set anew for each offer, see `startAttempt`.
     mayWait: true,
     cancellation: admitted.cancellation,
     heldBody: body.kind === 'bytes' ? body : undefined,
--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -110,12 +110,13 @@
   /** Decides about a task; the caller adds a waiter after `wait`. */
   decide(request: AdmissionRequest, now: number): AdmissionDecision {
     const [first] = this.waiting;
+    // Equals that wait go first.
     const isFirst = !first || rankOf(first.waiter.request) > rankOf(request);
     if (isFirst && this.hasRoomFor(request)) {
       return { kind: 'run' };
     }
     const isBehind = this.tenantTurns.isBehind(request.tenant, now);
-    const isFull = this.isFull && !this.takesPlaceOf(request, isBehind);
+    const isFull = this.isFull && !this.displacedBy(request, isBehind);
     const ahead = this.placeOf(request, isBehind);
     if (!request.mayWait || !this.isInTime(request, ahead, now) || isFull) {
       return { kind: 'busy', retryAfterMs: this.retryAfterMs() };
@@ -151,12 +152,12 @@
   enqueue(waiter: Waiter): void {
     const { tenant } = waiter.request;
     const isBehind = this.tenantTurns.isBehind(tenant, waiter.since);
-    const other = this.takesPlaceOf(waiter.request, isBehind);
+    const displaced = this.displacedBy(waiter.request, isBehind);
     const wasFull = this.isFull;
     this.waiting.splice(this.placeOf(waiter.request, isBehind), 0, { waiter, isBehind });
-    if (other && (wasFull || !this.isStillInTime(other, waiter.since))) {
-      this.remove(other);
-      other.turnAway(this.retryAfterMs());
+    if (displaced && (wasFull || !this.isStillInTime(displaced, waiter.since))) {
+      this.remove(displaced);
+      displaced.turnAway(this.retryAfterMs());
     }
   }
 
@@ -213,8 +214,8 @@
     return this.waiting.length >= this.slots * MAX_WAITING_PER_SLOT;
   }
 
-  /** The last of those that are equally urgent, if it is behind and the other task is not. */
-  private takesPlaceOf({ priority }: AdmissionRequest, isBehind: boolean): Waiter | undefined {
+  /** The task that this one may push out: the last equally urgent one, if that is behind its tenant's share and this one is not. */
+  private displacedBy({ priority }: AdmissionRequest, isBehind: boolean): Waiter | undefined {
     const last = this.waiting.findLast(({ waiter }) => waiter.request.priority === priority);
     return !isBehind && last?.isBehind ? last.waiter : undefined;
   }
--- a/src/owner/callTurns.ts
+++ b/src/owner/callTurns.ts
@@ -25,7 +25,7 @@
 
 /** What a turn is told by. */
 export interface TurnRequest {
-  /** 0 is the most urgent. */
+  /** See `priorityOf`: 0 is the most urgent; a multiple of 1 / PRIORITIES. */
   readonly priority: number;
   /** True if a running back end waits for the answer. */
   readonly isCall?: boolean;
@@ -63,7 +63,10 @@
   ): Queued | undefined;
 }
 
-/** Place in the queue; smaller goes first. */
+/**
+ * Place in the queue; smaller goes first. Priorities are 1 / PRIORITIES apart: scaled to whole steps,
+ * they leave room for a call and a client in each.
+ */
 export function rankOf({ priority, isCall }: Pick<TurnRequest, 'priority' | 'isCall'>): number {
   return priority * PRIORITIES * TURNS + (isCall ? 0 : 1);
 }
--- a/src/owner/calledRoutes.ts
+++ b/src/owner/calledRoutes.ts
@@ -14,10 +14,10 @@
  */
 const EXPECTED_FROM_SERVICE = 8;
 
-/** Routes that are watched at once; with more, the watch begins anew. */
+/** Routes that are watched at once; with more, the counts begin anew, and verdicts stand until the next judgement. */
 const MAX_ROUTES = 64;
 
-/** A route is judged at each so many-th of its requests. */
+/** A route is judged at each so many-th of its requests: a judgement goes over all routes. */
 const JUDGED_EVERY = 16;
 
 /** Above this share of what was expected, a service counts as one that sends the route. */
@@ -54,8 +54,8 @@
     return [...this.counts.keys()];
   }
 
-  /** True once for each group of requests. */
-  get isDue(): boolean {
+  /** True once for each JUDGED_EVERY requests; asking begins the next group. */
+  takeDue(): boolean {
     const isDue = this.sinceJudged >= JUDGED_EVERY;
     this.sinceJudged = isDue ? 0 : this.sinceJudged;
     return isDue;
@@ -109,7 +109,7 @@
     note: (route, callerService) => {
       const origins = originsOf(route);
       origins.note(callerService);
-      if (!origins.isDue) {
+      if (!origins.takeDue()) {
         return;
       }
       if (isOnlyFromSome(route, origins)) {
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -48,7 +48,7 @@
   readonly onTask: (record: TaskRecord) => void;
   /** The back end has ended a request. */
   readonly onRun?: (run: BackEndRun) => void;
-  /** Part of what there is that a tenant may have beside others. */
+  /** A tenant's fair share of a full back end, from 0 to 1: its rate limit over the sum of all tenants' limits. */
   readonly tenantShare?: TenantShare;
   /** True while a roll-out lets the back end finish what it runs and gives it nothing new. */
   readonly isFenced?: () => boolean;
--- a/src/owner/tenantTurns.ts
+++ b/src/owner/tenantTurns.ts
@@ -1,9 +1,10 @@
 /**
- * Who waits behind the others at a full back end: a tenant that has had more of it lately than its share. All others go in the order of arrival, so that a shortage falls on all alike. Calls of back ends
- * have no tenant and are never behind.
+ * Who waits behind the others at a full back end: a tenant that has had more of it lately than its
+ * share. All others go in the order of arrival, so that a shortage falls on all alike. Calls of back
+ * ends have no tenant and are never behind.
  */
 
-/** Part of all that tenants may send, by their limits, that a tenant may; from 0 to 1. */
+/** A tenant's fair share of a full back end, from 0 to 1: its rate limit over the sum of all tenants' limits. */
 export type TenantShare = (tenant: string) => number;
 
 /** What a tenant has had counts half after this time, in milliseconds: the few seconds of a client's retries. */
--- a/src/owner/urgencyMix.ts
+++ b/src/owner/urgencyMix.ts
@@ -1,4 +1,4 @@
-/** How the back end's time divides among priorities, as a moving average. */
+/** How the back end's time divides among ranks (see `rankOf`), as a moving average. */
 
 /** Weight of the newest task. */
 const WEIGHT = 0.02;
@@ -9,26 +9,26 @@
 /** Watches the tasks of one back end. */
 export interface UrgencyMix {
   /** A task has taken this many milliseconds. */
-  note(priority: number, serviceMs: number): void;
-  /** Share of the time that tasks more urgent than a priority take, from 0 to 0.8. */
-  moreUrgentThan(priority: number): number;
+  note(rank: number, serviceMs: number): void;
+  /** Share of the time that tasks of a smaller rank take, from 0 to MAX_SHARE. */
+  moreUrgentThan(rank: number): number;
 }
 
 export function createUrgencyMix(): UrgencyMix {
   const spent = new Map<number, number>();
   return {
-    note: (priority, serviceMs) => {
+    note: (rank, serviceMs) => {
       for (const [known, ms] of spent) {
         spent.set(known, ms * (1 - WEIGHT));
       }
-      spent.set(priority, (spent.get(priority) ?? 0) + serviceMs * WEIGHT);
+      spent.set(rank, (spent.get(rank) ?? 0) + serviceMs * WEIGHT);
     },
-    moreUrgentThan: (priority) => {
+    moreUrgentThan: (rank) => {
       let all = 0;
       let urgent = 0;
       for (const [known, ms] of spent) {
         all += ms;
-        urgent += known < priority ? ms : 0;
+        urgent += known < rank ? ms : 0;
       }
       return all === 0 ? 0 : Math.min(MAX_SHARE, urgent / all);
     },
--- a/src/peer/ownerPatience.ts
+++ b/src/peer/ownerPatience.ts
@@ -9,7 +9,7 @@
 export interface OwnerPatienceContext {
   readonly clock: Clock;
   readonly peer: PeerState;
-  /** True until the owner has said its first word on an offer. */
+  /** True while the offer waits for its first answer; false at once if the body went with it. */
   readonly isOffered: () => boolean;
   /** Asks whether the owner is still there; false if such an exchange is not asked about. */
   readonly ping: () => boolean;
@@ -22,7 +22,7 @@
 export interface OwnerPatience {
   /** The offer is sent. */
   begin(): void;
-  /** Something has come from the owner. */
+  /** Something has come from the owner; to be called before its effect on `isOffered`. */
   noteHeard(): void;
   /** The exchange is over. */
   stop(): void;
@@ -46,7 +46,10 @@
     }, ms);
   };
 
-  /** Nothing was heard for a while: a dead node is told from a busy one by a ping. */
+  /**
+   * The time is up, whether or not something was heard meanwhile: an offer counts as unanswered, a task
+   * under way is asked about by a ping, which tells a dead node from a busy one.
+   */
   const onSpent = (): void => {
     if (isStopped) {
       return;
--- a/src/quarantine/crashLedger.ts
+++ b/src/quarantine/crashLedger.ts
@@ -73,7 +73,7 @@
   takeQuarantine(key: RequestKey, now: number): boolean;
   /** The store does not hold it any more: the request runs alone once. */
   lift(key: RequestKey): void;
-  /** Crashes that are known of a request; from two on it is a suspect unless it was cleared. */
+  /** Crashes that are known of a request; from SUSPECT_CRASHES on it is a suspect unless it was cleared. */
   crashesOf(fingerprint: string): number;
   /** Requests that are refused now. */
   quarantined(now: number): readonly RequestKey[];
--- a/src/relay/relayedStore.ts
+++ b/src/relay/relayedStore.ts
@@ -2,7 +2,8 @@
  * The store as a node of a zone sees it: a few nodes of each zone watch the store, the others watch
  * them. A node turns to the store itself as soon as its reader is silent or says that the store does
  * not answer it, and to the reader of another zone if the store does not answer itself either.
- * Writes, and lists that must be of now, always go to the store.
+ * Writes always go to the store. So do lists that must be of now, except the one after a reader has said
+ * that it no longer knows the changes, and where the store does not answer: a reader gives these.
  */
 import {
   type ObjectStore,
--- a/src/rollout/sequentialTest.ts
+++ b/src/rollout/sequentialTest.ts
@@ -3,7 +3,7 @@
  * test, restarted whenever it speaks for the version (Page 1954), so that a version that turns bad
  * late is found as quickly as one that was bad from the start.
  *
- * What is usual is what the others show on the whole or at that very moment, whichever is worse: a
+ * What is usual is what the others show on the whole or at that very recentOthers, whichever is worse: a
  * fault that begins at all back ends at once is not the version's.
  *
  * A version is bad if its back ends are: what is seen at a single one while others of the version do
@@ -50,10 +50,10 @@
  * Logarithm of the likelihood ratio at which a version is bad. Restarts make false alarms likelier than
  * the ratio says; see docs/design/rollouts.md for the shares measured.
  */
-export const CONVICTION = 9;
+const CONVICTION = 9;
 
 /** And without any one of its back ends. */
-export const CONVICTION_WITHOUT_ONE = 5;
+const CONVICTION_WITHOUT_ONE = 5;
 
 /** Part of what the others have shown that a step of theirs takes the place of. */
 const RENEWAL = 0.08;
@@ -61,15 +61,26 @@
 /** Outcomes that the others are taken to have shown at the floor before they have shown any. */
 const PRIOR_OUTCOMES = 40;
 
-/** Steps by which the outcomes of the target wait: the others report half as often. */
+/**
+ * Steps (ticks of the roll-out, 250 ms) by which the target's outcomes wait: the others report half as
+ * often, so theirs of the same time come later.
+ */
 const DELAY_STEPS = 1;
 
-/** Steps that make up the moment: each of the others reports once in it. */
+/** Steps that make up the present recentOthers, one second: each of the others reports once in it. */
 const MOMENT_STEPS = 4;
 
-/** Standard errors by which the others' share may be underestimated. */
+/**
+ * Standard errors by which the others' share may be underestimated: with the two estimates of it, 1.5
+ * found fewer bad versions in time (docs/design/rollouts.md).
+ */
 const MARGIN = 1.2;
 
+/**
+ * The usual share is taken for no more than this, and a bad one for no more than the next: the
+ * logarithms stay finite, and the two apart.
+ */
+const HIGHEST_USUAL_SHARE = 0.9;
 const HIGHEST_SHARE = 0.95;
 
 /** One measure of one route. */
@@ -85,17 +96,18 @@
 
 export function createSequentialTest(levels: TestLevels): SequentialTest {
   let usual: Outcomes = { total: 0, bad: 0 };
-  /** Of the others, step by step. */
-  const moment: Outcomes[] = [];
-  const waiting: TestStep['target'][] = [];
+  /** Outcomes of the others in the latest steps, the oldest first. */
+  const recentOthers: Outcomes[] = [];
+  /** Outcomes of the target that wait for the others' reports. */
+  const delayedTarget: TestStep['target'][] = [];
   let weight = 0;
   /** Weights without each of the back ends that have shown anything bad; the others' equal `weight`. */
   const without = new Map<string, number>();
   const seen = new Set<string>();
 
   const shares = (): { usualShare: number; badShare: number } => {
-    const highest = Math.max(highestShare(usual), highestShare(sumOf(moment)));
-    const usualShare = Math.min(0.9, Math.max(levels.floor, highest));
+    const highest = Math.max(highestShare(usual), highestShare(sumOf(recentOthers)));
+    const usualShare = Math.min(HIGHEST_USUAL_SHARE, Math.max(levels.floor, highest));
     const badShare = Math.min(HIGHEST_SHARE, usualShare + Math.max(levels.excess, usualShare));
     return { usualShare, badShare };
   };
@@ -140,8 +152,8 @@
   return {
     add: ({ target, others }) => {
       renew(others);
-      keepLast(moment, others, MOMENT_STEPS);
-      const due = keepLast(waiting, target, DELAY_STEPS);
+      keepLast(recentOthers, others, MOMENT_STEPS);
+      const due = keepLast(delayedTarget, target, DELAY_STEPS);
       if (due) {
         addTarget(due);
       }
@@ -158,7 +170,7 @@
   };
 }
 
-/** Adds an item to a queue; the oldest one if there are more than `limit` now. */
+/** Adds an item to a queue; takes out and returns the oldest one if there are more than `limit` now. */
 function keepLast<Item>(queue: Item[], item: Item, limit: number): Item | undefined {
   queue.push(item);
   return queue.length > limit ? queue.shift() : undefined;
--- a/src/rollout/versionComparison.ts
+++ b/src/rollout/versionComparison.ts
@@ -1,8 +1,9 @@
 /**
  * Compares the back ends of the target version with the others of the service, on the same routes over
- * the same time: failures and durations, each route by itself and failures of all routes together.
- * While the others get nothing there is nothing to compare with: what is slow then, or fails now and
- * then, may be the load or the machines. Only many failures speak against the version at such a time.
+ * the same time: failures, lost connections and durations, each route by itself, and the first two for
+ * all routes together as well. While the others get nothing there is nothing to compare with: what is
+ * slow then, or fails now and then, may be the load or the machines. Only many failures or many lost
+ * connections speak against the version at such a time.
  */
 import { type CountsByRoute, countFrom, countsSince, type RouteCounts } from './runCounts.js';
 import {
@@ -30,7 +31,7 @@
 
 /** What is to be told of the comparison. */
 export interface ComparisonSummary {
-  /** Requests that the target version has finished, and failed. */
+  /** Requests that the target version has finished, and those of them that failed; a crash counts as one. */
   readonly finished: number;
   readonly failed: number;
   /** Of the test that speaks most against the version. */
--- a/src/routing/route-matcher.ts
+++ b/src/routing/route-matcher.ts
@@ -22,7 +22,7 @@
   private readonly services = new Map<string, MeshService>();
   /** Who holds which key in this version. */
   readonly keyring: Keyring;
-  /** Part of what there is that a tenant may have beside others. */
+  /** A tenant's fair share of a full back end, from 0 to 1: its rate limit over the sum of all tenants' limits. */
   readonly tenantShare: (tenant: string) => number;
 
   /** A route that is the same object in `previous` keeps the state of its split. */
--- a/src/tenants/quotaGate.ts
+++ b/src/tenants/quotaGate.ts
@@ -161,8 +161,8 @@
     const rested = others.filter((holder) => isPast(borrowing.restedAt, holder));
     const near = rested.filter((holder) => holder.zone === zone);
     // Where all rest, those that have something again: a tenant of few holders has no others.
-    const full = others.filter((holder) => isPast(borrowing.dryUntil, holder));
-    const candidates = [near, rested, full].find((each) => each.length > 0) ?? [];
+    const refilled = others.filter((holder) => isPast(borrowing.dryUntil, holder));
+    const candidates = [near, rested, refilled].find((each) => each.length > 0) ?? [];
     const [first] = rankNames(
       `${node}/${view.tenant.name}`,
       candidates.map((holder) => holder.node),
--- a/src/tenants/quotaParts.ts
+++ b/src/tenants/quotaParts.ts
@@ -30,8 +30,9 @@
 export const GRANT_LIFETIME_MS = 200;
 
 /**
- * A part holds so many requests at the least: with fewer, two callers that meet at one holder while
- * others are full would find it dry.
+ * Parts beyond the first LEAST_HOLDERS are made only while each holds so many requests: with fewer, two
+ * callers that meet at one holder while others are full would find it dry. Also the fewest requests that
+ * a tenant's clients are taken to send together.
  */
 const PART_DEPTH = 4;
 
@@ -95,8 +96,9 @@
 }
 
 /**
- * The holders of a tenant's parts: as many as leave each part deep enough, a few at the least, at the most all. Each zone has
- * its share of them, so that one that is cut off has its share of the limit.
+ * The holders of a tenant's parts: as many as leave each part PART_DEPTH requests, LEAST_HOLDERS at the
+ * least if each then has one, and at the most all members. Each zone has its share of them, so that one
+ * that is cut off has its share of the limit.
  */
 export function holdersOf(
   tenant: string,
--- a/src/tenants/tenantShares.ts
+++ b/src/tenants/tenantShares.ts
@@ -1,4 +1,4 @@
-/** How much of what there is tenants may have beside one another: by their limits. */
+/** Tenants' fair shares of a full back end, in proportion to their rate limits. */
 import type { MeshTenant } from './tenant.js';
 
 /** Parts of the sum of all limits, from 0 to 1; a tenant without a limit counts as the largest of the others. */
--- a/src/tenants/tenantUse.ts
+++ b/src/tenants/tenantUse.ts
@@ -8,7 +8,7 @@
 
 const useSchema = z.object({
   name: z.string(),
-  /** Requests of the window that the limit let through, and that it refused. */
+  /** Ended requests of the window: those that its limit did not refuse, whatever became of them, and those that it did. */
   admitted: z.number().int().min(0),
   refused: z.number().int().min(0),
 });
@@ -17,7 +17,7 @@
 export type TenantUse = z.infer<typeof useSchema>;
 
 export interface TenantUseCount {
-  /** A request of a tenant has ended, or was refused by its limit. */
+  /** A request of a tenant has ended; `isRefused` if its limit refused it. */
   note(tenant: string, isRefused: boolean): void;
   /** As it travels to an operator. */
   bytes(): Buffer;
