--- a/src/cli/rolloutCommands.ts
+++ b/src/cli/rolloutCommands.ts
@@ -157,9 +157,10 @@
   const fleet = await readFleet(store);
   const owners =
     fleet.kind === 'known' ? fleet.nodes.filter(({ service }) => service === asked.service) : [];
-  const versions = owners.flatMap(({ backEndVersion }) => backEndVersion ?? []);
+  // An owner that is out of reach, or has not told its version, may have another one.
   const isMoved =
-    versions.length > 0 && versions.every((version) => version === asked.targetVersion);
+    owners.length > 0 &&
+    owners.every(({ backEndVersion }) => backEndVersion === asked.targetVersion);
   return isMoved
     ? [
         {
--- a/src/rollout/rolloutDecider.test.ts
+++ b/src/rollout/rolloutDecider.test.ts
@@ -202,6 +202,13 @@
     expect(setup.step()).toMatchObject({ newestEvidenceMs: 600, oldestEvidenceMs: 600 });
   });
 
+  it('is told by nobody where no owner of the service is up', () => {
+    const { decider, tell } = setUp();
+    expect(decider.isTold({ up: [], contactMs: 3_000 })).toBe(false);
+    tell('old-1', new Map());
+    expect(decider.isTold({ up: ['old-1'], contactMs: 3_000 })).toBe(true);
+  });
+
   it('keeps two orders apart', () => {
     const [first, second] = [setUp(), setUp()];
     first.tell('new-1', new Map([['read', countsOf(10, 90)]]));
--- a/src/rollout/rolloutDecider.ts
+++ b/src/rollout/rolloutDecider.ts
@@ -117,7 +117,7 @@
         comparison.take({ node: report.node, isTarget, counts: report.counts });
       }
     },
-    isTold: ({ up }) => lately().length >= up.length * TOLD_SHARE,
+    isTold: ({ up }) => up.length > 0 && lately().length >= up.length * TOLD_SHARE,
     step: (rollout, owners) => {
       comparison.step(areOthersServing(rollout));
       const facts = factsOf(rollout, owners);
--- a/src/rollout/rolloutDecision.test.ts
+++ b/src/rollout/rolloutDecision.test.ts
@@ -59,6 +59,16 @@
     expect(phaseOf({ phase: RolloutPhase.Halt })).toBe(RolloutPhase.Halt);
   });
 
+  it('rolls a version back that is in doubt when its last steps cannot be over in time', () => {
+    const comparison = { ...CLEAN, weight: 5, weightWithoutOne: 3 };
+    const late = { comparison, durationMs: 12_000 };
+    expect(phaseOf({ ...late, ageMs: 10_400 })).toBe(RolloutPhase.Watch);
+    expect(phaseOf({ ...late, ageMs: 10_600 })).toBe(RolloutPhase.Halt);
+    expect(phaseOf({ ...late, ageMs: 12_100 })).toBe(RolloutPhase.Watch);
+    const oneMachine = { ...comparison, weightWithoutOne: 0 };
+    expect(phaseOf({ ...late, comparison: oneMachine, ageMs: 10_600 })).toBe(RolloutPhase.Watch);
+  });
+
   it('goes back to watching in doubt, without reports or without room', () => {
     const shifted = { phase: RolloutPhase.Shift, phaseAgeMs: 2_000 };
     const doubtful = { ...CLEAN, weight: 5 };
--- a/src/rollout/rolloutDecision.ts
+++ b/src/rollout/rolloutDecision.ts
@@ -42,6 +42,9 @@
 /** Evidence against the version with which it gets nothing more for now, though it isn't bad yet. */
 const DOUBT = 4;
 
+/** The same without the back end that the evidence rests on most: a machine in trouble is no doubt of the version. */
+const DOUBT_WITHOUT_ONE = 2;
+
 /** Part of the owners of the service that must have reported lately for a step forward. */
 const QUORUM = 0.6;
 
@@ -80,6 +83,10 @@
   if (phase === RolloutPhase.Halt || comparison.isBad) {
     return { phase: RolloutPhase.Halt, reason: `${comparison.measure} ${comparison.route}`.trim() };
   }
+  if (isDoubtedAtDeadline(facts)) {
+    const { measure, route } = comparison;
+    return { phase: RolloutPhase.Halt, reason: `in doubt at the deadline: ${measure} ${route}` };
+  }
   const obstacle = obstacleTo(facts);
   if (obstacle) {
     return { phase: RolloutPhase.Watch, reason: obstacle };
@@ -96,6 +103,20 @@
   }
 }
 
+/**
+ * A version in doubt gets few requests, so little more may be learnt of it. Once its last steps cannot be over
+ * by the deadline, a good one is late in any case, and a bad one must not stay.
+ */
+function isDoubtedAtDeadline({ phase, comparison, ageMs, durationMs }: RolloutFacts): boolean {
+  const isLastMoment = ageMs >= durationMs - ENDING_MS && ageMs < durationMs;
+  return (
+    phase === RolloutPhase.Watch &&
+    isLastMoment &&
+    comparison.weight >= DOUBT &&
+    comparison.weightWithoutOne >= DOUBT_WITHOUT_ONE
+  );
+}
+
 function afterShift({ phase, phaseAgeMs, busyOthers }: RolloutFacts): RolloutDecision {
   if (phaseAgeMs < SHIFT_MS) {
     return { phase, reason: 'all that is new' };
--- a/src/rollout/sequentialTest.ts
+++ b/src/rollout/sequentialTest.ts
@@ -3,7 +3,7 @@
  * test, restarted whenever it speaks for the version (Page 1954), so that a version that turns bad
  * late is found as quickly as one that was bad from the start.
  *
- * What is usual is what the others show on the whole or at that very recentOthers, whichever is worse: a
+ * What is usual is what the others show on the whole or at that very moment, whichever is worse: a
  * fault that begins at all back ends at once is not the version's.
  *
  * A version is bad if its back ends are: what is seen at a single one while others of the version do
@@ -67,7 +67,7 @@
  */
 const DELAY_STEPS = 1;
 
-/** Steps that make up the present recentOthers, one second: each of the others reports once in it. */
+/** Steps that make up the present moment, one second: each of the others reports once in it. */
 const MOMENT_STEPS = 4;
 
 /**
--- a/src/tenants/keyring.ts
+++ b/src/tenants/keyring.ts
@@ -2,7 +2,7 @@
  * The keys of one configuration, by their digests: a key that nobody holds takes the same steps as one
  * that somebody does, and how far it agrees with a true one does not show in the time it takes.
  */
-import { createHash } from 'node:crypto';
+import { hash } from 'node:crypto';
 import type { MeshTenant } from './tenant.js';
 
 /** Hexadecimal digits by which an operator may tell keys apart: too few to find a key by. */
@@ -34,5 +34,5 @@
 }
 
 function digestOf(key: string): string {
-  return createHash('sha256').update(key).digest('hex');
+  return hash('sha256', key, 'hex');
 }
