A roll-out that the store tells has ended is over at once for the owners too (known red)

Cause, from its log: the store's word that the order was rolled back came a millisecond before the decider's. An ended order takes no phase any more, so the owners of the old version, which had been told to take nothing new, stayed fenced until that phase's lease lapsed, up to 1.6 s. Excluded: slots (all three owners refused with none running), the share of versions (the new one got nothing from then on), the store's absence (it had been back for 3 s). Change: the book puts an ended order into the phase of its end. Two unit tests failed before.

--- a/src/rollout/rolloutBook.test.ts
+++ b/src/rollout/rolloutBook.test.ts
@@ -42,6 +42,16 @@
     expect(phaseIn(setup)).toBe(RolloutPhase.Halt);
   });
 
+  it.each([
+    [RolloutState.RolledBack, RolloutPhase.Halt],
+    [RolloutState.Completed, RolloutPhase.Done],
+  ])('is over at once when the store tells %s before the decider does', (state, phase) => {
+    const setup = setUp();
+    setup.tell(RolloutPhase.Shift);
+    setup.book.takeOrder({ ...ORDER, state });
+    expect(setup.book.view('desk')?.phase).toBe(phase);
+  });
+
   it('takes no word about another order', () => {
     const setup = setUp();
     expect(setup.tell(RolloutPhase.Halt, 0, '2')).toBe(false);
--- a/src/rollout/rolloutBook.ts
+++ b/src/rollout/rolloutBook.ts
@@ -133,7 +133,12 @@
         return false;
       }
       known.order = order;
-      known.endedAt = hasEnded(order) ? clock.now() : undefined;
+      if (hasEnded(order)) {
+        // The store may tell it first. Owners that are to get nothing new until the end would refuse
+        // requests for up to a lease more: 0.6 s of them, where the version was rolled back.
+        known.phase = endOf(order);
+        known.endedAt = clock.now();
+      }
       return true;
     },
     remove: (service) => {
@@ -210,6 +215,11 @@
   };
 }
 
+/** The phase that an ended order is in. */
+function endOf({ state }: RolloutOrder): RolloutPhase {
+  return state === RolloutState.RolledBack ? RolloutPhase.Halt : RolloutPhase.Done;
+}
+
 /** True for an order whose status says how it ended. */
 export function hasEnded({ state }: RolloutOrder): boolean {
   return state === RolloutState.Completed || state === RolloutState.RolledBack;
