--- a/lab/memory-store.ts
+++ b/lab/memory-store.ts
@@ -16,6 +16,8 @@
   revision = 0;
   /** Changes at or below this revision are forgotten. */
   forgotten = 0;
+  /** How often it has come back from a copy. */
+  era = 0;
   private readonly listeners = new Set<() => void>();
 
   /** Writes an object without conditions, as an operator does. */
@@ -53,6 +55,22 @@
     this.wake();
   }
 
+  /**
+   * Comes back from a copy of that revision: what was written since is gone, and the revisions after it
+   * are given out again.
+   */
+  restore(revision: number): void {
+    for (const kind of this.objects.keys()) {
+      const objects = this.objectsAt(kind, revision);
+      this.objects.set(kind, new Map(objects.map((object) => [object.name, object])));
+    }
+    this.log.splice(this.log.findLastIndex((change) => change.revision <= revision) + 1);
+    this.revision = revision;
+    this.forgotten = Math.min(this.forgotten, revision);
+    this.era += 1;
+    this.wake();
+  }
+
   kind(kind: string): Map<string, StoredObject<unknown>> {
     const objects = this.objects.get(kind) ?? new Map<string, StoredObject<unknown>>();
     this.objects.set(kind, objects);
--- a/lab/sidecar-mesh.ts
+++ b/lab/sidecar-mesh.ts
@@ -18,7 +18,8 @@
 export class SidecarMesh {
   readonly store = new MemoryStore();
   readonly machines: Machine[] = [];
-  private version = 0;
+  /** Of the newest configuration. */
+  version = 0;
 
   /** Adds a machine and starts it. */
   async add(service: string, options: MachineOptions = {}): Promise<Machine> {
--- a/lab/storeServer.ts
+++ b/lab/storeServer.ts
@@ -55,7 +55,10 @@
           request.socket.destroy();
           return;
         }
-        response.writeHead(result.status, { 'content-type': 'application/json' });
+        response.writeHead(result.status, {
+          'content-type': 'application/json',
+          'store-era': store.era,
+        });
         response.end(JSON.stringify(result.body));
       });
   });
--- a/lab/storeView.ts
+++ b/lab/storeView.ts
@@ -63,10 +63,11 @@
     const until = performance.now() + waitMs;
     const changes = () =>
       this.store.log.filter((change) => change.kind === kind && change.revision > revision);
+    const isKnown = () => this.store.forgotten <= revision && revision <= this.store.revision;
     while (
       !this.failure &&
       !signal?.aborted &&
-      this.store.forgotten <= revision &&
+      isKnown() &&
       changes().length === 0 &&
       performance.now() < until
     ) {
@@ -76,15 +77,15 @@
       return failed('unknown');
     }
     return this.answer(() =>
-      this.store.forgotten > revision
-        ? failed('history-gone')
-        : {
+      isKnown()
+        ? {
             ok: true,
             value: {
               events: changes() as unknown as StoreEvent<Spec>[],
               revision: this.store.revision,
             },
-          },
+          }
+        : failed('history-gone'),
     );
   }
 
--- a/src/diagnostics/sidecar-metrics.ts
+++ b/src/diagnostics/sidecar-metrics.ts
@@ -35,6 +35,7 @@
   readonly configuration_version: number;
   readonly configuration_age_seconds: number;
   readonly store_connected: number;
+  readonly store_era: number;
   readonly log_lines_dropped: number;
 }
 
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -233,6 +233,7 @@
       configuration_version: version,
       configuration_age_seconds: (this.clock.now() - this.inForceSince) / MILLISECONDS_PER_SECOND,
       store_connected: Number(storeConnected),
+      store_era: this.parts.storeEra(),
       log_lines_dropped: this.log.dropped,
     };
   }
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -53,6 +53,8 @@
   readonly load: LoadLine;
   readonly noteUnreadable: NoteUnreadable;
   readonly quotas: QuotaPart;
+  /** How often the store has come back from a copy, by its last answer. */
+  readonly storeEra: () => number;
   /** This node's own record, as the other nodes get it. */
   readonly record: () => OwnerRecord;
 }
@@ -77,6 +79,12 @@
   outside.store.onUnreadable = (kind, reason) =>
     noteUnreadable(EntryKind.StoreObject, kind, reason);
 
+  let storeEra = 0;
+  outside.store.onEra = (era) => {
+    log.event('store-era', { era, before: storeEra });
+    storeEra = era;
+  };
+
   const record = () => ownRecordOf(settings());
   const sender = (): PeerSender => ({
     address: settings().listen.peers,
@@ -268,6 +276,7 @@
     load,
     noteUnreadable,
     quotas,
+    storeEra: () => storeEra,
     record,
   };
 }
--- a/src/source/collection-watcher.ts
+++ b/src/source/collection-watcher.ts
@@ -39,7 +39,10 @@
 const BACKOFF_FACTOR = 2;
 
 /** A list that is older than what has been seen. */
-const LAGGING: StoreError = { ok: false, failure: 'unavailable', detail: 'the list lags' };
+function lagging(revision: number, newest: number): StoreError {
+  const detail = `the list lags: it is of revision ${revision}, after ${newest}`;
+  return { ok: false, failure: 'unavailable', detail };
+}
 
 /** Follows one kind until stopped. */
 export class CollectionWatcher<Spec> {
@@ -125,7 +128,7 @@
       return result;
     }
     if (result.value.revision < this.newest) {
-      return LAGGING;
+      return lagging(result.value.revision, this.newest);
     }
     this.note(true, 'list');
     this.revision = result.value.revision;
--- a/src/source/object-store.ts
+++ b/src/source/object-store.ts
@@ -85,6 +85,8 @@
   onReceived?: (kind: string, bytes: number) => void;
   /** Set by its user: hears of an entry of a kind that cannot be read; the others are given all the same. */
   onUnreadable?: (kind: string, reason: string) => void;
+  /** Set by its user: hears the store's era with the first answer that tells it, and each time that it rises. */
+  onEra?: (era: number) => void;
   list<Spec>(kind: string, reading: Reading): Promise<StoreResult<StoreListing<Spec>>>;
   /** One object as it is now. */
   get<Spec>(kind: string, name: string): Promise<StoreResult<StoredObject<Spec>>>;
