Revisions never go back in the product, though the store's do: the era stands before the store's own count

Its lists counted as lagging until the counter had passed its old height; where it had passed that unseen, a watch from the old revision was accepted and what had changed below was never told. Meanwhile each list that was not taken counted as an answer of the store, so readers vouched for what they held before, and followers answered 404 for routes that had been added. Class: a number given out by somebody else is taken for a place in time. Change: `storeRevision.ts` puts `Store-Era` before the count in one number, so every comparison (watchers, caches, the bases of differences, records, orders) stands as it is; the client translates. When the era rises all watches at the store end and are listed anew. What a reader knows of a kind is in doubt from a 410 or an older list until the next one that is taken. A proof of reach speaks for the version held only while the watch of it stands. A node that starts asks four others for their versions before it takes what the store lists.

--- a/lab/relayFleet.ts
+++ b/lab/relayFleet.ts
@@ -95,6 +95,7 @@
     },
     onReader: () => {},
     onReach: () => {},
+    onEraRise: () => {},
     onUntold: () => {},
   });
   const follower = new ConfigurationFollower({
--- a/lab/storeServer.ts
+++ b/lab/storeServer.ts
@@ -10,6 +10,7 @@
   type StoreFailure,
   type StoreResult,
 } from '../src/source/object-store.js';
+import { countOf } from '../src/source/storeRevision.js';
 import { type MemoryStore, StoreView } from './memory-store.js';
 
 const STATUS_OF: Readonly<Partial<Record<StoreFailure, number>>> = {
@@ -133,20 +134,24 @@
   }
   if (query.has('after')) {
     // Lists are short here: a page that goes on after some name has nothing in it.
-    return told(await view.probe(), (revision) => ({ items: [], more: false, at: revision }));
+    return told(await view.probe(), (revision) => ({
+      items: [],
+      more: false,
+      at: countOf(revision),
+    }));
   }
   if (query.has('watch')) {
     const waitMs = Number(query.get('wait-ms'));
     return told(await view.watch(kind, Number(query.get('watch')), waitMs), (changes) => ({
       events: changes.events.map(({ object, gone }) => ({ object: wireObject(object), gone })),
-      at: changes.revision,
+      at: countOf(changes.revision),
     }));
   }
   const reading = query.has('stale') ? Reading.Lately : Reading.Now;
   return told(await view.list(kind, reading), ({ items, revision }) => ({
     items: items.map(wireObject),
     more: false,
-    at: revision,
+    at: countOf(revision),
   }));
 }
 
@@ -162,7 +167,7 @@
 }
 
 function wireObject({ name, revision, spec, status, made }: StoredObject<unknown>) {
-  return { metadata: { name, revision, made }, spec, status };
+  return { metadata: { name, revision: countOf(revision), made }, spec, status };
 }
 
 interface WireBody {
--- a/lab/storeView.ts
+++ b/lab/storeView.ts
@@ -9,11 +9,15 @@
   type StoreListing,
   type StoreResult,
 } from '../src/source/object-store.js';
+import { countOf, revisionOf } from '../src/source/storeRevision.js';
 import type { MemoryStore } from './memory-store.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
-/** One node's way to the store. */
+/**
+ * One node's way to the store. As on the users' platform, a condition or a watch names no era: one that was
+ * read before the store came back from a copy is taken for a revision of now.
+ */
 export class StoreView implements ObjectStore {
   /** Answers every call with this failure while it is set. */
   failure: StoreFailure | undefined;
@@ -32,6 +36,9 @@
   calls = 0;
   /** Probes, which cost little. */
   probes = 0;
+  /** Hears the store's era, see `ObjectStore`. */
+  onEra: (era: number) => void = () => {};
+  private toldEra = -1;
   private readonly callTimes: number[] = [];
 
   constructor(private readonly store: MemoryStore) {}
@@ -41,8 +48,8 @@
     return this.answer(() => ({
       ok: true,
       value: {
-        items: this.store.objectsAt(kind, asOf) as StoredObject<Spec>[],
-        revision: asOf ?? this.store.revision,
+        items: this.store.objectsAt(kind, asOf).map((object) => this.told<Spec>(object)),
+        revision: this.revisionOf(asOf ?? this.store.revision),
       },
     }));
   }
@@ -50,7 +57,7 @@
   get<Spec>(kind: string, name: string): Promise<StoreResult<StoredObject<Spec>>> {
     return this.answer(() => {
       const object = this.store.kind(kind).get(name);
-      return object ? { ok: true, value: object as StoredObject<Spec> } : failed('not-found');
+      return object ? { ok: true, value: this.told<Spec>(object) } : failed('not-found');
     });
   }
 
@@ -61,9 +68,10 @@
     signal?: AbortSignal,
   ): Promise<StoreResult<StoreChanges<Spec>>> {
     const until = performance.now() + waitMs;
+    const from = countOf(revision);
     const changes = () =>
-      this.store.log.filter((change) => change.kind === kind && change.revision > revision);
-    const isKnown = () => this.store.forgotten <= revision && revision <= this.store.revision;
+      this.store.log.filter((change) => change.kind === kind && change.revision > from);
+    const isKnown = () => this.store.forgotten <= from && from <= this.store.revision;
     while (
       !this.failure &&
       !signal?.aborted &&
@@ -81,8 +89,10 @@
         ? {
             ok: true,
             value: {
-              events: changes() as unknown as StoreEvent<Spec>[],
-              revision: this.store.revision,
+              events: changes().map(
+                ({ object, gone }): StoreEvent<Spec> => ({ object: this.told<Spec>(object), gone }),
+              ),
+              revision: this.revisionOf(this.store.revision),
             },
           }
         : failed('history-gone'),
@@ -93,7 +103,7 @@
     return this.write(() =>
       this.store.kind(kind).has(name)
         ? failed('conflict')
-        : { ok: true, value: this.store.put(kind, name, spec) as StoredObject<Spec> },
+        : { ok: true, value: this.told<Spec>(this.store.put(kind, name, spec)) },
     );
   }
 
@@ -106,11 +116,8 @@
       if (!held) {
         return failed('not-found');
       }
-      return held.revision === object.revision
-        ? {
-            ok: true,
-            value: this.store.put(kind, object.name, object.spec) as StoredObject<Spec>,
-          }
+      return held.revision === countOf(object.revision)
+        ? { ok: true, value: this.told<Spec>(this.store.put(kind, object.name, object.spec)) }
         : failed('conflict');
     });
   }
@@ -125,15 +132,15 @@
       if (!held) {
         return failed('not-found');
       }
-      return held.revision === revision
-        ? { ok: true, value: this.store.putStatus(kind, name, status) as StoredObject<Spec> }
+      return held.revision === countOf(revision)
+        ? { ok: true, value: this.told<Spec>(this.store.putStatus(kind, name, status)) }
         : failed('conflict');
     });
   }
 
   remove(kind: string, name: string, revision: number): Promise<StoreResult<undefined>> {
     return this.write(() => {
-      if (this.store.kind(kind).get(name)?.revision !== revision) {
+      if (this.store.kind(kind).get(name)?.revision !== countOf(revision)) {
         return failed('conflict');
       }
       this.store.delete(kind, name);
@@ -143,7 +150,10 @@
 
   async probe(): Promise<StoreResult<number>> {
     this.probes += 1;
-    return this.failure ? failed(this.failure) : { ok: true, value: this.store.revision };
+    this.tellEra();
+    return this.failure
+      ? failed(this.failure)
+      : { ok: true, value: this.revisionOf(this.store.revision) };
   }
 
   closeIdle(): void {}
@@ -171,12 +181,28 @@
 
   private answer<Value>(carryOut: () => StoreResult<Value>): Promise<StoreResult<Value>> {
     this.calls += 1;
+    this.tellEra();
     if (this.failure) {
       return Promise.resolve(failed(this.failure));
     }
     return Promise.resolve(this.isThrottled() ? failed('throttled') : carryOut());
   }
 
+  private tellEra(): void {
+    if (!this.failure && this.store.era > this.toldEra) {
+      this.toldEra = this.store.era;
+      this.onEra(this.toldEra);
+    }
+  }
+
+  private revisionOf(count: number): number {
+    return revisionOf(this.store.era, count);
+  }
+
+  private told<Spec>(object: StoredObject<unknown>): StoredObject<Spec> {
+    return { ...object, spec: object.spec as Spec, revision: this.revisionOf(object.revision) };
+  }
+
   private isThrottled(): boolean {
     const now = performance.now();
     this.callTimes.push(now);
--- a/src/relay/ownWatches.ts
+++ b/src/relay/ownWatches.ts
@@ -32,6 +32,8 @@
   release(): void;
   /** Ends those that wait, as failed: they were sent on connections, or to a store, now in doubt. */
   abandon(): void;
+  /** Ends those that wait, as with their history gone: the store has come back from a copy. */
+  loseHistory(): void;
   /** The store is at this revision. */
   noteSeen(revision: number): void;
 }
@@ -46,6 +48,12 @@
 
 const ABANDONED: StoreError = { ok: false, failure: 'unknown', detail: 'abandoned' };
 
+const HISTORY_GONE: StoreError = {
+  ok: false,
+  failure: 'history-gone',
+  detail: 'the store has come back from a copy',
+};
+
 export function createOwnWatches(context: OwnWatchesContext): OwnWatches {
   const { store, toldRevision, onNothingMissed, onSilent } = context;
   const waiting = new Map<string, Waiting>();
@@ -103,6 +111,7 @@
       }),
     release: () => settleAll(undefined),
     abandon: () => settleAll(ABANDONED),
+    loseHistory: () => settleAll(HISTORY_GONE),
     noteSeen: (seen) => {
       for (const [kind, watch] of waiting) {
         const told = Math.max(watch.revision, toldRevision(kind) ?? 0);
--- a/src/relay/relayedStore.ts
+++ b/src/relay/relayedStore.ts
@@ -72,6 +72,9 @@
   ): Promise<StoreResult<StoreChanges<Spec>> | undefined> => {
     const result = await watches.watch<Spec>(kind, revision, waitMs);
     if (!result?.ok) {
+      if (result?.failure === 'history-gone') {
+        cache.noteDoubt(kind);
+      }
       return result;
     }
     reach.noteAnswered();
@@ -82,6 +85,11 @@
     if (!result.ok) {
       return result;
     }
+    if (result.value.revision < (cache.revisionOf(kind) ?? 0)) {
+      // Its asker does not take it, so it proves nothing: nodes that were told so answered 404 for new routes.
+      cache.noteDoubt(kind);
+      return result;
+    }
     reach.noteAnswered();
     return { ok: true, value: cache.noteList(kind, result.value) } as const;
   };
--- a/src/relay/storeCache.ts
+++ b/src/relay/storeCache.ts
@@ -13,6 +13,7 @@
   StoreQuestion,
   StoreResult,
 } from '../source/object-store.js';
+import { eraOf } from '../source/storeRevision.js';
 import { shareStructure } from './sharedStructure.js';
 import type { StoreReach } from './storeReach.js';
 
@@ -49,6 +50,11 @@
    * known. Of a kind with several objects the others may have changed as well: nothing is noted.
    */
   noteObject<Spec>(kind: string, object: StoredObject<Spec>): StoredObject<Spec>;
+  /**
+   * What is known of a kind need not be what the store holds now: the store no longer knows the changes since,
+   * or its list was older. Nothing is told of it until the next list or change that is taken.
+   */
+  noteDoubt(kind: string): void;
   /** Newest revision up to which all changes of a kind are known. */
   revisionOf(kind: string): number | undefined;
   /** Revision of the object of a kind that has only one. */
@@ -74,6 +80,7 @@
   since: number;
   revision: number;
   removed: number;
+  isInDoubt: boolean;
   /** Those who are to be told of the next change. */
   readonly waiting: Waiters;
 }
@@ -110,6 +117,9 @@
       const items = listing.items.map((object) => shareWithKnown(known, object));
       if (listing.revision > known.revision) {
         bringUpToDate(known, items, listing.revision);
+      }
+      if (listing.revision >= known.revision) {
+        known.isInDoubt = false;
         known.waiting.wakeAll();
       }
       return { ...listing, items };
@@ -125,9 +135,11 @@
         noteChange(known, shared, revision);
         return shared;
       });
+      const wasInDoubt = known.isInDoubt;
+      known.isInDoubt = false;
       known.revision = Math.max(known.revision, revision);
       forgetRemoved(known);
-      if (events.length > 0) {
+      if (events.length > 0 || wasInDoubt) {
         known.waiting.wakeAll();
       }
       return { events, revision };
@@ -145,6 +157,12 @@
       }
       return shared;
     },
+    noteDoubt: (kind) => {
+      const known = kinds.get(kind);
+      if (known) {
+        known.isInDoubt = true;
+      }
+    },
     revisionOf: (kind) => kinds.get(kind)?.revision,
     onlyRevision: (kind) => {
       const known = kinds.get(kind);
@@ -161,8 +179,8 @@
       const cached = kinds.get(question.kind);
       const until = askedAt + question.waitMs;
       while (cached && freshLeftMs() > 0) {
-        const answer = answerOf(cached, question);
-        const hasNews = !answer.ok || answer.value.events.length > 0;
+        const answer = speaksFor(cached, question) ? answerOf(cached, question) : NOTHING_KNOWN;
+        const hasNews = answer !== NOTHING_KNOWN && (!answer.ok || answer.value.events.length > 0);
         const leftMs = until - clock.now();
         if (hasNews || question.revision === undefined || leftMs <= 0) {
           return answer;
@@ -174,11 +192,26 @@
   };
 }
 
+const NOTHING_KNOWN = failed('unavailable');
+
+/** False while the asker knows of a later era of the store than this node, too. */
+function speaksFor(cached: CachedKind, { revision = 0 }: StoreQuestion): boolean {
+  return !cached.isInDoubt && eraOf(revision) <= eraOf(cached.revision);
+}
+
 function listed(items: readonly StoredObject<unknown>[], revision: number): CachedKind {
   const changes = new Map(
     items.map((object) => [object.name, { event: { object, gone: false }, at: object.revision }]),
   );
-  return { changes, earlier: [], since: revision, revision, removed: 0, waiting: createWaiters() };
+  return {
+    changes,
+    earlier: [],
+    since: revision,
+    revision,
+    removed: 0,
+    isInDoubt: false,
+    waiting: createWaiters(),
+  };
 }
 
 /** The object of a kind that has no other. */
--- a/src/relay/zoneRelay.ts
+++ b/src/relay/zoneRelay.ts
@@ -1,5 +1,6 @@
 /** One node's part in reading the store for its zone, put together. */
 import type { Clock } from '../model/clock.js';
+import { createEraGuard } from '../source/eraGuard.js';
 import type { ObjectStore, StoreQuestion } from '../source/object-store.js';
 import { createOwnWatches } from './ownWatches.js';
 import { startReachProof } from './reachProof.js';
@@ -45,6 +46,8 @@
   readonly onReader: (reader: string | undefined, cause: string) => void;
   /** The store has ceased to answer this node's proofs, or answers again; what was seen of that. */
   readonly onReach: (isReached: boolean, detail: string) => void;
+  /** The store has come back from a copy: its era before, and now. */
+  readonly onEraRise: (era: number, before: number) => void;
   /** A watch was silent although the store had changes, up to this revision. */
   readonly onUntold: (kind: string, revision: number) => void;
   /** An answer to a follower has been made, of so many bytes. */
@@ -54,6 +57,10 @@
 /** The store as this node reads it, and its answers to those that read by way of this node. */
 export interface ZoneRelay {
   readonly store: RelayedStore;
+  /** The newest era that the store has told; 0 where it tells none. */
+  readonly era: number;
+  /** The store has told this era in an answer. */
+  noteEra(era: number): void;
   /** Milliseconds for which changes of the configuration are gathered before the next call. */
   settleMs(): number;
   /** Answers a node that reads by way of this one. */
@@ -63,12 +70,20 @@
 
 export function createZoneRelay(context: ZoneRelayContext): ZoneRelay {
   const { clock, applyMs, record } = context;
+  const origin = createEraGuard({
+    clock,
+    store: context.store,
+    onRise: (era, before) => {
+      context.onEraRise(era, before);
+      watches.loseHistory();
+    },
+  });
   const reach = createStoreReach({
     clock,
     onChange: (isInDoubt, detail) => {
       context.onReach(!isInDoubt, detail);
       if (isInDoubt) {
-        context.store.closeIdle();
+        origin.closeIdle();
         watches.abandon();
       }
     },
@@ -79,7 +94,7 @@
     freshMs: applyMs * (PACE_SHARE + MARGIN_SHARE),
   });
   const watches = createOwnWatches({
-    store: context.store,
+    store: origin,
     toldRevision: cache.revisionOf,
     onNothingMissed: (kind, from, revision) =>
       cache.noteChanges(kind, from, { events: [], revision }),
@@ -87,7 +102,7 @@
   });
   const store = createRelayedStore({
     clock,
-    store: context.store,
+    store: origin,
     cache,
     reach,
     watches,
@@ -113,7 +128,7 @@
   });
   const proof = startReachProof({
     clock,
-    store: context.store,
+    store: origin,
     reach,
     kind: record.kind,
     paceMs: applyMs * PACE_SHARE,
@@ -128,6 +143,10 @@
   const packed = createPackedAnswers();
   return {
     store,
+    get era() {
+      return origin.era;
+    },
+    noteEra: origin.noteEra,
     settleMs: () => {
       if (store.isFollowing) {
         return 0;
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -233,7 +233,7 @@
       configuration_version: version,
       configuration_age_seconds: (this.clock.now() - this.inForceSince) / MILLISECONDS_PER_SECOND,
       store_connected: Number(storeConnected),
-      store_era: this.parts.storeEra(),
+      store_era: this.parts.relay.era,
       log_lines_dropped: this.log.dropped,
     };
   }
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -53,8 +53,6 @@
   readonly load: LoadLine;
   readonly noteUnreadable: NoteUnreadable;
   readonly quotas: QuotaPart;
-  /** How often the store has come back from a copy, by its last answer. */
-  readonly storeEra: () => number;
   /** This node's own record, as the other nodes get it. */
   readonly record: () => OwnerRecord;
 }
@@ -79,12 +77,6 @@
   outside.store.onUnreadable = (kind, reason) =>
     noteUnreadable(EntryKind.StoreObject, kind, reason);
 
-  let storeEra = 0;
-  outside.store.onEra = (era) => {
-    log.event('store-era', { era, before: storeEra });
-    storeEra = era;
-  };
-
   const record = () => ownRecordOf(settings());
   const sender = (): PeerSender => ({
     address: settings().listen.peers,
@@ -135,6 +127,7 @@
 
   const reads = createPeerReads(sender, onSent);
   const relay = createRelayPart({ ...context, load, directory, reads, record });
+  outside.store.onEra = relay.noteEra;
 
   const caller = new PeerCaller(sender, report, onSent);
   const broadcast = createNewsBroadcast({ directory, caller, own: record });
@@ -186,6 +179,7 @@
   const configuration = createConfigurationPart({
     ...context,
     relay,
+    directory,
     caller,
     onConnected: onStore('configuration'),
   });
@@ -276,7 +270,6 @@
     load,
     noteUnreadable,
     quotas,
-    storeEra: () => storeEra,
     record,
   };
 }
--- a/src/sidecar/storeParts.ts
+++ b/src/sidecar/storeParts.ts
@@ -3,10 +3,11 @@
 import { NODE_KIND } from '../directory/directory-sync.js';
 import type { OwnerDirectory } from '../directory/owner-directory.js';
 import type { OwnerRecord } from '../directory/owner-entry.js';
+import { rankNames } from '../model/rendezvous.js';
 import type { PeerCaller } from '../peer/peerCaller.js';
 import type { PeerReads } from '../peer/peerReads.js';
 import { createZoneRelay, type ZoneRelay } from '../relay/zoneRelay.js';
-import { ConfigurationFollower } from '../source/configuration-follower.js';
+import { ConfigurationFollower, type HeldVersion } from '../source/configuration-follower.js';
 import { ObservedStore } from '../source/observed-store.js';
 import { createSupplier } from '../source/supplier.js';
 import type { SidecarPartsContext } from './sidecarPartsContext.js';
@@ -15,6 +16,13 @@
 /** A configuration is asked of another node for at the most this long, in milliseconds. */
 const PEER_CONFIGURATION_TIMEOUT_MS = 1_000;
 
+/**
+ * A node that starts asks so many others which version they hold, for at the most so long, in milliseconds: one
+ * that is up answers within a few. Of four one at the least is up nine times in ten while half of all start.
+ */
+const ASKED_AT_START = 4;
+const VERSION_PATIENCE_MS = 150;
+
 /** What the relay needs besides. */
 export interface RelayPartContext extends SidecarPartsContext {
   readonly load: LoadLine;
@@ -39,6 +47,7 @@
     readPeer: (address, question, timeoutMs) => reads.read(address, question, timeoutMs),
     onReader: (reader, cause) => log.event('zone-reader', { reader, cause }),
     onReach: (isReached, detail) => log.event('store-reach', { isReached, detail }),
+    onEraRise: (era, before) => log.event('store-era', { era, before }),
     onUntold: (kind, revision) => log.event('watch-silent', { kind, revision }),
     onAnswer: (kind, bytes) => {
       load.noteRelayed(kind, bytes);
@@ -49,12 +58,27 @@
 /** What the configuration needs besides. */
 export interface ConfigurationPartContext extends SidecarPartsContext {
   readonly relay: ZoneRelay;
+  readonly directory: OwnerDirectory;
   readonly caller: PeerCaller;
   readonly onConnected: (connected: boolean, detail: string, cause?: string) => void;
 }
 
 export function createConfigurationPart(context: ConfigurationPartContext): ConfigurationFollower {
-  const { settings, outside, clocks, log, relay, caller, onInForce, onConnected } = context;
+  const { settings, outside, clocks, log, relay, directory, caller, onInForce, onConnected } =
+    context;
+  const askVersions = async (): Promise<HeldVersion[]> => {
+    const { node } = settings();
+    const others = directory.all().filter(({ isLocal }) => !isLocal);
+    const byName = new Map(others.map(({ record }) => [record.node, record.address]));
+    // Ranked by the own name: nodes that start together ask different ones.
+    const asked = rankNames(node, [...byName.keys()]).slice(0, ASKED_AT_START);
+    const held = asked.map(async (name): Promise<HeldVersion> => {
+      const address = byName.get(name) ?? '';
+      const report = await caller.status(address, VERSION_PATIENCE_MS);
+      return { address, version: report?.version ?? 0 };
+    });
+    return Promise.all(held);
+  };
   return new ConfigurationFollower({
     clock: clocks.beliefClock,
     store: relay.store,
@@ -66,6 +90,7 @@
     decode: outside.decodeConfiguration,
     decodeBytes: outside.decodeConfigurationBytes,
     askPeer: (address) => caller.configuration(address, PEER_CONFIGURATION_TIMEOUT_MS),
+    askVersions,
     onConnected,
     onInForce,
     onHeldOff: (version, origin, findings) =>
--- a/src/source/collection-watcher.ts
+++ b/src/source/collection-watcher.ts
@@ -8,9 +8,10 @@
 
 /** Receives what a watcher learns, in order. */
 export interface CollectionHandler<Spec> {
-  /** Everything that there is now. */
-  onList(objects: readonly StoredObject<Spec>[]): void;
-  onChange(object: StoredObject<Spec>, gone: boolean): void;
+  /** Everything that there is at this revision of the store. */
+  onList(objects: readonly StoredObject<Spec>[], revision: number): void;
+  /** One change among those up to this revision of the store. */
+  onChange(object: StoredObject<Spec>, gone: boolean, revision: number): void;
   /**
    * Called when the store begins or ceases to answer. `detail` is the call that was answered, or the
    * failure; `cause` says in words what was seen of that.
@@ -137,7 +138,7 @@
     for (const { revision } of result.value.items) {
       this.onlyRevision = Math.max(this.onlyRevision, revision);
     }
-    this.handler.onList(result.value.items);
+    this.handler.onList(result.value.items, result.value.revision);
     return undefined;
   }
 
@@ -158,7 +159,7 @@
     this.onlyRevision = result.value.revision;
     this.newest = Math.max(this.newest, this.onlyRevision);
     this.revision = this.newest;
-    this.handler.onChange(result.value, false);
+    this.handler.onChange(result.value, false, result.value.revision);
     await this.pause(this.timing.settleMs());
     return undefined;
   }
@@ -176,7 +177,7 @@
     this.isListFresh = false;
     this.newest = Math.max(this.newest, result.value.revision);
     this.revision = this.newest;
-    const { events } = result.value;
+    const { events, revision } = result.value;
     const { only } = this.timing;
     const last = events.findLastIndex(({ object }) => object.name === only);
     this.isBehind = last > 0;
@@ -184,7 +185,7 @@
       // Steps that are out of date already are not worth being taken one by one.
       if (object.name !== only || index === last) {
         this.onlyRevision = Math.max(this.onlyRevision, object.revision);
-        this.handler.onChange(object, gone);
+        this.handler.onChange(object, gone, revision);
       }
     });
     if (events.length > 0) {
--- a/src/source/configuration-follower.ts
+++ b/src/source/configuration-follower.ts
@@ -47,6 +47,12 @@
 /** Part of the bound for which the word of a follower's reader may be older than its answer. */
 const READER_SHARE = 0.5;
 
+/** The version that another node holds. */
+export interface HeldVersion {
+  readonly address: string;
+  readonly version: number;
+}
+
 /** What the follower needs of its node. */
 export interface ConfigurationFollowerOptions {
   readonly clock: Clock;
@@ -63,6 +69,8 @@
   readonly decodeBytes: (bytes: Buffer) => ConfigurationCandidate | undefined;
   /** Asks another node for its configuration. */
   readonly askPeer: (address: string) => Promise<Buffer | undefined>;
+  /** Asks some other nodes which versions they hold, for a moment; left out where there are none to ask. */
+  readonly askVersions?: () => Promise<readonly HeldVersion[]>;
   /** Steady time in milliseconds at which the store was last shown to be within reach. */
   readonly provenAt: () => number;
   readonly onConnected: CollectionHandler<unknown>['onConnected'];
@@ -95,12 +103,16 @@
       {
         onList: (objects) => {
           for (const object of objects) {
-            this.take(object);
+            const candidate = this.read(object);
+            if (candidate) {
+              void this.offerListed(candidate);
+            }
           }
         },
         onChange: (object, gone) => {
-          if (!gone) {
-            this.take(object);
+          const candidate = gone ? undefined : this.read(object);
+          if (candidate) {
+            this.offer(candidate, 'store');
           }
         },
         onConnected: options.onConnected,
@@ -143,7 +155,9 @@
   /** Milliseconds since it was last heard that the version held is the newest. */
   private get unheardMs(): number {
     const { clock, provenAt } = this.options;
-    return clock.now() - Math.max(this.currentAt, provenAt());
+    // A store within reach says nothing of the version held while this node's watch of it does not stand.
+    const heardAt = this.isConnected ? Math.max(this.currentAt, provenAt()) : this.currentAt;
+    return clock.now() - heardAt;
   }
 
   /** The configuration in force as bytes for another node. */
@@ -194,19 +208,44 @@
     }
   }
 
-  private take(object: StoredObject<unknown>): void {
+  private read(object: StoredObject<unknown>): ConfigurationCandidate | undefined {
     if (object.name !== this.options.name) {
-      return;
+      return undefined;
     }
     const candidate = this.options.decode(object.spec);
-    if (candidate) {
-      this.offer(candidate, 'store');
-    } else {
+    if (!candidate) {
       this.options.onUnreadable(object.revision);
     }
+    return candidate;
+  }
+
+  /**
+   * A store that has come back from a copy may list an older version than was acknowledged. A node that holds
+   * none yet would take it, and so go back by its restart: it asks others first.
+   */
+  private async offerListed(candidate: ConfigurationCandidate): Promise<void> {
+    if (!this.routes && (await this.takeNewer(candidate.version))) {
+      return;
+    }
+    if (!this.isStopped) {
+      this.offer(candidate, 'store');
+    }
+  }
+
+  /** True if another node holds a newer version, and that is used. */
+  private async takeNewer(version: number): Promise<boolean> {
+    const held = (await this.options.askVersions?.()) ?? [];
+    const [newest] = held.toSorted((left, right) => right.version - left.version);
+    if (!newest || newest.version <= version) {
+      return false;
+    }
+    const bytes = await this.options.askPeer(newest.address);
+    const candidate = bytes && this.options.decodeBytes(bytes);
+    const kind = candidate && !this.isStopped && this.offer(candidate, newest.address);
+    return kind === 'in-force' || kind === 'short';
   }
 
-  private offer(candidate: ConfigurationCandidate, origin: string): void {
+  private offer(candidate: ConfigurationCandidate, origin: string): OfferResult['kind'] {
     const result = this.holder.offer(candidate, this.options.supplier.supplies);
     this.noteOffer(result, origin);
     if (result.kind === 'short' && result.version > this.suppliedVersion) {
@@ -214,6 +253,7 @@
       this.options.onShort(result.version, result.shortage);
       void this.supplyAndOffer(candidate, origin);
     }
+    return result.kind;
   }
 
   private noteOffer(result: OfferResult, origin: string): void {
--- a/src/source/object-store.ts
+++ b/src/source/object-store.ts
@@ -3,7 +3,10 @@
  * writes, and watches. Implementations translate; they decide nothing.
  */
 
-/** One stored object. The revision grows with every change of the store. */
+/**
+ * One stored object. The revision grows with every change of the store, also when that has come back from a
+ * copy and counts from an earlier one on: see `storeRevision.ts`.
+ */
 export interface StoredObject<Spec> {
   readonly name: string;
   readonly revision: number;
