Quarantines hold while the store comes back from a copy

Cause: a record of a crash that the store had lost looked like one that an operator had removed: all nodes lifted the quarantine, and the request could crash more back ends. One that had been removed came back with the copy, and was taken anew. Change: `crashRecords.ts` (out of quarantineSync) tells the two apart by the era of what it had seen. What is lost is written again by nodes that take turns by rank; what comes back though it was removed goes again in the same way.

--- a/src/directory/quarantineSync.ts
+++ b/src/directory/quarantineSync.ts
@@ -14,19 +14,14 @@
   SUSPECT_CRASHES,
 } from '../quarantine/crashLedger.js';
 import { listOfNews, readNews } from '../quarantine/crashNewsCodec.js';
-import {
-  type CollectionHandler,
-  CollectionWatcher,
-  type WatchTiming,
-} from '../source/collection-watcher.js';
-import type { ObjectStore, StoredObject } from '../source/object-store.js';
-import { CRASH_KIND, type CrashedRequest, type CrashRecord, isCrashRecord } from './crashRecord.js';
+import type { CollectionHandler, WatchTiming } from '../source/collection-watcher.js';
+import type { ObjectStore } from '../source/object-store.js';
+import type { CrashedRequest } from './crashRecord.js';
+import { createCrashRecords } from './crashRecords.js';
 import type { NewsBroadcast } from './newsBroadcast.js';
 import type { OwnerDirectory } from './owner-directory.js';
 import type { OwnerRecord } from './owner-entry.js';
-
-/** Pause before a record that could not be written is written again, in milliseconds. */
-const WRITE_RETRY_MS = 1_000;
+import { createRestoreTurns } from './restoreTurns.js';
 
 /** Pause between two looks for records that are of no use any more, in milliseconds. */
 const CLEANING_MS = 30_000;
@@ -64,9 +59,6 @@
 export function createQuarantineSync(context: QuarantineSyncContext): QuarantineSync {
   const { clock, store, ledger, directory, broadcast, own, timing, onConnected } = context;
   const { onQuarantine, onUnreadable } = context;
-  /** Records in the store, by their names. */
-  const stored = new Map<string, StoredObject<CrashRecord>>();
-  let isStopped = false;
   let cleaning: NodeJS.Timeout | undefined;
 
   const note = (key: RequestKey, change: QuarantineChange, origin: string): void =>
@@ -77,95 +69,56 @@
       .map((key) => ({ ...key, crashes: ledger.crashesOf(key.fingerprint) }))
       .filter(({ crashes }) => crashes >= SUSPECT_CRASHES);
 
-  /** First crashes are not written: most of what was under way there runs to its end at once. */
-  const write = async (name: string, { suspects, quarantined }: CrashNews): Promise<void> => {
-    const record = { suspects: counted(suspects), quarantined: counted(quarantined) };
-    const isOfUse = () => record.suspects.some(isSuspect);
-    while (!isStopped && isOfUse()) {
-      const result = await store.create<CrashRecord>(CRASH_KIND, name, record);
-      if (result.ok || result.failure === 'conflict') {
-        return;
-      }
-      await pause(WRITE_RETRY_MS * (0.5 + Math.random()));
-    }
-  };
-
   const isSuspect = (key: RequestKey): boolean =>
     ledger.standingOf(key, clock.now()) !== Standing.Clear;
 
-  const remove = (name: string): void => {
-    const object = stored.get(name);
-    if (object) {
-      // Should that fail, the record is found by the next cleaning.
-      void store.remove(CRASH_KIND, name, object.revision);
-    }
-  };
+  const nodes = (): string[] => directory.all().map(({ record }) => record.node);
 
-  /** What ran to its end is not quarantined by anything that the store says. */
-  const removeQuarantineOf = ({ fingerprint, caller: from }: RequestKey): void => {
-    for (const [name, { spec }] of stored) {
-      if (spec.quarantined.some((key) => key.fingerprint === fingerprint && key.caller === from)) {
-        remove(name);
+  const records = createCrashRecords({
+    store,
+    timing,
+    turns: createRestoreTurns({ own: () => own().node, nodes }),
+    isOfUse: ({ suspects }) => suspects.some(isSuspect),
+    onRecord: ({ suspects, quarantined }) => {
+      for (const key of suspects) {
+        ledger.takeSuspicion(key, key.crashes, clock.now());
       }
-    }
-  };
-
-  const lift = (name: string): void => {
-    const object = stored.get(name);
-    stored.delete(name);
-    for (const key of object?.spec.quarantined ?? []) {
-      ledger.lift(key);
-      note(key, 'lifted', 'store');
-    }
-  };
+      for (const key of quarantined) {
+        if (ledger.takeQuarantine(key, clock.now())) {
+          note(key, 'begun', 'store');
+        }
+      }
+    },
+    onRemoved: ({ quarantined }) => {
+      for (const key of quarantined) {
+        ledger.lift(key);
+        note(key, 'lifted', 'store');
+      }
+    },
+    onConnected,
+    onUnreadable: (name) => onUnreadable(name, 'store'),
+  });
 
-  const takeObject = ({ name, revision, spec }: StoredObject<unknown>): void => {
-    if (stored.has(name)) {
-      return;
-    }
-    if (!isCrashRecord(spec)) {
-      onUnreadable(name, 'store');
-      return;
-    }
-    stored.set(name, { name, revision, spec });
-    for (const key of spec.suspects) {
-      ledger.takeSuspicion(key, key.crashes, clock.now());
-    }
-    for (const key of spec.quarantined) {
-      if (ledger.takeQuarantine(key, clock.now())) {
-        note(key, 'begun', 'store');
+  /** What ran to its end is not quarantined by anything that the store says. */
+  const removeQuarantineOf = ({ fingerprint, caller: from }: RequestKey): void => {
+    for (const [name, { quarantined }] of records.all()) {
+      if (quarantined.some((key) => key.fingerprint === fingerprint && key.caller === from)) {
+        // Should that fail, the record is found by the next cleaning.
+        records.remove(name);
       }
     }
   };
 
   /** Of all nodes the first one by rank removes what is of no use any longer. */
   const clean = (): void => {
-    const nodes = directory.all().map(({ record }) => record.node);
-    for (const [name, { spec }] of stored) {
-      const isOver = !spec.suspects.some(isSuspect);
-      if (isOver && rankNames(name, nodes)[0] === own().node) {
-        remove(name);
+    for (const [name, { suspects }] of records.all()) {
+      const isOver = !suspects.some(isSuspect);
+      if (isOver && rankNames(name, nodes())[0] === own().node) {
+        records.remove(name);
       }
     }
   };
 
-  const watcher = new CollectionWatcher<CrashRecord>(
-    store,
-    CRASH_KIND,
-    {
-      onList: (objects) => {
-        const present = new Set(objects.map(({ name }) => name));
-        for (const name of [...stored.keys()].filter((each) => !present.has(each))) {
-          lift(name);
-        }
-        objects.forEach(takeObject);
-      },
-      onChange: (object, gone) => (gone ? lift(object.name) : takeObject(object)),
-      onConnected,
-    },
-    timing,
-  );
-
   const noteQuarantined = (keys: readonly RequestKey[], origin: string): void => {
     for (const key of keys) {
       note(key, 'begun', origin);
@@ -184,18 +137,21 @@
   return {
     start: () => {
       cleaning = setInterval(clean, CLEANING_MS);
-      void watcher.run();
+      records.start();
     },
     stop: () => {
-      isStopped = true;
       clearInterval(cleaning);
-      watcher.stop();
+      records.stop();
     },
     tell: (news) => {
       broadcast.tell(NewsTopic.Crashes, listOfNews(news));
       noteQuarantined(news.quarantined, 'own');
       if (news.life !== undefined) {
-        void write(news.life, news);
+        // First crashes are of no use there: most of what was under way runs to its end at once.
+        void records.write(news.life, {
+          suspects: counted(news.suspects),
+          quarantined: counted(news.quarantined),
+        });
       }
       for (const key of news.cleared) {
         note(key, 'cleared', 'own');
@@ -204,7 +160,3 @@
     },
   };
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- /dev/null
+++ b/src/model/recentNames.ts
@@ -0,0 +1,25 @@
+/** Remembers names, the latest so many of them. */
+export interface RecentNames {
+  note(name: string): void;
+  has(name: string): boolean;
+  forget(name: string): void;
+}
+
+export function createRecentNames(most: number): RecentNames {
+  /** The oldest first. */
+  const names = new Set<string>();
+  return {
+    note: (name) => {
+      names.delete(name);
+      names.add(name);
+      const [oldest] = names;
+      if (names.size > most && oldest !== undefined) {
+        names.delete(oldest);
+      }
+    },
+    has: (name) => names.has(name),
+    forget: (name) => {
+      names.delete(name);
+    },
+  };
+}
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -174,6 +174,49 @@
   });
 });
 
+describe('a quarantine, while the store comes back from a copy', () => {
+  const changes = (change: string) =>
+    mesh.machines.flatMap(({ lines }) => lines.filter((line) => line.change === change));
+
+  it('holds though its record is lost, and is written again', async () => {
+    const copied = mesh.store.revision;
+    await convict();
+    await waitFor(() => storedNames().length === 1);
+    const [name] = storedNames();
+    await delay(TOLD_MS);
+    const before = crashes();
+    mesh.store.restore(copied);
+    await waitFor(() => storedNames().includes(name as string));
+    await delay(TOLD_MS);
+    for (const machine of mesh.machines.slice(1)) {
+      expect(refusalOf(await askAt(machine))).toBe('503 quarantined');
+    }
+    expect(changes('lifted')).toEqual([]);
+    expect(crashes()).toBe(before);
+    // An operator can still lift it: the node that wrote it again knows its new revision.
+    mesh.store.delete(CRASH_KIND, name as string);
+    await waitFor(() => changes('lifted').length === MACHINES);
+  });
+
+  it('stays lifted though its record is back, which goes again', async () => {
+    await convict();
+    await waitFor(() => storedNames().length === 1);
+    await waitFor(() => mesh.machines.every(({ node }) => node.status.backEndReady));
+    const copied = mesh.store.revision;
+    crashing = false;
+    mesh.store.delete(CRASH_KIND, storedNames()[0] as string);
+    await waitFor(() => changes('lifted').length === MACHINES);
+    expect((await askAt(mesh.machines[2])).status).toBe(200);
+    mesh.store.restore(copied);
+    await waitFor(() => storedNames().length === 0);
+    await delay(TOLD_MS);
+    for (const machine of mesh.machines.slice(1)) {
+      expect((await askAt(machine)).status).toBe(200);
+    }
+    expect(changes('begun')).toHaveLength(MACHINES);
+  });
+});
+
 describe('a request that was beside crashes', () => {
   it('runs alone, and is served, though it was under two of them', async () => {
     for (const { application } of mesh.machines) {
