Roll-outs go on while the store comes back from a copy

Cause: a status that was lost looked like the same order made again, so a version that had been rolled back began anew (13 requests reached it in 2 s where under 5 were asked); an order that was lost counted as taken back, and began anew when the operator wrote it again (13.0 s after the first order of 9 s).

--- a/src/directory/rolloutSync.ts
+++ b/src/directory/rolloutSync.ts
@@ -13,11 +13,13 @@
 import { RolloutPhase } from '../rollout/rolloutOrder.js';
 import type { BackEndRun } from '../rollout/runCounts.js';
 import { type CollectionHandler, CollectionWatcher } from '../source/collection-watcher.js';
-import type { ObjectStore, StoredObject } from '../source/object-store.js';
+import type { ObjectStore } from '../source/object-store.js';
 import type { NewsBroadcast } from './newsBroadcast.js';
 import type { OwnerDirectory } from './owner-directory.js';
 import type { OwnerRecord } from './owner-entry.js';
+import { createRestoreTurns } from './restoreTurns.js';
 import { createRolloutElection } from './rolloutElection.js';
+import { createRolloutOrders } from './rolloutOrders.js';
 import { createRolloutReporter, type OwnBackEnd } from './rolloutReporter.js';
 import { createRolloutStatusWriter, type RolloutObjects } from './rolloutStatus.js';
 import { createRolloutSteering, type RolloutChange } from './rolloutSteering.js';
@@ -60,37 +62,16 @@
 }
 
 export function createRolloutSync(context: RolloutSyncContext): RolloutSync {
-  const { clock, store, objects, broadcast, contactMs, onChange } = context;
+  const { clock, store, objects, directory, broadcast, own, contactMs, onChange } = context;
   const book = createRolloutBook({ clock, staleMs: contactMs });
   const election = createRolloutElection(context);
-  const held = new Map<string, StoredObject<unknown>>();
+  const turns = createRestoreTurns({
+    own: () => own().node,
+    nodes: () => directory.all().map(({ record }) => record.node),
+  });
   const toldVersions = new Map<string, string>();
   let ticking: NodeJS.Timeout | undefined;
 
-  const takeObject = (object: StoredObject<unknown>): void => {
-    const order = objects.decode(object);
-    const known = held.get(object.name);
-    if (!order || (known && known.revision >= object.revision)) {
-      return;
-    }
-    held.set(object.name, object);
-    if (book.takeOrder(order)) {
-      const { service, ...detail } = order;
-      onChange({ service, change: 'order', detail: { ...detail, revision: object.revision } });
-    }
-  };
-
-  const removeObject = (service: string): void => {
-    if (held.delete(service)) {
-      const order = book.running(service)?.order;
-      book.remove(service);
-      if (order) {
-        steering.noteRemoved(order);
-      }
-      onChange({ service, change: 'removed', detail: {} });
-    }
-  };
-
   const takePhase = (news: PhaseNews, from = 'own'): void => {
     for (const [node, version] of news.versions) {
       toldVersions.set(node, version);
@@ -112,11 +93,29 @@
   const writer = createRolloutStatusWriter({
     store,
     objects,
-    held: (service) => held.get(service),
-    onRead: (service, object) => (object ? takeObject(object) : removeObject(service)),
+    held: (service) => orders.held(service),
+    // That there is none is told by the watch, which knows whether it was removed or is lost.
+    onRead: (_service, object) => object && orders.take(object),
     onWritten: steering.noteWritten,
   });
 
+  const orders = createRolloutOrders({
+    clock,
+    book,
+    turns,
+    decode: objects.decode,
+    write: writer.write,
+    onTaken: ({ service, ...detail }, revision) =>
+      onChange({ service, change: 'order', detail: { ...detail, revision } }),
+    onLost: (service) => onChange({ service, change: 'lost', detail: {} }),
+    onRemoved: (service, running) => {
+      if (running) {
+        steering.noteRemoved(running);
+      }
+      onChange({ service, change: 'removed', detail: {} });
+    },
+  });
+
   const reporter = createRolloutReporter({
     ...context,
     book,
@@ -125,6 +124,7 @@
   });
 
   const tick = (): void => {
+    orders.look();
     for (const service of book.runningServices) {
       const rollout = book.running(service);
       if (rollout) {
@@ -152,15 +152,17 @@
     store,
     objects.kind,
     {
-      onList: (listed) => {
+      onList: (listed, revision) => {
         book.isListed = true;
-        const present = new Set(listed.map(({ name }) => name));
-        for (const name of [...held.keys()].filter((each) => !present.has(each))) {
-          removeObject(name);
+        orders.takeList(listed, revision);
+      },
+      onChange: (object, gone, revision) => {
+        if (gone) {
+          orders.takeAbsence(object.name, object.revision, revision);
+        } else {
+          orders.take(object);
         }
-        listed.forEach(takeObject);
       },
-      onChange: (object, gone) => (gone ? removeObject(object.name) : takeObject(object)),
       onConnected: context.onConnected,
       onCurrent: () => book.noteCurrent(),
     },
@@ -180,6 +182,7 @@
     },
     stop: () => {
       clearInterval(ticking);
+      turns.stop();
       watcher.stop();
     },
     noteRun: reporter.noteRun,
--- a/src/rollout/rolloutBook.ts
+++ b/src/rollout/rolloutBook.ts
@@ -44,6 +44,11 @@
   isListed: boolean;
   /** The store's word, newer than all before; false if it was known. */
   takeOrder(order: RolloutOrder): boolean;
+  /**
+   * The store's word after it came back from a copy, of an order that was known before: as {@link takeOrder}, but
+   * that the same order goes on, under whatever id, and what was known of its end holds.
+   */
+  takeRestored(order: RolloutOrder): boolean;
   /** The order of a service stands no longer. */
   remove(service: string): void;
   /** A decider's word, this node's own included; true if it changed the phase. */
@@ -53,6 +58,8 @@
   /** What is known of the orders is all that the store holds now. */
   noteCurrent(): void;
   running(service: string): RunningRollout | undefined;
+  /** How the order of a service has ended, by a status that the store held. */
+  endOf(service: string): RolloutState | undefined;
   readonly runningServices: readonly string[];
   readonly services: readonly string[];
   view(service: string): RolloutView | undefined;
@@ -119,27 +126,51 @@
     return known && !hasEnded(known.order) && known.phase !== RolloutPhase.Done ? known : undefined;
   };
 
+  const noteState = (known: Known, order: RolloutOrder): void => {
+    known.order = order;
+    if (hasEnded(order)) {
+      // The store may tell it first. Owners that are to get nothing new until the end would refuse
+      // requests for up to a lease more: 0.6 s of them, where the version was rolled back.
+      known.phase = endPhaseOf(order);
+      known.endedAt = clock.now();
+    }
+  };
+
+  const takeOrder = (order: RolloutOrder): boolean => {
+    const known = orders.get(order.service);
+    // A status ends once: one that hasn't ended is that of the same order, made again after another.
+    const isMadeAgain = known && hasEnded(known.order) && !hasEnded(order);
+    if (known?.order.id !== order.id || isMadeAgain) {
+      begin(order);
+      return true;
+    }
+    if (hasEnded(known.order) || known.order.state === order.state) {
+      return false;
+    }
+    noteState(known, order);
+    return true;
+  };
+
   return {
     isListed: false,
-    takeOrder: (order) => {
+    takeOrder,
+    takeRestored: (order) => {
       const known = orders.get(order.service);
-      // A status ends once: one that hasn't ended is that of the same order, made again after another.
-      const isMadeAgain = known && hasEnded(known.order) && !hasEnded(order);
-      if (known?.order.id !== order.id || isMadeAgain) {
-        begin(order);
-        return true;
+      if (!known || !isSameOrder(known.order, order)) {
+        return takeOrder(order);
       }
-      if (hasEnded(known.order) || known.order.state === order.state) {
-        return false;
-      }
-      known.order = order;
-      if (hasEnded(order)) {
-        // The store may tell it first. Owners that are to get nothing new until the end would refuse
-        // requests for up to a lease more: 0.6 s of them, where the version was rolled back.
-        known.phase = endOf(order);
-        known.endedAt = clock.now();
+      const isChanged = known.order.id !== order.id;
+      if (hasEnded(known.order)) {
+        known.order = { ...order, state: known.order.state };
+        return isChanged;
       }
-      return true;
+      const hasNewState = known.order.state !== order.state;
+      noteState(known, order);
+      return isChanged || hasNewState;
+    },
+    endOf: (service) => {
+      const known = orders.get(service);
+      return known && hasEnded(known.order) ? known.order.state : undefined;
     },
     remove: (service) => {
       const known = orders.get(service);
@@ -215,8 +246,13 @@
   };
 }
 
+/** True for orders that ask for the same: an operator who writes one again gets another id for it. */
+function isSameOrder(left: RolloutOrder, right: RolloutOrder): boolean {
+  return left.targetVersion === right.targetVersion && left.durationMs === right.durationMs;
+}
+
 /** The phase that an ended order is in. */
-function endOf({ state }: RolloutOrder): RolloutPhase {
+function endPhaseOf({ state }: RolloutOrder): RolloutPhase {
   return state === RolloutState.RolledBack ? RolloutPhase.Halt : RolloutPhase.Done;
 }
 
