A node whose record comes back with a copy of the store is asked before it counts again

Cause: the record of a node that had left came back with the copy and was taken at its word: the others knew 5 nodes where 4 were, offered it requests and left it its parts of quotas, for good, since nobody removes such a record. Change: `returnedRecords.ts`: a record that had gone and is there again in a later era is asked after; if nobody answers, nodes take turns by rank to remove it.

--- a/src/directory/directory-sync.ts
+++ b/src/directory/directory-sync.ts
@@ -17,6 +17,8 @@
 import { createOwnerProbes, type OwnerProbes } from './ownerProbes.js';
 import { isOwnerRecord, readOwnerRecords } from './ownerRecord.js';
 import { createOwnRecord, type OwnRecord } from './ownRecord.js';
+import { createRestoreTurns } from './restoreTurns.js';
+import { createReturnedRecords, type ReturnedRecords } from './returnedRecords.js';
 
 /** Kind of the objects by which nodes find one another. */
 export const NODE_KIND = 'spindlepaddle-nodes';
@@ -61,6 +63,7 @@
   private isAsking = false;
   private readonly probes: OwnerProbes;
   private readonly missing: MissingOwners;
+  private readonly returned: ReturnedRecords;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: DirectorySyncOptions) {
@@ -77,12 +80,22 @@
       isAlive: (node) => this.probes.isAlive(node),
       forget: (node) => this.forget(node),
     });
+    this.returned = createReturnedRecords({
+      turns: createRestoreTurns({
+        own: () => own().node,
+        nodes: () => directory.all().map(({ record }) => record.node),
+      }),
+      isAlive: async ({ address }) =>
+        (await caller.status(address, STATUS_TIMEOUT_MS)) !== undefined,
+      remove: (name, revision) => void options.store.remove(NODE_KIND, name, revision),
+      onAlive: (object) => this.putOwner(object),
+    });
     this.watcher = new CollectionWatcher<OwnerRecord>(
       options.store,
       NODE_KIND,
       {
-        onList: (objects) => this.onList(objects),
-        onChange: (object, gone) => this.onChange(object, gone),
+        onList: (objects, revision) => this.onList(objects, revision),
+        onChange: (object, gone, revision) => this.onChange(object, gone, revision),
         onConnected: options.onConnected,
       },
       options.timing,
@@ -122,6 +135,7 @@
   async stop(leaving: boolean): Promise<void> {
     this.stopped = true;
     clearInterval(this.timer);
+    this.returned.stop();
     this.watcher.stop();
     await this.ownRecord.stop(leaving);
   }
@@ -167,7 +181,7 @@
     }
   }
 
-  private onList(objects: readonly StoredObject<OwnerRecord>[]): void {
+  private onList(objects: readonly StoredObject<OwnerRecord>[], revision: number): void {
     const own = this.options.own().node;
     this.listed = true;
     for (const object of objects) {
@@ -176,7 +190,7 @@
     const stored = new Set([own, ...objects.map((object) => object.name)]);
     for (const { record } of this.options.directory.all()) {
       if (!stored.has(record.node)) {
-        this.missing.add(record.node);
+        this.noteGone(record.node, revision);
       }
     }
     if (!objects.some((object) => object.name === own)) {
@@ -185,7 +199,7 @@
     void this.publish();
   }
 
-  private onChange(object: StoredObject<OwnerRecord>, gone: boolean): void {
+  private onChange(object: StoredObject<OwnerRecord>, gone: boolean, revision: number): void {
     const own = this.options.own().node;
     if (!gone) {
       this.take(object);
@@ -199,12 +213,19 @@
       return;
     }
     if (hasLeft(object)) {
+      this.returned.noteGone(object.name, revision);
       this.noteLeft(object.name);
     } else {
-      this.missing.add(object.name);
+      this.noteGone(object.name, revision);
     }
   }
 
+  /** Nothing says yet whether the node is gone as well. */
+  private noteGone(node: string, revision: number): void {
+    this.returned.noteGone(node, revision);
+    this.missing.add(node);
+  }
+
   /** Its record goes next: it is not asked whether it is still there. */
   private noteLeft(node: string): void {
     this.missing.remove(node);
@@ -220,7 +241,7 @@
   }
 
   private take(object: StoredObject<OwnerRecord>): void {
-    const { directory, own, onUnreadable } = this.options;
+    const { own, onUnreadable } = this.options;
     const isReadable = isOwnerRecord(object.spec);
     if (!isReadable) {
       onUnreadable(object.name);
@@ -233,12 +254,19 @@
       // What was known of the node holds.
       return;
     }
+    if (this.returned.take(object)) {
+      return;
+    }
     if (hasLeft(object)) {
       this.noteLeft(object.name);
-      return;
+    } else {
+      this.putOwner(object);
     }
-    this.missing.remove(object.name);
-    directory.put({ ...object.spec, node: object.name });
+  }
+
+  private putOwner({ name, spec }: StoredObject<OwnerRecord>): void {
+    this.missing.remove(name);
+    this.options.directory.put({ ...spec, node: name });
   }
 
   private noteReport(entry: OwnerEntry, report: PeerReport): void {
--- a/test/restored-store.test.ts
+++ b/test/restored-store.test.ts
@@ -13,6 +13,7 @@
 import { call, type Machine, SidecarMesh, waitFor } from '../lab/sidecar-mesh.js';
 import { openStoreWay, type StoreWay } from '../lab/storeServer.js';
 import { PlatformStore } from '../platform/store-client.js';
+import { NODE_KIND } from '../src/directory/directory-sync.js';
 
 /** A version is in force so many milliseconds after it was written. */
 const APPLY_MS = 2_000;
@@ -26,6 +27,9 @@
 /** The store is away for so long, in milliseconds. */
 const AWAY_MS = 600;
 
+/** An owner whose record is gone has been asked after this time, in milliseconds, and forgotten if it is away. */
+const FORGOTTEN_MS = 4_500;
+
 /** Changes that the store loses. */
 const LOST = 40;
 
@@ -44,13 +48,16 @@
   }
 });
 
+async function add(zone: string): Promise<Machine> {
+  const way = await openStoreWay(mesh.store);
+  ways.push(way);
+  return mesh.add('desk', { zone, applyMs: APPLY_MS, client: new PlatformStore(way.address) });
+}
+
 /** Machines, taken in turn by the zones, whose nodes reach the store over HTTP. */
 async function start(machines: number, zones: number): Promise<void> {
   for (let index = 0; index < machines; index += 1) {
-    const way = await openStoreWay(mesh.store);
-    ways.push(way);
-    const client = new PlatformStore(way.address);
-    await mesh.add('desk', { zone: `zone-${index % zones}`, applyMs: APPLY_MS, client });
+    await add(`zone-${index % zones}`);
   }
   configure();
   await mesh.settled();
@@ -157,6 +164,51 @@
   });
 });
 
+describe('the records of nodes, when the store comes back from a copy', () => {
+  const recorded = () => [...mesh.store.kind(NODE_KIND).keys()].sort();
+  const names = () => mesh.machines.map(({ name }) => name).sort();
+  const known = (machines: readonly Machine[]) =>
+    machines.map(({ node }) => node.status.ownersPresent + node.status.ownersAbsent);
+
+  it('are there again within two seconds, and no node is forgotten meanwhile', async () => {
+    await start(5, 2);
+    await waitFor(() => recorded().length === 5);
+    const copied = mesh.store.revision;
+    const joined = await add('zone-1');
+    await mesh.settled();
+    await delay(CALM_MS);
+    await bringBack(copied);
+    expect(recorded()).not.toContain(joined.name);
+    await waitFor(() => recorded().includes(joined.name));
+    await delay(FORGOTTEN_MS);
+    expect(recorded()).toEqual(names());
+    expect(known(mesh.machines)).toEqual(all(6));
+  });
+
+  it('stay gone where their nodes have left, for the others too', async () => {
+    await start(5, 2);
+    const copied = mesh.store.revision;
+    const [leaving, ...staying] = mesh.machines as [Machine, ...Machine[]];
+    leaving.application.draining = true;
+    await leaving.application.heartbeat(leaving.node.addresses.registrations);
+    await leaving.node.stop();
+    await waitFor(() => !recorded().includes(leaving.name));
+    await delay(FORGOTTEN_MS);
+    expect(known(staying)).toEqual(staying.map(() => 4));
+    mesh.machines.splice(0, 1);
+    await bringBack(copied);
+    expect(recorded()).toContain(leaving.name);
+    const most: number[] = [];
+    const until = performance.now() + FORGOTTEN_MS;
+    while (performance.now() < until) {
+      most.push(Math.max(...known(staying)));
+      await delay(50);
+    }
+    expect(Math.max(...most)).toBe(4);
+    expect(recorded()).toEqual(names());
+  });
+});
+
 /** The first version that a node has in force. */
 async function firstVersion({ node }: Machine): Promise<number> {
   await waitFor(() => node.status.version > 0);
