Operators' changes outlive a store that comes back from a copy, or are told as lost

Cause: a change got the number after the store's, which no node takes that held a later one, and `--wait` took these for nodes that hold it; a change that the store had lost was waited for to the end; nodes whose records were lost weren't waited for. Change: a change gets a number above all that some nodes hold; who waits looks at the store as well, and is told at once when it has come back without the change (exit code 5: apply the same file again); the nodes known to others are waited for too. Commands go by the era guard.

--- a/src/cli/applyCommand.ts
+++ b/src/cli/applyCommand.ts
@@ -1,11 +1,19 @@
 /** The command that puts a file in the place of the whole configuration, and waits for it to be in force. */
 import { setTimeout as delay } from 'node:timers/promises';
+import type { StoredObject } from '../source/object-store.js';
 import type { CommandContext } from './commands.js';
 import { readConfigurationFile } from './configurationFile.js';
 import { ExitCode } from './exitCode.js';
 import { refuse, unavailable } from './failures.js';
-import { laggards, readFleet } from './fleetStatus.js';
-import { readStored, replaceStored } from './storedConfiguration.js';
+import {
+  type FleetResult,
+  laggards,
+  type NodeStatus,
+  readNewestHeld,
+  readWholeFleet,
+} from './fleetStatus.js';
+import type { Output } from './output.js';
+import { isLost, readStored, replaceStored } from './storedConfiguration.js';
 import { reportWrite } from './writeReport.js';
 
 /** Pause between two looks at the nodes while waiting, in milliseconds. */
@@ -29,7 +37,7 @@
   if (!configuration) {
     return refuse(findings, output);
   }
-  const read = await readStored(store, outside);
+  const [read, newestHeld] = await Promise.all([readStored(store, outside), readNewestHeld(store)]);
   if (read.kind === 'unavailable') {
     return unavailable(read.failure, output);
   }
@@ -38,24 +46,34 @@
   if (plan.expected !== undefined && found !== plan.expected) {
     return reportWrite({ kind: 'conflict', version: found }, output);
   }
-  const result = await replaceStored(store, outside, stored, configuration);
+  const result = await replaceStored(store, outside, stored, configuration, newestHeld);
   const code = reportWrite(result, output);
   return result.kind === 'accepted' && plan.waitSeconds !== undefined
-    ? waitInForce(context, result.version, plan.waitSeconds)
+    ? waitInForce(context, { version: result.version, object: result.object }, plan.waitSeconds)
     : code;
 }
 
-/** Waits until a version is in force on every node that the store names. */
+/** What is waited for. */
+export interface AwaitedVersion {
+  readonly version: number;
+  /** As it was written, where that is known. */
+  readonly object?: StoredObject<unknown>;
+}
+
+/** Waits until a version is in force on every node that the store names, or that these know. */
 export async function waitInForce(
   context: CommandContext,
-  version: number,
+  { version, object }: AwaitedVersion,
   seconds: number,
 ): Promise<ExitCode> {
-  const { store, output } = context;
+  const { store, output, outside } = context;
   const startedAt = performance.now();
   const waitedMs = () => Math.round(performance.now() - startedAt);
   for (;;) {
-    const fleet = await readFleet(store);
+    const [read, fleet] = await Promise.all([readStored(store, outside), readWholeFleet(store)]);
+    if (object && read.kind === 'read' && isLost(read.stored, object)) {
+      return tellLost(version, output);
+    }
     const isKnown = fleet.kind === 'known' && fleet.nodes.length > 0;
     const behind = isKnown ? laggards(fleet.nodes, version) : [];
     if (isKnown && behind.length === 0) {
@@ -66,14 +84,35 @@
       return ExitCode.Ok;
     }
     if (waitedMs() >= seconds * MILLISECONDS_PER_SECOND) {
-      const names = behind.map(({ node }) => node);
-      const cause = fleet.kind === 'known' ? `behind: ${names.join(', ')}` : fleet.failure;
-      output.result(
-        { version, inForce: false, behind: names, cause },
-        () => `Version ${version} is not in force everywhere after ${seconds} s: ${cause}.`,
-      );
-      return ExitCode.TimedOut;
+      return tellBehind({ version, seconds, fleet, behind }, output);
     }
     await delay(WAIT_POLL_MS);
   }
 }
+
+/** Nodes may hold it: they keep it, and whoever starts takes what the store holds. */
+function tellLost(version: number, output: Output): ExitCode {
+  output.result(
+    { version, inForce: false, isLost: true },
+    () =>
+      `The store has come back from a copy without version ${version}: apply the same file again.`,
+  );
+  return ExitCode.Unknown;
+}
+
+interface Behind {
+  readonly version: number;
+  readonly seconds: number;
+  readonly fleet: FleetResult;
+  readonly behind: readonly NodeStatus[];
+}
+
+function tellBehind({ version, seconds, fleet, behind }: Behind, output: Output): ExitCode {
+  const names = behind.map(({ node }) => node);
+  const cause = fleet.kind === 'known' ? `behind: ${names.join(', ')}` : fleet.failure;
+  output.result(
+    { version, inForce: false, behind: names, cause },
+    () => `Version ${version} is not in force everywhere after ${seconds} s: ${cause}.`,
+  );
+  return ExitCode.TimedOut;
+}
--- a/src/cli/exitCode.ts
+++ b/src/cli/exitCode.ts
@@ -8,7 +8,7 @@
   Conflict = 3,
   /** The store cannot be used now. Nothing was written. */
   Unavailable = 4,
-  /** The change may or may not have been written: apply the same file again. */
+  /** The change may or may not have been written, or the store has lost it: apply the same file again. */
   Unknown = 5,
   /** A version was not in force everywhere in time; who is behind is printed. */
   TimedOut = 6,
--- a/src/cli/fleetStatus.ts
+++ b/src/cli/fleetStatus.ts
@@ -2,7 +2,7 @@
 import PQueue from 'p-queue';
 import { NODE_KIND } from '../directory/directory-sync.js';
 import type { OwnerRecord } from '../directory/owner-entry.js';
-import { isOwnerRecord } from '../directory/ownerRecord.js';
+import { isOwnerRecord, readOwnerRecords } from '../directory/ownerRecord.js';
 import { PeerCaller } from '../peer/peerCaller.js';
 import type { PeerReport } from '../peer/peerMessages.js';
 import { type ObjectStore, Reading, type StoreFailure } from '../source/object-store.js';
@@ -14,6 +14,12 @@
 /** A node that takes longer to answer, in milliseconds, is out of reach. */
 const ANSWER_TIMEOUT_MS = 1_000;
 
+/** Nodes that are asked which others they know: each knows all but those that have just come. */
+const ASKED_FOR_OTHERS = 2;
+
+/** Nodes that are asked for the newest version: any one in touch holds it. */
+const ASKED_FOR_VERSION = 8;
+
 /** An operator's program is no node: it has no back end and holds no version. */
 const NO_REPORT: PeerReport = {
   service: undefined,
@@ -64,11 +70,44 @@
 
 /** Asks every node that the store names. */
 export async function readFleet(store: ObjectStore): Promise<FleetResult> {
+  const found = await readRecords(store);
+  return 'failure' in found
+    ? { kind: 'unavailable', failure: found.failure }
+    : askFleet(found.records);
+}
+
+/**
+ * Asks every node that the store names, and every other one that these know: a store that has come back from a
+ * copy lacks the records of nodes for a moment.
+ */
+export async function readWholeFleet(store: ObjectStore): Promise<FleetResult> {
   const found = await readRecords(store);
   if ('failure' in found) {
     return { kind: 'unavailable', failure: found.failure };
   }
-  const nodes = await askAll(found.records, async (caller, record): Promise<NodeStatus> => {
+  const asked = found.records.slice(0, ASKED_FOR_OTHERS);
+  const told = await askAll(asked, async (caller, { address }) => {
+    const bytes = await caller.directory(address, ANSWER_TIMEOUT_MS);
+    return (bytes && readOwnerRecords(bytes)) ?? [];
+  });
+  const byNode = new Map([...told.flat(), ...found.records].map((record) => [record.node, record]));
+  return askFleet([...byNode.values()]);
+}
+
+/** The newest version that some of the nodes hold, 0 if none of them answers. */
+export async function readNewestHeld(store: ObjectStore): Promise<number> {
+  const found = await readRecords(store);
+  if ('failure' in found) {
+    return 0;
+  }
+  const versions = await askAll(found.records.slice(0, ASKED_FOR_VERSION), (caller, { address }) =>
+    caller.status(address, ANSWER_TIMEOUT_MS),
+  );
+  return Math.max(0, ...versions.map((report) => report?.version ?? 0));
+}
+
+async function askFleet(records: readonly OwnerRecord[]): Promise<FleetResult> {
+  const nodes = await askAll(records, async (caller, record): Promise<NodeStatus> => {
     const { node, address, zone, service } = record;
     const report = await caller.status(address, ANSWER_TIMEOUT_MS);
     return {
--- a/src/cli/runCli.ts
+++ b/src/cli/runCli.ts
@@ -1,5 +1,7 @@
 /** The command line of the operators: words to commands, nothing else. */
 import yargs, { type Argv } from 'yargs';
+import { steadyClock } from '../model/clock.js';
+import { createEraGuard } from '../source/eraGuard.js';
 import { apply, waitInForce } from './applyCommand.js';
 import { type CommandContext, diff, get, status, validate } from './commands.js';
 import { ExitCode } from './exitCode.js';
@@ -29,7 +31,9 @@
     options: { readonly store: string; readonly json: boolean },
     command: (context: CommandContext) => Promise<ExitCode>,
   ) => {
-    const store = context.outside.connect(options.store);
+    const connected = context.outside.connect(options.store);
+    const store = createEraGuard({ clock: steadyClock, store: connected });
+    connected.onEra = store.noteEra;
     const output = createOutput(options.json, context.write, context.writeError);
     code = await command({ outside: context.outside, store, output }).finally(() => store.close());
   };
@@ -103,7 +107,7 @@
           .positional('number', { type: 'number', demandOption: true })
           .option('timeout', { type: 'number', default: DEFAULT_WAIT_SECONDS }),
       ({ number, timeout, ...rest }) =>
-        run(rest, (command) => waitInForce(command, number, timeout)),
+        run(rest, (command) => waitInForce(command, { version: number }, timeout)),
     )
     .command(
       'explain <host> <path>',
--- a/src/cli/storedConfiguration.ts
+++ b/src/cli/storedConfiguration.ts
@@ -8,6 +8,7 @@
   type StoredObject,
   type StoreFailure,
 } from '../source/object-store.js';
+import { mayBeLost } from '../source/storeRevision.js';
 import type { OperatorOutside } from './operatorOutside.js';
 
 /** Attempts to learn what became of a write whose answer was lost, and the pause between them. */
@@ -28,7 +29,7 @@
 
 /** What became of a change. */
 export type WriteResult =
-  | { readonly kind: 'accepted'; readonly version: number }
+  | { readonly kind: 'accepted'; readonly version: number; readonly object: StoredObject<unknown> }
   | { readonly kind: 'conflict'; readonly version: number | undefined }
   | { readonly kind: 'rejected' | 'unavailable' | 'unknown'; readonly failure: StoreFailure };
 
@@ -51,7 +52,8 @@
 }
 
 /**
- * Puts a configuration in the place of `base`, under the next version. The write is conditional on
+ * Puts a configuration in the place of `base`, under a version above that and above all that nodes hold: a store
+ * that has come back from a copy may hold an older one, and no node goes back. The write is conditional on
  * what was read, so it may be repeated until it is known what became of it: a second one that meets
  * the first finds exactly its own content there.
  */
@@ -60,8 +62,9 @@
   outside: OperatorOutside,
   base: Stored | undefined,
   configuration: MeshConfiguration,
+  newestHeld = 0,
 ): Promise<WriteResult> {
-  const version = (base?.version ?? 0) + 1;
+  const version = Math.max(base?.version ?? 0, newestHeld) + 1;
   const spec = outside.encodeConfiguration({ ...configuration, version });
   const { configurationKind: kind, configurationName: name } = outside;
   for (let attempt = 1; ; attempt += 1) {
@@ -69,7 +72,7 @@
       ? await store.replace(kind, { name, revision: base.object.revision, spec })
       : await store.create(kind, name, spec);
     if (result.ok) {
-      return { kind: 'accepted', version };
+      return { kind: 'accepted', version, object: result.value };
     }
     if (result.failure === 'conflict' || result.failure === 'not-found') {
       return whoWon(store, outside, spec, version);
@@ -95,8 +98,20 @@
   if (now.kind === 'unavailable') {
     return { kind: 'unknown', failure: now.failure };
   }
-  const isOurs = isDeepStrictEqual(now.stored?.object.spec, JSON.parse(JSON.stringify(spec)));
-  return isOurs
-    ? { kind: 'accepted', version }
-    : { kind: 'conflict', version: now.stored?.version };
+  const { stored } = now;
+  return stored && isSpec(stored, spec)
+    ? { kind: 'accepted', version, object: stored.object }
+    : { kind: 'conflict', version: stored?.version };
+}
+
+function isSpec({ object }: Stored, spec: unknown): boolean {
+  return isDeepStrictEqual(object.spec, JSON.parse(JSON.stringify(spec)));
+}
+
+/** True if the store has come back from a copy since a write, and holds something else. */
+export function isLost(stored: Stored | undefined, written: StoredObject<unknown>): boolean {
+  return (
+    !stored ||
+    (mayBeLost(written.revision, stored.object.revision) && !isSpec(stored, written.spec))
+  );
 }
--- a/src/cli/writeReport.ts
+++ b/src/cli/writeReport.ts
@@ -5,7 +5,9 @@
 
 /** Prints it and gives the program's exit code. */
 export function reportWrite(result: WriteResult, output: Output): ExitCode {
-  output.result(result, () => describeWrite(result));
+  const { kind } = result;
+  const printed = kind === 'accepted' ? { kind, version: result.version } : result;
+  output.result(printed, () => describeWrite(result));
   switch (result.kind) {
     case 'accepted':
       return ExitCode.Ok;
--- a/test/operators.test.ts
+++ b/test/operators.test.ts
@@ -10,7 +10,9 @@
 import { readConfigurationFile } from '../src/cli/configurationFile.js';
 import { ExitCode } from '../src/cli/exitCode.js';
 import { CRASH_KIND } from '../src/directory/crashRecord.js';
+import { NODE_KIND } from '../src/directory/directory-sync.js';
 import { checkMeshConfiguration } from '../src/routing/mesh-configuration.js';
+import type { SidecarStatus } from '../src/sidecar/sidecar-node.js';
 import { runCommand as run } from './operatorCommand.js';
 
 let folder: string;
@@ -168,6 +170,56 @@
     expect(first.node.status.version).toBe(1);
   });
 
+  describe('when the store comes back from a copy', () => {
+    const startTwo = async () => {
+      await mesh.add('desk');
+      await mesh.add('desk', { zone: 'zone-b' });
+      await run(mesh.store, ['apply', fileOf('base', '/read/'), '--wait']);
+      const known = ({ ownersPresent, ownersAbsent }: SidecarStatus) =>
+        ownersPresent + ownersAbsent;
+      await waitFor(() => mesh.machines.every(({ node }) => known(node.status) === 2));
+    };
+    const versions = () => mesh.machines.map(({ node }) => node.status.version);
+
+    it('gives a change a version that no node has held, and it comes into force', async () => {
+      await startTwo();
+      const copied = mesh.store.revision;
+      await run(mesh.store, ['apply', fileOf('lost', '/lost/'), '--wait']);
+      mesh.store.restore(copied);
+      const applied = await run(mesh.store, ['apply', fileOf('next', '/next/'), '--wait']);
+      expect(applied.results).toMatchObject([
+        { kind: 'accepted', version: 3 },
+        { inForce: true, nodes: 2 },
+      ]);
+      expect(versions()).toEqual([3, 3]);
+    });
+
+    it('tells the one who waits that the store has lost the change', async () => {
+      await startTwo();
+      const copied = mesh.store.revision;
+      for (const { view } of mesh.machines) {
+        view.failure = 'unavailable';
+      }
+      const waiting = run(mesh.store, ['apply', fileOf('lost', '/lost/'), '--wait']);
+      await waitFor(() => mesh.store.revision > copied);
+      mesh.store.restore(copied);
+      const { code, results } = await waiting;
+      expect(code).toBe(ExitCode.Unknown);
+      expect(results).toMatchObject([{ kind: 'accepted' }, { inForce: false, isLost: true }]);
+    });
+
+    it('waits for a node whose record is lost as well', async () => {
+      await startTwo();
+      const [, second] = mesh.machines;
+      if (second) {
+        second.view.failure = 'unavailable';
+        mesh.store.delete(NODE_KIND, second.name);
+      }
+      const applied = await run(mesh.store, ['apply', fileOf('next', '/next/'), '--wait']);
+      expect(applied.results).toMatchObject([{ version: 2 }, { inForce: true, nodes: 2 }]);
+    });
+  });
+
   it('keeps requests where a policy allows them, and explains why', async () => {
     const near = await mesh.add('desk');
     const far = await mesh.add('desk', { zone: 'zone-b' });
