--- a/src/relay/storeCache.test.ts
+++ b/src/relay/storeCache.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import type { StoredObject } from '../source/object-store.js';
+import { mayBeLost, revisionOf } from '../source/storeRevision.js';
 import { createStoreCache } from './storeCache.js';
 import { createStoreReach } from './storeReach.js';
 import { packStoreResult, unpackStoreResult } from './storeResultCodec.js';
@@ -128,3 +129,46 @@
     }
   });
 });
+
+describe('what a node knows of a store that may have come back from a copy', () => {
+  const LATER = revisionOf(1, 2);
+
+  it('is told to nobody from when the history is gone until it is listed anew', async () => {
+    const cache = cacheAt({ ms: 0 });
+    cache.noteDoubt(KIND);
+    expect(await namesAfter(cache, undefined)).toBe('unavailable');
+    expect(await namesAfter(cache, 5)).toBe('unavailable');
+    cache.noteList(KIND, { items: [object('b', revisionOf(1, 1))], revision: LATER });
+    expect(await namesAfter(cache, undefined)).toEqual(['b']);
+  });
+
+  it('stays in doubt after a list that is older than it', async () => {
+    const cache = cacheAt({ ms: 0 });
+    cache.noteDoubt(KIND);
+    cache.noteList(KIND, { items: [], revision: 2 });
+    expect(await namesAfter(cache, undefined)).toBe('unavailable');
+  });
+
+  it('comes to those who waited meanwhile as what has changed and what is gone', async () => {
+    const cache = cacheAt({ ms: 0 });
+    cache.noteDoubt(KIND);
+    const waiting = cache.read({ kind: KIND, revision: 5, waitMs: 1_000 });
+    cache.noteList(KIND, { items: [object('b', revisionOf(1, 1))], revision: LATER });
+    const result = await waiting;
+    const told = result.ok ? result.value.events : [];
+    expect(told.map(({ object: { name }, gone }) => [name, gone])).toEqual([
+      ['a', true],
+      ['b', false],
+    ]);
+    // By the revisions of the one that is gone its hearer tells that it need not have been removed.
+    const [first] = told;
+    expect(result.ok && first && mayBeLost(first.object.revision, result.value.revision)).toBe(
+      true,
+    );
+  });
+
+  it('is not told to one who has heard of a later era', async () => {
+    const cache = cacheAt({ ms: 0 });
+    expect(await namesAfter(cache, LATER)).toBe('unavailable');
+  });
+});
--- a/test/configuration-follower.test.ts
+++ b/test/configuration-follower.test.ts
@@ -4,7 +4,10 @@
 import { waitFor } from '../lab/sidecar-mesh.js';
 import { steadyClock } from '../src/model/clock.js';
 import { compilePolicy } from '../src/policy/placement-policy.js';
-import { ConfigurationFollower } from '../src/source/configuration-follower.js';
+import {
+  ConfigurationFollower,
+  type ConfigurationFollowerOptions,
+} from '../src/source/configuration-follower.js';
 import type { ConfigurationCandidate } from '../src/source/configuration-holder.js';
 import { createSupplier } from '../src/source/supplier.js';
 
@@ -22,7 +25,11 @@
   return { version, candidate, bytes: () => Buffer.from(String(version)) };
 }
 
-function follow(view: StoreView, askedPeers: string[]): ConfigurationFollower {
+function follow(
+  view: StoreView,
+  askedPeers: string[],
+  more: Partial<ConfigurationFollowerOptions> = {},
+): ConfigurationFollower {
   follower = new ConfigurationFollower({
     clock: steadyClock,
     provenAt: () => Number.NEGATIVE_INFINITY,
@@ -46,6 +53,7 @@
       store: view,
       loadPolicyCompiler: () => Promise.resolve(compilePolicy),
     }),
+    ...more,
   });
   follower.start();
   return follower;
@@ -131,3 +139,38 @@
   expect(performance.now() - heardAt).toBeLessThan(APPLY_MS);
   expect(asked).toEqual(['peer']);
 });
+
+it('may be behind while the lists that it gets are older than what it has seen, though the store is within reach', async () => {
+  const store = new MemoryStore();
+  store.put('config', 'main', { version: 1 });
+  const view = new StoreView(store);
+  const node = follow(view, [], { provenAt: () => steadyClock.now() });
+  const old = store.revision;
+  await waitFor(() => node.version === 1 && node.isConnected);
+  store.put('config', 'other', {});
+  await waitFor(() => view.calls === 2);
+  view.listsAsOf = old;
+  store.put('others', 'other', {});
+  store.compact();
+  await waitFor(() => !node.isConnected);
+  await waitFor(() => node.mayBeBehind);
+});
+
+it.each([
+  ['the newest of those that others hold', [4, 9, 0], 9, ['node-2']],
+  ['what the store lists if none holds a newer one', [0, 5], 5, []],
+])('begins with %s', async (_name, held, version, asked) => {
+  const store = new MemoryStore();
+  store.put('config', 'main', { version: 5 });
+  const askedPeers: string[] = [];
+  const versions: number[] = [];
+  const node = follow(new StoreView(store), askedPeers, {
+    askVersions: () =>
+      Promise.resolve(held.map((each, index) => ({ address: `node-${index + 1}`, version: each }))),
+    onInForce: (routes) => versions.push(routes.version),
+  });
+  await waitFor(() => node.version > 0);
+  await new Promise((resolve) => setTimeout(resolve, APPLY_MS));
+  expect(versions).toEqual([version]);
+  expect(askedPeers).toEqual(asked);
+});
