The soak's store comes back from a copy: away for a moment, up to 3 s older, operators write again

The stand-in gives lost changes back, so that what operators wrote can be written again unless they have changed it since; connections are reset meanwhile. Orders' states are collected by time, since revisions go back.

--- a/lab/memory-store.ts
+++ b/lab/memory-store.ts
@@ -4,9 +4,11 @@
 
 export { StoreView } from './storeView.js';
 
-interface LoggedChange extends StoreEvent<unknown> {
+export interface LoggedChange extends StoreEvent<unknown> {
   readonly kind: string;
   readonly revision: number;
+  /** Steady time in milliseconds. */
+  readonly at: number;
 }
 
 /** The store itself; each node gets a {@link StoreView} of its own. */
@@ -57,18 +59,27 @@
 
   /**
    * Comes back from a copy of that revision: what was written since is gone, and the revisions after it
-   * are given out again.
+   * are given out again. Returns what is lost, the oldest first.
    */
-  restore(revision: number): void {
+  restore(revision: number): LoggedChange[] {
     for (const kind of this.objects.keys()) {
       const objects = this.objectsAt(kind, revision);
       this.objects.set(kind, new Map(objects.map((object) => [object.name, object])));
     }
-    this.log.splice(this.log.findLastIndex((change) => change.revision <= revision) + 1);
+    const lost = this.log.splice(
+      this.log.findLastIndex((change) => change.revision <= revision) + 1,
+    );
     this.revision = revision;
     this.forgotten = Math.min(this.forgotten, revision);
     this.era += 1;
     this.wake();
+    return lost;
+  }
+
+  /** The newest revision that is at least so old, in milliseconds. */
+  revisionBefore(ageMs: number): number {
+    const until = performance.now() - ageMs;
+    return this.log.findLast(({ at }) => at <= until)?.revision ?? 0;
   }
 
   kind(kind: string): Map<string, StoredObject<unknown>> {
@@ -120,7 +131,7 @@
 
   private record(kind: string, object: StoredObject<unknown>, gone: boolean): void {
     this.revision += 1;
-    this.log.push({ kind, object, gone, revision: this.revision });
+    this.log.push({ kind, object, gone, revision: this.revision, at: performance.now() });
     this.wake();
   }
 }
--- a/lab/soakRollouts.ts
+++ b/lab/soakRollouts.ts
@@ -65,7 +65,7 @@
     const earlier = target.version;
     const orderedAt = performance.now();
     const spec = { service, 'target-version': targetVersion, 'duration-s': DURATION_MS / 1_000 };
-    const { revision } = store.put(ROLLOUT_KIND, service, spec);
+    store.put(ROLLOUT_KIND, service, spec);
     const mend = isBad ? addFate(target, failsHalf(targetVersion)) : () => {};
     await startAs(target, targetVersion);
     const isCompleted = (await ended(service)) === RolloutState.Completed;
@@ -81,7 +81,7 @@
       service,
       targetVersion,
       isBad,
-      states: statesSince(store, service, revision),
+      states: statesSince(store, service, orderedAt),
       runs: runs.length,
       exposed: runs.filter(({ version }) => version === targetVersion).length,
       cut: isCompleted ? runs.filter((run) => isCut(run) && !isCrashing(run)).length : 0,
@@ -126,6 +126,6 @@
 function statesSince(store: MemoryStore, service: string, since: number): unknown[] {
   return store.log
     .filter(({ kind, object }) => kind === ROLLOUT_KIND && object.name === service)
-    .filter(({ gone, revision }) => !gone && revision >= since)
+    .filter(({ gone, at }) => !gone && at >= since)
     .map(({ object }) => (object.status as { state?: unknown } | undefined)?.state);
 }
--- a/lab/storeFaults.ts
+++ b/lab/storeFaults.ts
@@ -1,6 +1,9 @@
 /** Troubles of the store stand-in, each of which ends by itself. */
+import { isDeepStrictEqual } from 'node:util';
+import { ROLLOUT_KIND } from '../platform/rollouts.js';
 import { NODE_KIND } from '../src/directory/directory-sync.js';
-import type { MemoryStore } from './memory-store.js';
+import { CONFIGURATION_KIND } from './labOutside.js';
+import type { LoggedChange, MemoryStore } from './memory-store.js';
 import type { StoreWay } from './storeServer.js';
 
 /** Part of the nodes that some troubles strike, and how much longer these last than the others. */
@@ -19,8 +22,16 @@
   Forgets = 'store forgets its history',
   RecordsLapse = 'records lapse',
   ConnectionsSilent = 'connections to the store go silent',
+  Restored = 'store comes back from a copy',
 }
 
+/** Kinds that operators write, the system at the most a status in them. */
+const OPERATORS_KINDS: readonly string[] = [CONFIGURATION_KIND, ROLLOUT_KIND];
+
+/** The copy is at the most so old, in milliseconds, and operators write again within this time. */
+const OLDEST_COPY_MS = 3_000;
+const WRITTEN_AGAIN_MS = 700;
+
 /** The store and each sidecar's way to it. */
 export interface StoreWays {
   readonly store: MemoryStore;
@@ -67,6 +78,17 @@
       return hold(ways, forMs, (way, isOn) => {
         way.delayMs = isOn ? SLOW_STORE_MS : 0;
       });
+    case StoreFault.Restored: {
+      await hold(ways, forMs, (way, isOn) => {
+        way.view.failure = isOn ? 'unavailable' : undefined;
+        way.resetStanding();
+      });
+      const copied = store.revisionBefore(random() * OLDEST_COPY_MS);
+      const lost = store.restore(copied);
+      await new Promise((resolve) => setTimeout(resolve, random() * WRITTEN_AGAIN_MS));
+      writeAgain(store, lost, copied);
+      return;
+    }
     case StoreFault.LosesAnswers:
       for (const { view } of some) {
         view.answersToLose += 1;
@@ -86,3 +108,21 @@
       }
   }
 }
+
+/** What operators had written is written again, unless they have changed it since. */
+function writeAgain(store: MemoryStore, lost: readonly LoggedChange[], copied: number): void {
+  const newest = new Map(lost.map((change) => [`${change.kind}/${change.object.name}`, change]));
+  for (const { kind, object, gone } of newest.values()) {
+    const known = store.kind(kind).get(object.name);
+    const isOperators = OPERATORS_KINDS.includes(kind);
+    const isOfCopy = known === undefined || known.revision <= copied;
+    if (!isOperators || !isOfCopy) {
+      continue;
+    }
+    if (gone) {
+      store.delete(kind, object.name);
+    } else if (!isDeepStrictEqual(known?.spec, object.spec)) {
+      store.put(kind, object.name, object.spec);
+    }
+  }
+}
--- a/lab/storeServer.ts
+++ b/lab/storeServer.ts
@@ -36,6 +36,8 @@
   isSilent: boolean;
   /** The connections that stand now answer nothing any more; new ones work. */
   silenceStanding(): void;
+  /** The connections that stand now are reset; new ones work. */
+  resetStanding(): void;
   close(): void;
 }
 
@@ -79,6 +81,11 @@
         silenced.add(socket);
       }
     },
+    resetStanding: () => {
+      for (const socket of standing) {
+        socket.resetAndDestroy();
+      }
+    },
     close: () => {
       server.close();
       server.closeAllConnections();
