A first list that may lag binds nobody: the store may have come back from a copy since

A list that may be seconds old can be of before the copy, of a revision that the store has no longer. It was taken for the newest that was seen, and the lists of now after it counted as lagging. Until a watch or a list of now has borne it out, a list of now takes its place, in the watcher and in a reader's cache. Two unit tests failed before, and pass.

--- a/src/relay/relayedStore.ts
+++ b/src/relay/relayedStore.ts
@@ -85,13 +85,14 @@
     if (!result.ok) {
       return result;
     }
-    if (result.value.revision < (cache.revisionOf(kind) ?? 0)) {
+    const value = cache.noteList(kind, result.value, reading);
+    if (value.revision < (cache.revisionOf(kind) ?? 0)) {
       // Its asker does not take it, so it proves nothing: nodes that were told so answered 404 for new routes.
       cache.noteDoubt(kind);
-      return result;
+    } else {
+      reach.noteAnswered();
     }
-    reach.noteAnswered();
-    return { ok: true, value: cache.noteList(kind, result.value) } as const;
+    return { ok: true, value } as const;
   };
 
   const zoneKnown = createZoneWait({
@@ -159,7 +160,7 @@
       }
       const { events, revision } = answer.value;
       const items = events.map(({ object }) => object as StoredObject<Spec>);
-      return { ok: true, value: cache.noteList(kind, { items, revision }) };
+      return { ok: true, value: cache.noteList(kind, { items, revision }, reading) };
     },
     watch: async <Spec>(
       kind: string,
--- a/src/relay/storeCache.test.ts
+++ b/src/relay/storeCache.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import type { StoredObject } from '../source/object-store.js';
+import { Reading, type StoredObject } from '../source/object-store.js';
 import { mayBeLost, revisionOf } from '../source/storeRevision.js';
 import { createStoreCache } from './storeCache.js';
 import { createStoreReach } from './storeReach.js';
@@ -142,6 +142,21 @@
     expect(await namesAfter(cache, undefined)).toEqual(['b']);
   });
 
+  it('gives way to a list of now, if it comes from one that may have lagged and nothing has borne it out', async () => {
+    const clock = { now: () => 0 };
+    const reach = createStoreReach({ clock, onChange: () => {} });
+    const cache = createStoreCache({ clock, reach, freshMs: 100 });
+    reach.noteAnswered();
+    cache.noteList(KIND, { items: [object('a', 300)], revision: 310 }, Reading.Lately);
+    cache.noteDoubt(KIND);
+    cache.noteList(KIND, { items: [object('b', 250)], revision: 260 }, Reading.Now);
+    const result = await cache.read({ kind: KIND, revision: undefined, waitMs: 0 });
+    expect(result.ok && result.value).toMatchObject({
+      events: [{ object: { name: 'b' } }],
+      revision: 260,
+    });
+  });
+
   it('stays in doubt after a list that is older than it', async () => {
     const cache = cacheAt({ ms: 0 });
     cache.noteDoubt(KIND);
--- a/src/relay/storeCache.ts
+++ b/src/relay/storeCache.ts
@@ -5,13 +5,14 @@
  */
 import type { Clock } from '../model/clock.js';
 import { createWaiters, type Waiters } from '../model/waiters.js';
-import type {
-  StoreChanges,
-  StoredObject,
-  StoreEvent,
-  StoreListing,
-  StoreQuestion,
-  StoreResult,
+import {
+  Reading,
+  type StoreChanges,
+  type StoredObject,
+  type StoreEvent,
+  type StoreListing,
+  type StoreQuestion,
+  type StoreResult,
 } from '../source/object-store.js';
 import { eraOf } from '../source/storeRevision.js';
 import { shareStructure } from './sharedStructure.js';
@@ -42,7 +43,7 @@
   /** True while the store itself has answered this node lately. */
   readonly isFresh: boolean;
   /** Returns the list with what it shares with what was known. */
-  noteList<Spec>(kind: string, listing: StoreListing<Spec>): StoreListing<Spec>;
+  noteList<Spec>(kind: string, listing: StoreListing<Spec>, reading?: Reading): StoreListing<Spec>;
   /** Returns the changes with what they share with what was known. */
   noteChanges<Spec>(kind: string, from: number, changes: StoreChanges<Spec>): StoreChanges<Spec>;
   /**
@@ -81,6 +82,8 @@
   revision: number;
   removed: number;
   isInDoubt: boolean;
+  /** False while all that is known comes from a list that may lag, maybe of before the store came back from a copy. */
+  isProven: boolean;
   /** Those who are to be told of the next change. */
   readonly waiting: Waiters;
 }
@@ -108,12 +111,15 @@
     get isFresh() {
       return freshLeftMs() > 0;
     },
-    noteList: (kind, listing) => {
+    noteList: (kind, listing, reading = Reading.Now) => {
       const known = kinds.get(kind);
-      if (!known) {
-        kinds.set(kind, listed(listing.items, listing.revision));
+      const isNow = reading === Reading.Now;
+      if (!known || (isNow && !known.isProven && listing.revision < known.revision)) {
+        kinds.set(kind, listed(listing, isNow));
+        known?.waiting.wakeAll();
         return listing;
       }
+      known.isProven ||= isNow;
       const items = listing.items.map((object) => shareWithKnown(known, object));
       if (listing.revision > known.revision) {
         bringUpToDate(known, items, listing.revision);
@@ -137,6 +143,7 @@
       });
       const wasInDoubt = known.isInDoubt;
       known.isInDoubt = false;
+      known.isProven = true;
       known.revision = Math.max(known.revision, revision);
       forgetRemoved(known);
       if (events.length > 0 || wasInDoubt) {
@@ -176,9 +183,12 @@
     },
     read: async (question) => {
       askedAt = clock.now();
-      const cached = kinds.get(question.kind);
       const until = askedAt + question.waitMs;
-      while (cached && freshLeftMs() > 0) {
+      for (;;) {
+        const cached = kinds.get(question.kind);
+        if (!cached || freshLeftMs() <= 0) {
+          return failed('unavailable');
+        }
         const answer = speaksFor(cached, question) ? answerOf(cached, question) : NOTHING_KNOWN;
         const hasNews = answer !== NOTHING_KNOWN && (!answer.ok || answer.value.events.length > 0);
         const leftMs = until - clock.now();
@@ -187,7 +197,6 @@
         }
         await cached.waiting.wait(Math.min(leftMs, freshLeftMs()));
       }
-      return failed('unavailable');
     },
   };
 }
@@ -199,7 +208,7 @@
   return !cached.isInDoubt && eraOf(revision) <= eraOf(cached.revision);
 }
 
-function listed(items: readonly StoredObject<unknown>[], revision: number): CachedKind {
+function listed({ items, revision }: StoreListing<unknown>, isProven: boolean): CachedKind {
   const changes = new Map(
     items.map((object) => [object.name, { event: { object, gone: false }, at: object.revision }]),
   );
@@ -210,6 +219,7 @@
     revision,
     removed: 0,
     isInDoubt: false,
+    isProven,
     waiting: createWaiters(),
   };
 }
--- a/src/source/collection-watcher.ts
+++ b/src/source/collection-watcher.ts
@@ -63,6 +63,11 @@
    * gone again, and lists and watches would follow one another without a pause.
    */
   private isListFresh = false;
+  /**
+   * True while all that is known comes from a list that may lag: that may be of before the store came back from
+   * a copy, and then of a revision that it doesn't have any more.
+   */
+  private isUnproven = false;
   private wake: () => void = () => {};
   private refreshWanted = false;
 
@@ -128,13 +133,14 @@
     if (!result.ok) {
       return result;
     }
-    if (result.value.revision < this.newest) {
+    if (result.value.revision < this.newest && !this.isUnproven) {
       return lagging(result.value.revision, this.newest);
     }
     this.note(true, 'list');
     this.revision = result.value.revision;
     this.newest = result.value.revision;
     this.isListFresh = reading === Reading.Now;
+    this.isUnproven = reading === Reading.Lately;
     for (const { revision } of result.value.items) {
       this.onlyRevision = Math.max(this.onlyRevision, revision);
     }
@@ -175,6 +181,7 @@
     }
     this.note(true, 'watch');
     this.isListFresh = false;
+    this.isUnproven = false;
     this.newest = Math.max(this.newest, result.value.revision);
     this.revision = this.newest;
     const { events, revision } = result.value;
--- a/src/source/source.test.ts
+++ b/src/source/source.test.ts
@@ -191,6 +191,17 @@
     expect(calls).toEqual(['list', 'watch 7', 'list', 'watch 20']);
   });
 
+  it('takes a list of now that is older than a first one which may have been of before the store came back', async () => {
+    const { calls, seen } = await follow([
+      { revision: 310, names: ['a'] },
+      'history-gone',
+      { revision: 260, names: ['b'] },
+      { revision: 261, names: ['c'] },
+    ]);
+    expect(calls).toEqual(['list', 'watch 310', 'list', 'watch 260', 'watch 261']);
+    expect(seen).toEqual(['connected', 'list a', 'list b', 'change c']);
+  });
+
   it('goes on from the same revision after a failure', async () => {
     const { calls, seen } = await follow([
       { revision: 7, names: [] },
