--- a/lab/storeFaults.ts
+++ b/lab/storeFaults.ts
@@ -32,6 +32,9 @@
 const OLDEST_COPY_MS = 3_000;
 const WRITTEN_AGAIN_MS = 700;
 
+/** What others change in the store after the copy: with a few, its counter would soon be at its old height. */
+const OTHERS_CHANGES = 200;
+
 /** The store and each sidecar's way to it. */
 export interface StoreWays {
   readonly store: MemoryStore;
@@ -79,11 +82,14 @@
         way.delayMs = isOn ? SLOW_STORE_MS : 0;
       });
     case StoreFault.Restored: {
+      const copied = store.revisionBefore(random() * OLDEST_COPY_MS);
+      for (let index = 0; index < OTHERS_CHANGES; index += 1) {
+        store.put('others', 'counter', { index });
+      }
       await hold(ways, forMs, (way, isOn) => {
         way.view.failure = isOn ? 'unavailable' : undefined;
         way.resetStanding();
       });
-      const copied = store.revisionBefore(random() * OLDEST_COPY_MS);
       const lost = store.restore(copied);
       await new Promise((resolve) => setTimeout(resolve, random() * WRITTEN_AGAIN_MS));
       writeAgain(store, lost, copied);
