--- a/src/relay/ownWatches.test.ts
+++ b/src/relay/ownWatches.test.ts
@@ -5,6 +5,7 @@
   StoreFailure,
   StoreResult,
 } from '../source/object-store.js';
+import { revisionOf } from '../source/storeRevision.js';
 import { createOwnWatches } from './ownWatches.js';
 
 const KIND = 'configuration';
@@ -155,3 +156,19 @@
     expect(node.shortCalls()).toBe(0);
   });
 });
+
+describe('a watch that waits while the store comes back from a copy', () => {
+  it('ends as with its history gone; one that was sent since goes on', async () => {
+    const node = onSilentConnection(NOTHING);
+    const earlier = node.watches.watch(KIND, 3, 10_000);
+    let isSettled = false;
+    void node.watches.watch('nodes', revisionOf(1, 2), 10_000).then(() => {
+      isSettled = true;
+    });
+    node.watches.noteEra(1);
+    expect(await earlier).toMatchObject({ ok: false, failure: 'history-gone' });
+    await settle();
+    expect(isSettled).toBe(false);
+    expect(node.longCalls.map(({ signal }) => signal?.aborted)).toEqual([true, false]);
+  });
+});
--- a/src/relay/ownWatches.ts
+++ b/src/relay/ownWatches.ts
@@ -6,6 +6,7 @@
  * the proofs bring lags behind. The watch's own end comes after 13.5 s.
  */
 import type { ObjectStore, StoreChanges, StoreError, StoreResult } from '../source/object-store.js';
+import { eraOf } from '../source/storeRevision.js';
 
 /** Wait of a watch that only brings up to date, in milliseconds: the store takes no zero. */
 export const CATCH_UP_WAIT_MS = 1;
@@ -32,8 +33,8 @@
   release(): void;
   /** Ends those that wait, as failed: they were sent on connections, or to a store, now in doubt. */
   abandon(): void;
-  /** Ends those that wait, as with their history gone: the store has come back from a copy. */
-  loseHistory(): void;
+  /** The store has come back from a copy: ends those that wait from an earlier era, as with their history gone. */
+  noteEra(era: number): void;
   /** The store is at this revision. */
   noteSeen(revision: number): void;
 }
@@ -111,7 +112,11 @@
       }),
     release: () => settleAll(undefined),
     abandon: () => settleAll(ABANDONED),
-    loseHistory: () => settleAll(HISTORY_GONE),
+    noteEra: (era) => {
+      for (const watch of [...waiting.values()].filter(({ revision }) => eraOf(revision) < era)) {
+        watch.settle(HISTORY_GONE);
+      }
+    },
     noteSeen: (seen) => {
       for (const [kind, watch] of waiting) {
         const told = Math.max(watch.revision, toldRevision(kind) ?? 0);
--- a/src/relay/relayedStore.test.ts
+++ b/src/relay/relayedStore.test.ts
@@ -21,7 +21,7 @@
   const view = new StoreView(store);
   const clock = { now: () => performance.now() };
   const reach = createStoreReach({ clock, onChange: () => {} });
-  const cache = createStoreCache({ clock, reach, freshMs: PACE_MS });
+  const cache = createStoreCache({ clock, reach, era: () => 0, freshMs: PACE_MS });
   const watches = createOwnWatches({
     store: view,
     toldRevision: cache.revisionOf,
--- a/src/relay/storeCache.test.ts
+++ b/src/relay/storeCache.test.ts
@@ -14,7 +14,7 @@
 function cacheAt(now: { ms: number }) {
   const clock = { now: () => now.ms };
   const reach = createStoreReach({ clock, onChange: () => {} });
-  const cache = createStoreCache({ clock, reach, freshMs: 100 });
+  const cache = createStoreCache({ clock, reach, era: () => 0, freshMs: 100 });
   cache.noteList(KIND, { items: [object('a', 3), object('b', 4)], revision: 5 });
   reach.noteAnswered();
   return { ...cache, noteAnswered: reach.noteAnswered };
@@ -85,7 +85,7 @@
   it('wakes who waits for a change, and who waits while it grows old', async () => {
     const clock = { now: () => performance.now() };
     const reach = createStoreReach({ clock, onChange: () => {} });
-    const cache = createStoreCache({ clock, reach, freshMs: 150 });
+    const cache = createStoreCache({ clock, reach, era: () => 0, freshMs: 150 });
     cache.noteList(KIND, { items: [], revision: 1 });
     reach.noteAnswered();
     const first = cache.read({ kind: KIND, revision: 1, waitMs: 5_000 });
@@ -145,7 +145,7 @@
   it('gives way to a list of now, if it comes from one that may have lagged and nothing has borne it out', async () => {
     const clock = { now: () => 0 };
     const reach = createStoreReach({ clock, onChange: () => {} });
-    const cache = createStoreCache({ clock, reach, freshMs: 100 });
+    const cache = createStoreCache({ clock, reach, era: () => 0, freshMs: 100 });
     reach.noteAnswered();
     cache.noteList(KIND, { items: [object('a', 300)], revision: 310 }, Reading.Lately);
     cache.noteDoubt(KIND);
@@ -182,6 +182,26 @@
     );
   });
 
+  it('is told to nobody from when this node hears of a later era until it is listed in that', async () => {
+    let era = 0;
+    const clock = { now: () => 0 };
+    const reach = createStoreReach({ clock, onChange: () => {} });
+    const cache = createStoreCache({ clock, reach, era: () => era, freshMs: 100 });
+    reach.noteAnswered();
+    cache.noteList(KIND, { items: [object('a', 3)], revision: 5 });
+    const names = async () => {
+      const result = await cache.read({ kind: KIND, revision: undefined, waitMs: 0 });
+      return result.ok ? result.value.events.map((event) => event.object.name) : result.failure;
+    };
+    expect(await names()).toEqual(['a']);
+    era = 1;
+    // Another zone's reader, which has not heard of it yet.
+    cache.noteChanges(KIND, 5, { events: [], revision: 6 });
+    expect(await names()).toBe('unavailable');
+    cache.noteList(KIND, { items: [object('a', revisionOf(1, 2))], revision: LATER });
+    expect(await names()).toEqual(['a']);
+  });
+
   it('is not told to one who has heard of a later era', async () => {
     const cache = cacheAt({ ms: 0 });
     expect(await namesAfter(cache, LATER)).toBe('unavailable');
--- a/src/relay/storeCache.ts
+++ b/src/relay/storeCache.ts
@@ -32,6 +32,8 @@
 export interface StoreCacheContext {
   readonly clock: Clock;
   readonly reach: Pick<StoreReach, 'answeredAt'>;
+  /** The newest era that the store has told. */
+  readonly era: () => number;
   /** Milliseconds after the store's last answer for which the cache may speak for it. */
   readonly freshMs: number;
 }
@@ -88,11 +90,15 @@
   readonly waiting: Waiters;
 }
 
-export function createStoreCache({ clock, reach, freshMs }: StoreCacheContext): StoreCache {
+export function createStoreCache(context: StoreCacheContext): StoreCache {
+  const { clock, reach, era, freshMs } = context;
   const kinds = new Map<string, CachedKind>();
   let askedAt = Number.NEGATIVE_INFINITY;
 
   const freshLeftMs = () => reach.answeredAt + freshMs - clock.now();
+  /** False while this node or the asker knows of a later era of the store. */
+  const isCurrent = ({ isInDoubt, revision }: CachedKind, { revision: from = 0 }: StoreQuestion) =>
+    !isInDoubt && eraOf(revision) >= Math.max(era(), eraOf(from));
   const answerOf = (cached: CachedKind, question: StoreQuestion) => {
     const { revision } = question;
     if (revision !== undefined && revision < cached.since) {
@@ -189,7 +195,7 @@
         if (!cached || freshLeftMs() <= 0) {
           return failed('unavailable');
         }
-        const answer = speaksFor(cached, question) ? answerOf(cached, question) : NOTHING_KNOWN;
+        const answer = isCurrent(cached, question) ? answerOf(cached, question) : NOTHING_KNOWN;
         const hasNews = answer !== NOTHING_KNOWN && (!answer.ok || answer.value.events.length > 0);
         const leftMs = until - clock.now();
         if (hasNews || question.revision === undefined || leftMs <= 0) {
@@ -203,11 +209,6 @@
 
 const NOTHING_KNOWN = failed('unavailable');
 
-/** False while the asker knows of a later era of the store than this node, too. */
-function speaksFor(cached: CachedKind, { revision = 0 }: StoreQuestion): boolean {
-  return !cached.isInDoubt && eraOf(revision) <= eraOf(cached.revision);
-}
-
 function listed({ items, revision }: StoreListing<unknown>, isProven: boolean): CachedKind {
   const changes = new Map(
     items.map((object) => [object.name, { event: { object, gone: false }, at: object.revision }]),
--- a/src/relay/zoneRelay.ts
+++ b/src/relay/zoneRelay.ts
@@ -75,7 +75,7 @@
     store: context.store,
     onRise: (era, before) => {
       context.onEraRise(era, before);
-      watches.loseHistory();
+      watches.noteEra(era);
     },
   });
   const reach = createStoreReach({
@@ -91,6 +91,7 @@
   const cache = createStoreCache({
     clock,
     reach,
+    era: () => origin.era,
     freshMs: applyMs * (PACE_SHARE + MARGIN_SHARE),
   });
   const watches = createOwnWatches({
--- a/src/source/collection-watcher.ts
+++ b/src/source/collection-watcher.ts
@@ -133,8 +133,11 @@
     if (!result.ok) {
       return result;
     }
-    if (result.value.revision < this.newest && !this.isUnproven) {
-      return lagging(result.value.revision, this.newest);
+    if (result.value.revision < this.newest) {
+      if (!this.isUnproven) {
+        return lagging(result.value.revision, this.newest);
+      }
+      this.onlyRevision = 0;
     }
     this.note(true, 'list');
     this.revision = result.value.revision;
