--- a/lab/costExperiment.ts
+++ b/lab/costExperiment.ts
@@ -12,7 +12,7 @@
 import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
 import { ApplicationStandIn } from './application-stand-in.js';
 import type { ExperimentResult, Row } from './experiment.js';
-import { cpuSeconds } from './processor-time.js';
+import { cpuSeconds, type KernelCalls, kernelCalls } from './processor-time.js';
 import { type Sidecar, startSidecars } from './sidecarProcesses.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -81,11 +81,16 @@
     }
     const start = spentMs(nodes) / nodes.length;
     const cold = await millisecondsEach(nodes, client, plan.cold, plan.concurrency);
+    const before = totalCalls(nodes);
     const warm = await millisecondsEach(nodes, client, plan.warm, plan.concurrency);
+    const after = totalCalls(nodes);
+    const each = (from: number, to: number) => Number(((to - from) / plan.warm).toFixed(1));
     return {
       request: kind,
       'first, ms of processor': cold,
       'later, ms of processor': warm,
+      'later, reads and writes': each(before.transfers, after.transfers),
+      'later, wake-ups': each(before.wakeUps, after.wakeUps),
       'start of a process, ms': start,
     };
   } finally {
@@ -148,6 +153,15 @@
   return seconds.reduce((sum, each) => sum + each, 0) * MILLISECONDS_PER_SECOND;
 }
 
+/** Of all nodes together. */
+function totalCalls(nodes: readonly Sidecar[]): KernelCalls {
+  const all = nodes.map(({ process }) => kernelCalls(process.child.pid as number));
+  return {
+    transfers: all.reduce((sum, { transfers }) => sum + transfers, 0),
+    wakeUps: all.reduce((sum, { wakeUps }) => sum + wakeUps, 0),
+  };
+}
+
 let requests = 0;
 
 function request({ agent, address, isUnsafe }: Client, path: string): Promise<void> {
