--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -1,21 +1,18 @@
 /** The owner of the back end on this machine: admits tasks, sends them, and reports its load. */
-import type http from 'node:http';
 import { QuarantineStatus } from '../quarantine/crashTracker.js';
 import type { BackEnd, Heartbeat } from '../registry/back-end-registry.js';
 import type { BackEndIncarnation } from '../registry/backEndIncarnation.js';
 import { UNCONDITIONAL_PERMIT } from '../rollout/runLimiter.js';
 import { AdmissionControl, type AdmissionRequest } from './admission-control.js';
 import { BackEndPresence } from './back-end-presence.js';
-import { BackEndConnections } from './backEndConnections.js';
 import {
   type BackEndObservations,
   createBackEndObservations,
   type ObservedRun,
 } from './backEndObservations.js';
-import { backEndRunOf, type EndedCall } from './backEndRun.js';
+import { type BackEndSender, createBackEndSender } from './backEndSender.js';
 import { createCallRouteDetector } from './callRouteDetector.js';
 import type { LocalOwnerOptions } from './localOwnerOptions.js';
-import type { MessageBody } from './message-body.js';
 import { createMonitoredCalls, type MonitoredCalls } from './monitoredCalls.js';
 import {
   crashKeyOf,
@@ -29,12 +26,6 @@
 import { waitForSlot } from './slotWait.js';
 import { type TaskTimes, taskRecordOf } from './taskRecord.js';
 
-/** Milliseconds after an answer to another request during which unrepeatable tasks connect anew. */
-const NO_REUSE_MS = 10_000;
-
-/** A task cancelled at most this long before its deadline, in ms, counts as awaited to the end. */
-const DEADLINE_SLACK_MS = 50;
-
 /** Retry delay in milliseconds if a roll-out grants no permit; other owners can serve at once. */
 const NO_PERMIT_RETRY_MS = 20;
 
@@ -42,13 +33,11 @@
 export class LocalOwner implements Owner {
   private readonly admission: AdmissionControl;
   private readonly presence: BackEndPresence;
-  private readonly connections = new BackEndConnections();
   private readonly callRoutes = createCallRouteDetector();
   private readonly observations: BackEndObservations;
   private readonly calls: MonitoredCalls;
+  private readonly sender: BackEndSender;
   private stopping = false;
-  /** Steady time in milliseconds until which tasks that may not be repeated use new connections. */
-  private noReuseUntil = 0;
 
   constructor(private readonly options: LocalOwnerOptions) {
     this.observations = createBackEndObservations(options);
@@ -60,12 +49,19 @@
       onUnavailable: () => this.admission.rejectAllWaiting(),
       onChange: (backEnd, cause) => options.onBackEnd(backEnd, cause),
     });
+    this.sender = createBackEndSender({
+      ...options,
+      calls: this.calls,
+      observations: this.observations,
+      currentBackEnd: () => this.presence.backEnd,
+      onUnreachable: (incarnation) => this.presence.noteUnreachable(incarnation),
+    });
   }
 
   /** Service times are kept: they depend on the service's requests and on this machine. */
   private onNewIncarnation(incarnation: BackEndIncarnation): void {
     this.observations.reset();
-    this.connections.reset();
+    this.sender.reset();
     this.calls.noteIncarnation(incarnation);
   }
 
@@ -88,7 +84,7 @@
   /** Stops the timers and closes the connections. */
   close(): void {
     this.presence.stop();
-    this.connections.close();
+    this.sender.close();
   }
 
   /** True if the back end has reported that it drains. */
@@ -207,7 +203,7 @@
       }
       times.sentAt = clock.now();
       run = this.observations.begin(task, this.admission.capacity);
-      outcome = await this.send(task, body);
+      outcome = await this.sender.send(task, body, this.presence.backEnd as BackEnd);
       return outcome;
     } catch {
       // The body ended early, before anything was sent to the back end.
@@ -218,52 +214,6 @@
     }
   }
 
-  private async send(task: OwnerTask, body: MessageBody): Promise<OwnerOutcome> {
-    const { clock, names } = this.options;
-    const backEnd = this.presence.backEnd as BackEnd;
-    const sentAt = clock.now();
-    const { outcome, unreachable, wasReusedConnectionSilent, load } = await this.calls.call(
-      task,
-      body,
-      {
-        backEnd,
-        names,
-        agent: this.agentFor(task),
-        remainingMs: task.deadlineAt - clock.now(),
-      },
-    );
-    // The slowness is divided out: other programs on the machine don't count against the version.
-    const tookMs = (clock.now() - sentAt) / Math.max(1, this.observations.slowness);
-    this.noteRun({ task, backEnd, outcome, tookMs });
-    if (load) {
-      this.observations.noteLoad(load);
-    }
-    if (unreachable) {
-      this.presence.noteUnreachable(backEnd);
-    }
-    if (wasReusedConnectionSilent && clock.now() >= task.deadlineAt - DEADLINE_SLACK_MS) {
-      this.connections.closeIdle();
-    }
-    if (outcome.kind === 'unknown' && outcome.reason === 'foreign-answer') {
-      this.noReuseUntil = clock.now() + NO_REUSE_MS;
-    }
-    return outcome;
-  }
-
-  private noteRun(call: Omit<EndedCall, 'currentBackEnd' | 'now'>): void {
-    const now = this.options.freshnessClock.now();
-    const run = backEndRunOf({ ...call, currentBackEnd: this.presence.backEnd, now });
-    if (run) {
-      this.options.onRun?.(run);
-    }
-  }
-
-  /** For a while after a foreign answer, tasks that may not be repeated get a new connection. */
-  private agentFor(task: OwnerTask): http.Agent {
-    const mayReuse = task.repeatable || this.options.clock.now() >= this.noReuseUntil;
-    return this.connections.agentFor(mayReuse);
-  }
-
   private rejectionReasonFor(task: OwnerTask): NotRunReason | undefined {
     return this.rejectionReason() ?? this.taskRejectionReason(task);
   }
