--- a/lab/application-stand-in.ts
+++ b/lab/application-stand-in.ts
@@ -6,6 +6,7 @@
 import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
 import { answer, type Behaviour } from './applicationAnswer.js';
 import { postRegistration } from './postRegistration.js';
+import { createStatedNotices } from './statedNotices.js';
 
 /** One request that a back end has begun to work on. */
 export interface Run {
@@ -61,6 +62,8 @@
   /** Of its software. */
   version = 'v1';
   readonly runs: Run[] = [];
+  /** What it says of itself in its answers: a limit, and that it is leaving. */
+  readonly notices = createStatedNotices(() => this.bornAt);
   /** True for a request that crashes the back end {@link crashAfterMs} after it has begun to run. */
   crashesUnder: (run: Run) => boolean = () => false;
   crashAfterMs = 45;
@@ -144,6 +147,7 @@
     this.sequence = 0;
     this.running = 0;
     this.draining = false;
+    this.notices.clear();
   }
 
   /** Sends heartbeats until one is acknowledged. */
@@ -194,8 +198,9 @@
   }
 
   private serve(request: http.IncomingMessage, response: http.ServerResponse): void {
+    this.notices.stateIn(response);
     if (request.url === '/health') {
-      response.writeHead(this.draining ? 503 : 200, {
+      response.writeHead(this.draining || this.notices.isLeaving ? 503 : 200, {
         [NAMES.instance]: this.instance,
         [NAMES.load]: `${this.running},0,${this.slots}`,
       });
@@ -205,6 +210,7 @@
     const expected = request.headers[NAMES.expectInstance.toLowerCase()];
     const behaviour = this.behaviours.shift() ?? 'serve';
     const id = String(request.headers[NAMES.requestId.toLowerCase()] ?? '');
+    this.notices.noteArrival(id);
     if (expected !== undefined && expected !== this.instance) {
       response.writeHead(421, { [NAMES.requestId]: id, [NAMES.instance]: this.instance });
       response.end();
@@ -262,6 +268,7 @@
       return;
     }
     this.running -= 1;
+    this.notices.stateIn(response);
     answer(request, response, { requestId, behaviour, status, instance: this.instance });
   }
 }
