A back end that says in an answer that it is leaving gets no new requests

Later heartbeats that say ready don't undo it; the next incarnation is free.

The registry's deregister is now endIncarnation, since it has two causes.

--- a/src/owner/back-end-presence.test.ts
+++ b/src/owner/back-end-presence.test.ts
@@ -74,6 +74,10 @@
 describe('the time limits of a drain', () => {
   const laterReports: [string, () => void][] = [
     ['deregisters', () => presence.deregister({ instance: application.instance, bornAt: 1 })],
+    [
+      'says in an answer that it is leaving',
+      () => presence.noteLeaving({ instance: application.instance, bornAt: 1 }),
+    ],
     [
       'drains with other slots',
       () => presence.heartbeat(heartbeat(3, { state: 'draining', slots: 2 })),
--- a/src/owner/back-end-presence.ts
+++ b/src/owner/back-end-presence.ts
@@ -124,7 +124,14 @@
 
   /** Applies a deregistration: new tasks are already rejected when this returns. */
   deregister(incarnation: BackEndIncarnation): void {
-    this.registry.deregister(incarnation);
+    this.registry.endIncarnation(incarnation);
+  }
+
+  /** Records that this incarnation has said in an answer that it is leaving. */
+  noteLeaving(incarnation: BackEndIncarnation): void {
+    if (this.isCurrent(incarnation) && !this.isDraining) {
+      this.registry.endIncarnation(incarnation);
+    }
   }
 
   /**
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -71,6 +71,7 @@
       limit: this.limit,
       currentIncarnation: () => this.presence.backEnd,
       onLoad: (load) => this.observations.noteLoad(load),
+      onLeaving: (incarnation) => this.presence.noteLeaving(incarnation),
       onNoticeChange: (change) => this.onNoticeChange(change),
     });
     this.sender = createBackEndSender({
--- a/src/owner/noticeHandler.test.ts
+++ b/src/owner/noticeHandler.test.ts
@@ -19,6 +19,7 @@
     clock: { now: () => 0 },
     limit,
     currentIncarnation: () => current,
+    onLeaving: ({ bornAt }) => events.push(`${bornAt} leaves`),
     onLoad: ({ waiting }) => events.push(`load ${waiting}`),
     onNoticeChange: ({ field, limitPerS }) => events.push(`${field} ${limitPerS}`),
     onUnreadableNotice: (_incarnation, field, { message }) => events.push(`${field}: ${message}`),
@@ -79,7 +80,7 @@
     say({ isLeaving: Right(true) });
     say({ isLeaving: Right(true) });
     say({ isLeaving: Right(false) });
-    expect(events).toEqual(['leaving undefined']);
+    expect(events).toEqual(['100 leaves', 'leaving undefined']);
   });
 
   it('ignores the late answer of an incarnation that has ended, its load included', () => {
--- a/src/owner/noticeHandler.ts
+++ b/src/owner/noticeHandler.ts
@@ -39,6 +39,8 @@
   readonly limit: BackEndLimit;
   readonly currentIncarnation: () => BackEndIncarnation | undefined;
   readonly onLoad: (load: LoadReport) => void;
+  /** The back end must receive no new requests. Called once per incarnation. */
+  readonly onLeaving: (incarnation: BackEndIncarnation) => void;
   readonly onNoticeChange: (change: NoticeChange) => void;
   /** A field of a notice cannot be read. Called once for a value that is repeated. */
   readonly onUnreadableNotice: (
@@ -56,7 +58,7 @@
 }
 
 export function createNoticeHandler(context: NoticeHandlerContext): NoticeHandler {
-  const { clock, limit, currentIncarnation, onLoad } = context;
+  const { clock, limit, currentIncarnation, onLoad, onLeaving } = context;
   const { onNoticeChange, onUnreadableNotice } = context;
   let isLeaving = false;
   /** The message of the last finding that was reported for each field. */
@@ -105,6 +107,7 @@
         Right: (isNowLeaving) => {
           if (isNowLeaving && !isLeaving) {
             isLeaving = true;
+            onLeaving(incarnation);
             onNoticeChange({ incarnation, source, field: NoticeField.Leaving });
           }
         },
--- a/src/registry/back-end-registry.test.ts
+++ b/src/registry/back-end-registry.test.ts
@@ -66,7 +66,7 @@
 
   it('keeps an incarnation draining that deregistered without a drain', () => {
     const { registry } = registryWith();
-    registry.deregister({ instance: 'i-1', bornAt: undefined });
+    registry.endIncarnation({ instance: 'i-1', bornAt: undefined });
     expect(registry.current?.state).toBe('draining');
     expect(registry.heartbeat(heartbeatOf({ sequence: 99 }), 20)).toBe('old');
     registry.confirmReady({ instance: 'i-1', slots: 4 }, FALLBACK);
@@ -85,7 +85,7 @@
   it('ignores the drain of another back end', () => {
     const { registry } = registryWith('i-2');
     registry.heartbeat(heartbeatOf({ instance: 'i-1', state: 'draining', sequence: 3 }), 10);
-    registry.deregister({ instance: 'i-1', bornAt: undefined });
+    registry.endIncarnation({ instance: 'i-1', bornAt: undefined });
     expect(registry.current).toMatchObject({ instance: 'i-2', state: 'ready' });
   });
 
@@ -93,7 +93,7 @@
     const { registry, changes } = registryWith();
     registry.heartbeat(heartbeatOf({ bornAt: 100, sequence: 8 }), 10);
     registry.heartbeat(heartbeatOf({ bornAt: 100, sequence: 9, state: 'draining' }), 20);
-    registry.deregister({ instance: 'i-1', bornAt: 100 });
+    registry.endIncarnation({ instance: 'i-1', bornAt: 100 });
     expect(registry.heartbeat(heartbeatOf({ bornAt: 200, sequence: 1 }), 30)).toBe('applied');
     expect(registry.current).toMatchObject({ state: 'ready', bornAt: 200, sequence: 1 });
     expect(changes.at(-1)).toEqual(registry.current);
@@ -118,7 +118,7 @@
     registry.heartbeat(heartbeatOf({ bornAt: 200, sequence: 1 }), 20);
     const late = heartbeatOf({ bornAt: 100, sequence: 9, state: 'draining', slots: 1 });
     expect(registry.heartbeat(late, 30)).toBe('old');
-    registry.deregister({ instance: 'i-1', bornAt: 100 });
+    registry.endIncarnation({ instance: 'i-1', bornAt: 100 });
     expect(registry.current).toMatchObject({ state: 'ready', bornAt: 200, slots: 4 });
   });
 
@@ -148,7 +148,7 @@
   it('applies a deregistration without a start time to the known incarnation', () => {
     const { registry } = registryWith();
     registry.heartbeat(heartbeatOf({ bornAt: 100, sequence: 8 }), 10);
-    registry.deregister({ instance: 'i-1', bornAt: undefined });
+    registry.endIncarnation({ instance: 'i-1', bornAt: undefined });
     expect(registry.heartbeat(heartbeatOf({ bornAt: 100, sequence: 9 }), 20)).toBe('old');
     expect(registry.current?.state).toBe('draining');
     registry.heartbeat(heartbeatOf({ bornAt: 101, sequence: 1 }), 30);
@@ -170,7 +170,7 @@
           if (kind === 'verified') {
             registry.confirmReady({ instance, slots: 2 }, FALLBACK);
           } else if (kind === 'deregister') {
-            registry.deregister({ instance, bornAt });
+            registry.endIncarnation({ instance, bornAt });
             ended.add(incarnationName({ instance, bornAt }));
           } else {
             const state = kind === 'draining' ? 'draining' : 'ready';
@@ -210,7 +210,7 @@
         for (const { kind, instance, sequence } of events) {
           const wasCurrent = registry.current?.instance === instance;
           if (kind === 'deregister') {
-            registry.deregister({ instance, bornAt: undefined });
+            registry.endIncarnation({ instance, bornAt: undefined });
             ended.add(instance);
           } else if (kind === 'verified') {
             registry.confirmReady({ instance, slots: 2 }, FALLBACK);
--- a/src/registry/back-end-registry.ts
+++ b/src/registry/back-end-registry.ts
@@ -53,7 +53,7 @@
 export type HeartbeatResult = 'applied' | 'old' | 'unverified';
 
 /**
- * Called when the current back end is replaced, deregisters, or changes its state, slots, address
+ * Called when the current back end is replaced, ends, or changes its state, slots, address
  * or service. `isNewIncarnation` is true if it is a different incarnation than before.
  */
 export type BackEndListener = (backEnd: BackEnd, isNewIncarnation: boolean) => void;
@@ -98,8 +98,8 @@
     return 'unverified';
   }
 
-  /** An incarnation has deregistered: it accepts no more work. */
-  deregister(incarnation: BackEndIncarnation): void {
+  /** An incarnation has deregistered, or has said that it is leaving: it accepts no more work. */
+  endIncarnation(incarnation: BackEndIncarnation): void {
     const leaving = {
       ...incarnation,
       bornAt: incarnation.bornAt ?? this.knownStart(incarnation.instance),
