Health answers tell of limits and of leaving too

The same cause looked for elsewhere: a node that has restarted knows no limit and not that its back end is leaving until the first request has been answered; its health check comes before that, and of the answer only the instance and the slots were read.

--- a/src/owner/back-end-presence.test.ts
+++ b/src/owner/back-end-presence.test.ts
@@ -53,6 +53,7 @@
       {
         onNewIncarnation: () => {},
         onReady: () => resolve(),
+        onHealthNotice: () => {},
         onUnavailable: () => {
           unavailableCount += 1;
         },
--- a/src/owner/back-end-presence.ts
+++ b/src/owner/back-end-presence.ts
@@ -4,15 +4,11 @@
  * while its state is unknown.
  */
 import type { Clock } from '../model/clock.js';
-import {
-  type BackEnd,
-  BackEndRegistry,
-  type HealthReport,
-  type Heartbeat,
-} from '../registry/back-end-registry.js';
+import { type BackEnd, BackEndRegistry, type Heartbeat } from '../registry/back-end-registry.js';
 import { type BackEndIncarnation, isSameIncarnation } from '../registry/backEndIncarnation.js';
+import type { BackEndNotice } from './backEndNotice.js';
 import type { HeaderNames } from './header-names.js';
-import { checkHealth } from './healthCheck.js';
+import { checkHealth, type HealthAnswer } from './healthCheck.js';
 import type { NotRunReason } from './owner.js';
 
 /** Interval of health checks while the back end's state is unknown, in milliseconds. */
@@ -50,6 +46,8 @@
   onReady(backEnd: BackEnd): void;
   /** Waiting tasks must not be sent any more. */
   onUnavailable(): void;
+  /** A health answer says something of the present incarnation. Called after it is confirmed. */
+  onHealthNotice(notice: BackEndNotice, incarnation: BackEndIncarnation): void;
   /** The state of the back end has changed in any way that other nodes may need. */
   onChange(backEnd: BackEnd | undefined, cause: string): void;
 }
@@ -208,11 +206,18 @@
       });
   }
 
-  private onHealth(report: HealthReport, service: string, address: string): void {
-    if (report.instance === this.backEnd?.instance) {
+  private onHealth(answer: HealthAnswer, service: string, address: string): void {
+    if (answer.instance === this.backEnd?.instance) {
       this.setReachable(true);
-      return;
+    } else {
+      this.confirm(answer, service, address);
+    }
+    if (this.backEnd?.instance === answer.instance) {
+      this.listener.onHealthNotice(answer.notice, this.backEnd);
     }
+  }
+
+  private confirm(report: HealthAnswer, service: string, address: string): void {
     const isPendingHeartbeat = report.instance === this.registry.pendingHeartbeat?.instance;
     if (this.backEnd && !isPendingHeartbeat) {
       // The address may now belong to another service, which only a heartbeat can confirm.
--- a/src/owner/healthCheck.ts
+++ b/src/owner/healthCheck.ts
@@ -1,20 +1,25 @@
-/** Checks a back end's health: returns its instance and its number of slots. */
+/** Checks a back end's health: returns its instance, its number of slots and what it says of itself. */
 
 import http from 'node:http';
 import { endpointOf } from '../model/endpoint.js';
 import type { HealthReport } from '../registry/back-end-registry.js';
+import { type BackEndNotice, readBackEndNotice } from './backEndNotice.js';
 import type { HeaderNames } from './header-names.js';
-import { readLoadReport } from './loadReport.js';
 
 /** A back end that does not answer within this time, in milliseconds, counts as not ready. */
 const TIMEOUT_MS = 600;
 
+/** The answer of a back end that is ready. */
+export interface HealthAnswer extends HealthReport {
+  readonly notice: BackEndNotice;
+}
+
 /** Resolves with undefined unless the back end reports that it is ready. Never rejects. */
 export function checkHealth(
   address: string,
   path: string,
   names: HeaderNames,
-): Promise<HealthReport | undefined> {
+): Promise<HealthAnswer | undefined> {
   return new Promise((resolve) => {
     const request = http.get({
       ...endpointOf(address),
@@ -31,9 +36,10 @@
       response.on('error', () => {});
       response.resume();
       const instance = response.headers[names.instance.toLowerCase()];
-      const load = response.headers[names.load.toLowerCase()];
-      const isReady = response.statusCode === 200 && typeof instance === 'string';
-      resolve(isReady ? { instance, slots: readLoadReport(load)?.slots } : undefined);
+      const notice = readBackEndNotice(response.headers, names);
+      const isLeaving = notice.isLeaving.orDefault(false);
+      const isReady = response.statusCode === 200 && typeof instance === 'string' && !isLeaving;
+      resolve(isReady ? { instance, slots: notice.load?.slots, notice } : undefined);
     });
   });
 }
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -22,6 +22,7 @@
   type NoticeChange,
   NoticeField,
   type NoticeHandler,
+  NoticeSource,
 } from './noticeHandler.js';
 import {
   crashKeyOf,
@@ -63,6 +64,8 @@
     this.presence = new BackEndPresence(options, {
       onNewIncarnation: (incarnation) => this.onNewIncarnation(incarnation),
       onReady: ({ slots }) => this.admission.setSlots(slots, options.clock.now()),
+      onHealthNotice: (notice, incarnation) =>
+        this.notices.handle(notice, incarnation, NoticeSource.Health),
       onUnavailable: () => this.admission.rejectAllWaiting(),
       onChange: (backEnd, cause) => options.onBackEnd(backEnd, cause),
     });
