The soak knows limits and back ends that say that they are leaving

Checked are all requests that arrive, by the users' rules and without their excuses for restarts, freezes and cuts of machines.

--- a/lab/sidecarSoak.ts
+++ b/lab/sidecarSoak.ts
@@ -32,7 +32,8 @@
   openSpan,
 } from './soakCrashing.js';
 import { createFaultInjector, FAULTS, type Fault, type FaultInjector } from './soakFaults.js';
-import { QUOTA, REVOKE_MS, ROLLOUT, SLOTS, startSoakMesh } from './soakMesh.js';
+import { DRAIN_MS, QUOTA, REVOKE_MS, ROLLOUT, SLOTS, startSoakMesh } from './soakMesh.js';
+import { createSoakNotices, type SoakNotices } from './soakNotices.js';
 import { createSoakRollouts, type SoakRollouts } from './soakRollouts.js';
 import { checkRollouts, type RolloutHistory } from './soakRolloutsCheck.js';
 import { createTenantClients, type TenantClients, tenantRunsOf } from './soakTenants.js';
@@ -70,6 +71,8 @@
   /** Back ends that a request has crashed. */
   readonly crashes: number;
   readonly statuses: Readonly<Record<string, number>>;
+  /** Limits that back ends have named, and back ends that have said that they leave. */
+  readonly notices: SoakNotices['counts'];
   /** What became of each order. */
   readonly rollouts: readonly RolloutHistory[];
   readonly breaches: readonly SoakBreach[];
@@ -113,6 +116,7 @@
   private readonly crashing: CrashingClients;
   private readonly tenants: TenantClients;
   private readonly rollouts: SoakRollouts;
+  private readonly notices: SoakNotices;
   /** When faults were under way. */
   private readonly spans: Span[] = [];
 
@@ -131,6 +135,11 @@
       platform.store,
       seededRandom(plan.seed + 4),
     );
+    this.notices = createSoakNotices(
+      sidecars.map(({ application }) => application),
+      { contactMs: CONTACT_MS, drainMs: DRAIN_MS },
+      seededRandom(plan.seed + 5),
+    );
     this.injector = createFaultInjector({
       sidecars,
       platform,
@@ -147,13 +156,15 @@
     const clients = [this.clients.run(), this.tenants.run()];
     const crashing = this.crashing.run();
     const rollouts = this.rollouts.run();
+    const notices = this.notices.run();
     const until = performance.now() + plan.seconds * MILLISECONDS_PER_SECOND;
     while (performance.now() < until) {
       await this.strikeSeries();
       await configurations.checkChange(sidecars);
     }
     this.rollouts.stop();
-    await rollouts;
+    this.notices.stop();
+    await Promise.all([rollouts, notices]);
     // Back ends that a request has ended, as it is granted to, are back when the recovery is looked at.
     await pause(SETTLE_MS - LONGEST_DOWN_MS);
     this.crashing.stop();
@@ -228,12 +239,14 @@
       crashes: sidecars.reduce((sum, each) => sum + each.application.crashes.length, 0),
       statuses,
       rollouts: this.rollouts.histories,
+      notices: this.notices.counts,
       breaches: [
         ...checkSoak(requests, runs, MAX_ATTEMPTS),
         ...configurations.late,
         ...checkFleet(fleet),
         ...checkTenants(sent, tenantRuns, SECRET, MAIN_TENANT),
         ...checkRevoked(sent, tenantRuns, configurations.writtenAt, REVOKE_MS),
+        ...this.notices.breaches(),
         ...checkRollouts(this.rollouts.histories, ROLLOUT),
         ...checkQuota(sent, tenantRuns, { tenant: HOT_TENANT, bounds: QUOTA }),
         ...checkCrashing(this.crashing.runs(), this.spans, CONTACT_MS),
--- a/lab/sidecarSoakCheck.ts
+++ b/lab/sidecarSoakCheck.ts
@@ -36,6 +36,10 @@
   Exposure = 'exposure',
   /** Requests were lost as the other versions ended, though the roll-out was completed. */
   Cut = 'cut',
+  /** A back end got more requests than the limit that it had named allows. */
+  Limit = 'limit',
+  /** A back end got a request too long after it had said that it is leaving. */
+  Leaving = 'leaving',
 }
 
 /** One request as its caller saw it. */
--- a/lab/soakMesh.ts
+++ b/lab/soakMesh.ts
@@ -20,6 +20,9 @@
 
 const HEARTBEAT_MS = 500;
 
+/** Milliseconds in which requests may still reach a back end that is leaving. */
+export const DRAIN_MS = 2_000;
+
 /** The bounds of quotas and of roll-outs, as a deployment may set them. */
 export const QUOTA = { windowMs: 5_000, overage: 0.1, slack: 5 };
 export const ROLLOUT = { exposureShare: 0.1, exposureSlack: 50, rollbackMs: 5_000 };
@@ -47,6 +50,7 @@
     nodeFlags: [],
     settings: {
       linkMbps: LINK_MBPS,
+      drainMs: DRAIN_MS,
       configurationApplyMs: APPLY_MS,
       quota: QUOTA,
       rollout: ROLLOUT,
