--- a/lab/main.ts
+++ b/lab/main.ts
@@ -8,6 +8,7 @@
 import { checkDecisionLog } from './decisionLogCheck.js';
 import type { ExperimentResult, Row } from './experiment.js';
 import { labLog } from './labLog.js';
+import { limitTrial } from './limitTrial.js';
 import { readLogFile } from './logFile.js';
 import { lossGroups, lossPlot } from './losses.js';
 import { rolloutExperiment } from './rolloutExperiment.js';
@@ -144,6 +145,22 @@
       }
     },
   )
+  .command(
+    'limits',
+    'Ways to keep a back end within the limit that it names, in virtual time',
+    (options) => options.option('seed', { type: 'number', default: 1 }),
+    ({ seed, json }) => {
+      const rows = limitTrial(seed);
+      if (json) {
+        printJson(rows);
+      } else {
+        printTable(
+          ['way', 'limit', 'fullest 4 s', 'allowed', 'used'],
+          rows.map((row) => Object.values(row)),
+        );
+      }
+    },
+  )
   .command(
     'sidecar-soak',
     'Real sidecar processes under a seeded schedule of faults, the history checked at the end',
--- a/lab/soakNotices.ts
+++ b/lab/soakNotices.ts
@@ -19,7 +19,7 @@
 const FALL_SHARE = 0.4;
 
 /** Part of the notices that say that a back end is leaving. */
-const LEAVING_SHARE = 0.2;
+const LEAVING_SHARE = 0.4;
 
 /** Pause between two notices, in milliseconds. */
 const LONGEST_PAUSE_MS = 1_500;
@@ -89,7 +89,10 @@
     run: async () => {
       while (!isOver) {
         const application = pickOne(applications, random);
-        await (random() < LEAVING_SHARE ? leave(application) : limitOne(application));
+        const isLeaving = random() < LEAVING_SHARE;
+        if (application.isListening) {
+          await (isLeaving ? leave(application) : limitOne(application));
+        }
         await delay(random() * LONGEST_PAUSE_MS);
       }
     },
