An unreadable limit in the first answer holds nothing back; long bodies are sent

Found by reading the change again: a new incarnation runs three requests until it has answered one, and an answer whose limit can't be read did not count as one, so such a back end would have been kept at three at once for good. It does now (test: 'does not hold back a back end whose first answer cannot be read').

A task that was admitted before a limit was named is rejected if the limit allows none when its body has come.

No tasks waiting: no work at the end of each task.

--- a/src/diagnostics/unreadableLog.ts
+++ b/src/diagnostics/unreadableLog.ts
@@ -1,7 +1,7 @@
 /**
- * Logs heartbeats, stored objects, announcements and header fields that cannot be used: they cannot be decoded, or
- * a heartbeat names an unknown service. They can arrive at any rate, so the log has at most one
- * line per kind and interval.
+ * Logs heartbeats, stored objects, announcements and header fields that cannot be used: they cannot
+ * be decoded, or a heartbeat names an unknown service. They can arrive at any rate, so the log has
+ * at most one line per kind and interval.
  */
 import type { Clock } from '../model/clock.js';
 import type { DecisionLog } from './decision-log.js';
--- a/src/directory/owner-entry.ts
+++ b/src/directory/owner-entry.ts
@@ -1,4 +1,5 @@
 /** This node's state of one owner: the owner's reports, and the outcomes of this node's tasks. */
+import type { FullReason } from '../owner/admissionRequest.js';
 import type { NotRunReason, Owner } from '../owner/owner.js';
 import type { PeerReport } from '../peer/peerMessages.js';
 
@@ -33,7 +34,10 @@
 /** Longest backoff in milliseconds after an owner has rejected a task as busy. */
 const MAX_BACKOFF_MS = 60;
 
-/** Longest time, in milliseconds, for which a limit keeps requests from an owner without a new report. */
+/**
+ * Longest time, in milliseconds, for which the limit of a back end keeps requests from its owner
+ * without a new report.
+ */
 const MAX_LIMIT_BACKOFF_MS = 500;
 
 /** An owner whose back end fails this share of its tasks is chosen after the others. */
@@ -60,7 +64,7 @@
   private outstandingAtReport = 0;
   private backoffUntil = 0;
   private backoffPriority = 0;
-  private backoffReason: 'busy' | 'limited' = 'busy';
+  private backoffReason: FullReason = 'busy';
 
   constructor(
     readonly record: OwnerRecord,
@@ -126,7 +130,7 @@
 
   /**
    * Milliseconds between two requests at the back end's limit; 0 without a limit. At most a service
-   * time of it counts in the choice: the owner then ranks like one of which only the last slot is free.
+   * time of it counts in the choice: the owner then ranks like one whose last slot alone is free.
    */
   private get limitIntervalMs(): number {
     const limitPerS = this.report?.limitPerS;
--- a/src/ingress/dispatchRefusals.ts
+++ b/src/ingress/dispatchRefusals.ts
@@ -37,7 +37,10 @@
 export interface DispatchRefusals {
   /** The refusal if no owner is left to ask. 503 unless a back end may have run the request. */
   noOwner(progress: RequestProgress): ClientRefusal;
-  /** The refusal if the owners had no room, because of slots or limits. Its retry time comes from the {@link RetryAfterPacer}. */
+  /**
+   * The refusal if the owners had no room, because of slots or limits. Its retry time comes from
+   * the {@link RetryAfterPacer}.
+   */
   ownersFull(progress: RequestProgress): ClientRefusal;
   /** The refusal for any other reason. */
   giveUp(code: ClientRefusal['code'], progress: RequestProgress): ClientRefusal;
--- a/src/owner/backEndLimit.test.ts
+++ b/src/owner/backEndLimit.test.ts
@@ -98,9 +98,11 @@
   it('lets a new incarnation run few requests until it has answered', () => {
     const limit = createBackEndLimit();
     expect(limit.maxRunning).toBe(3);
-    limit.note(undefined, 0);
+    limit.noteAnswered();
     expect(limit.maxRunning).toBe(Number.POSITIVE_INFINITY);
+    limit.reset();
     limit.note(1, 0);
+    expect(limit.maxRunning).toBe(Number.POSITIVE_INFINITY);
     limit.reset();
     expect(limit).toMatchObject({ maxRunning: 3, perSecond: undefined });
     expect(limit.waitMs(5, 0)).toBe(0);
--- a/src/owner/backEndLimit.ts
+++ b/src/owner/backEndLimit.ts
@@ -28,6 +28,8 @@
   readonly perSecond: number | undefined;
   /** Number of requests that may run at once, whatever the number of slots. */
   readonly maxRunning: number;
+  /** Records that the back end has answered a request. */
+  noteAnswered(): void;
   /** Records the limit that the newest answer names. True if it has changed. */
   note(perSecond: number | undefined, now: number): boolean;
   /** Milliseconds until a request may be sent that has `ahead` requests before it. */
@@ -49,6 +51,7 @@
 export const NO_LIMIT: BackEndLimit = {
   perSecond: undefined,
   maxRunning: Number.POSITIVE_INFINITY,
+  noteAnswered: () => {},
   note: () => false,
   waitMs: () => 0,
   take: () => {},
@@ -69,10 +72,13 @@
       return limit;
     },
     get maxRunning() {
-      return hasAnswered ? Number.POSITIVE_INFINITY : MAX_RUNNING_BEFORE_ANSWER;
+      const isKnown = hasAnswered || limit !== undefined;
+      return isKnown ? Number.POSITIVE_INFINITY : MAX_RUNNING_BEFORE_ANSWER;
     },
-    note: (perSecond, now) => {
+    noteAnswered: () => {
       hasAnswered = true;
+    },
+    note: (perSecond, now) => {
       if (perSecond === limit) {
         return false;
       }
--- a/src/owner/limitedStarts.ts
+++ b/src/owner/limitedStarts.ts
@@ -28,6 +28,9 @@
   const update = (): void => {
     cancelTimer?.();
     cancelTimer = undefined;
+    if (admission.queued === 0) {
+      return;
+    }
     admission.startWaiting(clock.now());
     admission.rejectLimited(clock.now());
     const waitMs = limit.waitMs(0, clock.now());
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -16,14 +16,9 @@
 import { createCallRouteDetector } from './callRouteDetector.js';
 import { createLimitedStarts, type LimitedStarts } from './limitedStarts.js';
 import type { LocalOwnerOptions } from './localOwnerOptions.js';
+import type { MessageBody } from './message-body.js';
 import { createMonitoredCalls, type MonitoredCalls } from './monitoredCalls.js';
-import {
-  createNoticeHandler,
-  type NoticeChange,
-  NoticeField,
-  type NoticeHandler,
-  NoticeSource,
-} from './noticeHandler.js';
+import { createNoticeHandler, type NoticeHandler, NoticeSource } from './noticeHandler.js';
 import {
   crashKeyOf,
   createRejection,
@@ -75,7 +70,10 @@
       currentIncarnation: () => this.presence.backEnd,
       onLoad: (load) => this.observations.noteLoad(load),
       onLeaving: (incarnation) => this.presence.noteLeaving(incarnation),
-      onNoticeChange: (change) => this.onNoticeChange(change),
+      onNoticeChange: (change) => {
+        options.onNoticeChange(change);
+        this.limitedStarts.update();
+      },
     });
     this.sender = createBackEndSender({
       ...options,
@@ -96,13 +94,6 @@
     this.calls.noteIncarnation(incarnation);
   }
 
-  private onNoticeChange(change: NoticeChange): void {
-    this.options.onNoticeChange(change);
-    if (change.field === NoticeField.Limit) {
-      this.limitedStarts.update();
-    }
-  }
-
   /** Starts the health checks that find the back end. */
   start(): void {
     this.presence.start();
@@ -240,7 +231,8 @@
     try {
       task.onProgress('admitted');
       const body = await task.loadBody();
-      const reason = this.rejectionReasonAfterAdmission(task, request, admittedAt);
+      const reason =
+        this.rejectionReasonAfterAdmission(task, request) ?? this.limitReason(body, admittedAt);
       if (reason) {
         outcome = createRejection(reason);
         return outcome;
@@ -270,7 +262,6 @@
   private rejectionReasonAfterAdmission(
     task: OwnerTask,
     { isExclusive }: AdmissionRequest,
-    admittedAt: number,
   ): NotRunReason | undefined {
     if (task.cancellation.cancelled) {
       return 'cancelled';
@@ -278,9 +269,13 @@
     if (this.quarantineStatusOf(task) === QuarantineStatus.Suspect && !isExclusive) {
       return 'suspect';
     }
-    const reason = this.presence.sendRejectionReason() ?? this.taskRejectionReason(task);
-    const isLimited = !reason && !this.limit.confirm(admittedAt, this.options.clock.now());
-    return isLimited ? 'limited' : reason;
+    return this.presence.sendRejectionReason() ?? this.taskRejectionReason(task);
+  }
+
+  /** A long body can be sent only once, so its task is not rejected any more. */
+  private limitReason({ kind }: MessageBody, admittedAt: number): NotRunReason | undefined {
+    const isConfirmed = this.limit.confirm(admittedAt, this.options.clock.now());
+    return isConfirmed || kind === 'stream' ? undefined : 'limited';
   }
 
   private taskRejectionReason(task: OwnerTask): NotRunReason | undefined {
--- a/src/owner/noticeHandler.test.ts
+++ b/src/owner/noticeHandler.test.ts
@@ -75,6 +75,13 @@
     expect(events).toEqual(['limit 5', 'limit: found "x"']);
   });
 
+  it('does not hold back a back end whose first answer cannot be read', () => {
+    const { limit, say } = setUp();
+    expect(limit.maxRunning).toBeLessThan(Number.POSITIVE_INFINITY);
+    say({ limitPerS: unreadable('found "x"') });
+    expect(limit.maxRunning).toBe(Number.POSITIVE_INFINITY);
+  });
+
   it('reports that the back end is leaving once', () => {
     const { events, say } = setUp();
     say({ isLeaving: Right(true) });
--- a/src/owner/noticeHandler.ts
+++ b/src/owner/noticeHandler.ts
@@ -95,6 +95,9 @@
       if (!current || !isSameIncarnation(incarnation, current)) {
         return;
       }
+      if (source === NoticeSource.Answer) {
+        limit.noteAnswered();
+      }
       if (notice.load) {
         onLoad(notice.load);
       }
