--- a/lab/noticeCheck.test.ts
+++ b/lab/noticeCheck.test.ts
@@ -43,7 +43,7 @@
   expect(limitExcesses({ history: [notice(0, 1)], arrivals: next }, CONTACT_MS)).toEqual([]);
 });
 
-it('finds requests that arrive too long after a back end has said that it leaves', () => {
+it('finds requests that arrive too long after a back end has reported that it is leaving', () => {
   const history = [notice(1_000, undefined, true)];
   const late = arrivalsAfterLeaving({ history, arrivals: arrivals(0, 3_000, 1) }, 500);
   expect(late.map(({ at }) => at)).toEqual([2_000]);
--- a/lab/noticeCheck.ts
+++ b/lab/noticeCheck.ts
@@ -1,4 +1,7 @@
-/** Checks what back ends received against the limits that they named, and after they said that they leave. */
+/**
+ * Checks what back ends received: against the limits that they named, and after they reported that
+ * they are leaving.
+ */
 import type { Arrival, StatedNotice } from './statedNotices.js';
 
 /** Length of the windows in which requests are counted, in milliseconds. */
@@ -50,14 +53,14 @@
   });
 }
 
-/** Requests that arrived from `afterMs` on after their back end had said that it leaves. */
+/** Requests that arrived from `afterMs` on after their back end had reported that it is leaving. */
 export function arrivalsAfterLeaving(
   { history, arrivals }: StatedHistory,
   afterMs: number,
 ): Arrival[] {
   return arrivals.filter(({ at, bornAt }) => {
-    const said = history.find((notice) => notice.bornAt === bornAt && notice.isLeaving);
-    return said !== undefined && at > said.at + afterMs;
+    const departure = history.find((notice) => notice.bornAt === bornAt && notice.isLeaving);
+    return departure !== undefined && at > departure.at + afterMs;
   });
 }
 
--- a/lab/sidecarSoakCheck.ts
+++ b/lab/sidecarSoakCheck.ts
@@ -38,7 +38,7 @@
   Cut = 'cut',
   /** A back end got more requests than the limit that it had named allows. */
   Limit = 'limit',
-  /** A back end got a request too long after it had said that it is leaving. */
+  /** A back end got a request too long after it had reported that it is leaving. */
   Leaving = 'leaving',
 }
 
--- a/lab/soakNotices.ts
+++ b/lab/soakNotices.ts
@@ -1,6 +1,6 @@
 /**
- * What back ends of a soak say of themselves: one after the other names a limit, which may fall, and
- * lifts it; now and then one says that it is leaving, and starts again some seconds later.
+ * What back ends of a soak report about themselves: one after the other names a limit, which may fall, and
+ * lifts it; now and then one reports that it is leaving, and starts again some seconds later.
  */
 import { setTimeout as delay } from 'node:timers/promises';
 import type { ApplicationStandIn } from './application-stand-in.js';
@@ -18,7 +18,7 @@
 /** Part of the limits that fall before they are lifted. */
 const FALL_SHARE = 0.4;
 
-/** Part of the notices that say that a back end is leaving. */
+/** Part of the notices that report that a back end is leaving. */
 const LEAVING_SHARE = 0.4;
 
 /** Pause between two notices, in milliseconds. */
@@ -31,7 +31,7 @@
 export interface NoticeTimes {
   /** After a limit was first named. */
   readonly contactMs: number;
-  /** After a back end has said that it is leaving. */
+  /** After a back end has reported that it is leaving. */
   readonly drainMs: number;
 }
 
@@ -108,7 +108,7 @@
         })),
         ...arrivalsAfterLeaving(notices, drainMs).map(({ requestId }) => ({
           rule: SoakRule.Leaving,
-          detail: `${instance}: ${requestId} after it had said that it leaves`,
+          detail: `${instance}: ${requestId} after it had reported that it is leaving`,
         })),
       ]),
   };
--- a/lab/statedNotices.ts
+++ b/lab/statedNotices.ts
@@ -1,5 +1,5 @@
 /**
- * What a back end of the lab says of itself in its answers, a rate limit and that it is leaving,
+ * What a back end of the lab reports about itself in its answers, a rate limit and that it is leaving,
  * and what it received meanwhile.
  */
 import type http from 'node:http';
@@ -28,9 +28,9 @@
   readonly isLeaving: boolean;
   /** Names a limit in all answers from now on; undefined for none. */
   nameLimit(limit: number | string | undefined): void;
-  /** Says in all answers from now on that it is leaving. */
+  /** Reports in all answers from now on that it is leaving. */
   leave(): void;
-  /** Another incarnation begins, which says nothing. */
+  /** Another incarnation begins, which reports nothing. */
   clear(): void;
   /** Puts what holds now into an answer that is about to be sent. */
   stateIn(response: http.ServerResponse): void;
--- a/src/diagnostics/sidecar-metrics.ts
+++ b/src/diagnostics/sidecar-metrics.ts
@@ -86,7 +86,7 @@
   });
   private readonly noticeChanges = new Counter({
     name: 'spindlepaddle_back_end_notices_total',
-    help: 'Changes of what the local back end says of itself in its answers: limit, leaving',
+    help: 'Changes of what the local back end reports about itself in its answers: limit, leaving',
     labelNames: ['field'],
     registers: [this.registry],
   });
--- a/src/diagnostics/unreadableLog.ts
+++ b/src/diagnostics/unreadableLog.ts
@@ -24,7 +24,7 @@
   CrashRecord = 'crash-record',
   /** The header field in which a back end names its rate limit. */
   Limit = 'limit',
-  /** The header field in which a back end says that it is leaving. */
+  /** The header field in which a back end reports that it is leaving. */
   Leaving = 'leaving',
 }
 
--- a/src/owner/admission-control.ts
+++ b/src/owner/admission-control.ts
@@ -1,8 +1,8 @@
 /**
  * Decides which tasks an owner runs, queues or rejects. The back end never runs more tasks than it
- * has slots, and never gets more per second than its limit allows. A task waits only while it can still be answered within its target latency. The queue
- * is in order of rank (see `rankOf`). Within a rank, tenants that have used more than their share
- * come last.
+ * has slots, and never gets more per second than its limit allows. A task waits only while it can
+ * still be answered within its target latency. The queue is in order of rank (see `rankOf`). Within
+ * a rank, tenants that have used more than their share come last.
  */
 
 import type {
--- a/src/owner/back-end-call.test.ts
+++ b/src/owner/back-end-call.test.ts
@@ -115,7 +115,7 @@
     expect((await call(address)).outcome).toEqual({ kind: 'unknown', reason: 'spoilt-answer' });
   });
 
-  it('reads what the back end says of itself before the body of its answer has arrived', async () => {
+  it('reads what the back end reports about itself before the body of its answer has arrived', async () => {
     const address = await backEnd((socket) => {
       socket.write(
         `HTTP/1.1 200 OK\r\n${SIGNED}Spindlepaddle-Limit: 2.5\r\nContent-Length: 4\r\n\r\npa`,
@@ -129,7 +129,7 @@
     expect((await running).outcome.kind).toBe('answer');
   });
 
-  it('reads what a rejection says of the back end', async () => {
+  it('reads what a rejection reports about the back end', async () => {
     const address = await backEnd((socket) => {
       socket.end(
         `HTTP/1.1 503 Busy\r\n${SIGNED}Spindlepaddle-Not-Run: 1\r\nSpindlepaddle-Leaving: 1\r\nContent-Length: 0\r\n\r\n`,
--- a/src/owner/back-end-presence.test.ts
+++ b/src/owner/back-end-presence.test.ts
@@ -76,7 +76,7 @@
   const laterReports: [string, () => void][] = [
     ['deregisters', () => presence.deregister({ instance: application.instance, bornAt: 1 })],
     [
-      'says in an answer that it is leaving',
+      'reports in an answer that it is leaving',
       () => presence.noteLeaving({ instance: application.instance, bornAt: 1 }),
     ],
     [
--- a/src/owner/back-end-presence.ts
+++ b/src/owner/back-end-presence.ts
@@ -46,7 +46,7 @@
   onReady(backEnd: BackEnd): void;
   /** Waiting tasks must not be sent any more. */
   onUnavailable(): void;
-  /** A health answer says something of the present incarnation. Called after it is confirmed. */
+  /** A health answer reports something about the present incarnation. Called after it is confirmed. */
   onHealthNotice(notice: BackEndNotice, incarnation: BackEndIncarnation): void;
   /** The state of the back end has changed in any way that other nodes may need. */
   onChange(backEnd: BackEnd | undefined, cause: string): void;
@@ -125,7 +125,7 @@
     this.registry.endIncarnation(incarnation);
   }
 
-  /** Records that this incarnation has said in an answer that it is leaving. */
+  /** Records that this incarnation has reported in an answer that it is leaving. */
   noteLeaving(incarnation: BackEndIncarnation): void {
     if (this.isCurrent(incarnation) && !this.isDraining) {
       this.registry.endIncarnation(incarnation);
--- a/src/owner/backEndLimit.test.ts
+++ b/src/owner/backEndLimit.test.ts
@@ -65,7 +65,7 @@
     expect(limit.waitMs(100, 20_000)).toBe(0);
   });
 
-  it('tells how long a request waits behind others', () => {
+  it('returns how long a request waits behind others', () => {
     const limit = createBackEndLimit();
     limit.note(10, 0);
     expect(limit.waitMs(0, 0)).toBeCloseTo(100);
--- a/src/owner/backEndNotice.ts
+++ b/src/owner/backEndNotice.ts
@@ -1,5 +1,5 @@
 /**
- * Reads what a back end says of itself in the head of an answer: its load, its rate limit, and
+ * Reads what a back end reports about itself in the head of an answer: its load, its rate limit, and
  * whether it is leaving. A field that cannot be read is a finding and has no effect.
  */
 import type { IncomingHttpHeaders } from 'node:http';
@@ -8,7 +8,7 @@
 import type { HeaderNames } from './header-names.js';
 import { type LoadReport, readLoadReport } from './loadReport.js';
 
-/** What a back end says of itself in one answer. */
+/** What a back end reports about itself in one answer. */
 export interface BackEndNotice {
   /** Undefined if the answer has no valid load report. */
   readonly load: LoadReport | undefined;
--- a/src/owner/backEndSender.ts
+++ b/src/owner/backEndSender.ts
@@ -29,7 +29,7 @@
   readonly observations: BackEndObservations;
   /** The back end that is present now. */
   readonly currentBackEnd: () => BackEnd | undefined;
-  /** The back end has said something of itself in an answer. */
+  /** The back end has reported something about itself in an answer. */
   readonly onNotice: NoticeHandler['handle'];
   /** The address of the incarnation refuses connections or does not accept one in time. */
   readonly onUnreachable: (incarnation: BackEndIncarnation) => void;
--- a/src/owner/healthCheck.test.ts
+++ b/src/owner/healthCheck.test.ts
@@ -23,7 +23,7 @@
   expect(answer?.notice.limitPerS.extract()).toBe(2.5);
 });
 
-it('does not accept a back end as ready that says that it is leaving', async () => {
+it('does not accept a back end as ready that reports that it is leaving', async () => {
   const server = http.createServer((_request, response) => {
     response.writeHead(200, { [NAMES.instance]: 'i-1', [NAMES.leaving]: '1' });
     response.end();
--- a/src/owner/healthCheck.ts
+++ b/src/owner/healthCheck.ts
@@ -1,4 +1,4 @@
-/** Checks a back end's health: returns its instance, its slots and what it says of itself. */
+/** Checks a back end's health: returns its instance, its slots and what it reports about itself. */
 
 import http from 'node:http';
 import { endpointOf } from '../model/endpoint.js';
--- a/src/owner/limitedAdmission.test.ts
+++ b/src/owner/limitedAdmission.test.ts
@@ -117,7 +117,7 @@
     expect(events).toEqual(['first 0']);
   });
 
-  it('says that the slots are the reason if they are', () => {
+  it('names the slots as the reason if they are', () => {
     const { admission, advance, clock } = setUp(1_000);
     advance(1_000);
     for (let index = 0; index < SLOTS; index += 1) {
--- a/src/owner/noticeHandler.test.ts
+++ b/src/owner/noticeHandler.test.ts
@@ -24,7 +24,7 @@
     onNoticeChange: ({ field, limitPerS }) => events.push(`${field} ${limitPerS}`),
     onUnreadableNotice: (_incarnation, field, { message }) => events.push(`${field}: ${message}`),
   });
-  const say = (
+  const receive = (
     notice: Partial<BackEndNotice>,
     source = NoticeSource.Answer,
     incarnation: BackEndIncarnation = FIRST,
@@ -39,18 +39,18 @@
     limit.reset();
     handler.reset();
   };
-  return { events, limit, say, restart };
+  return { events, limit, receive, restart };
 }
 
 describe('createNoticeHandler', () => {
   it('applies the limit of the newest answer until an answer names none', () => {
-    const { events, limit, say } = setUp();
-    say({ limitPerS: Right(5) });
-    say({ limitPerS: Right(5) });
+    const { events, limit, receive } = setUp();
+    receive({ limitPerS: Right(5) });
+    receive({ limitPerS: Right(5) });
     expect(limit.perSecond).toBe(5);
-    say({ limitPerS: Right(2) });
+    receive({ limitPerS: Right(2) });
     expect(limit.perSecond).toBe(2);
-    say({});
+    receive({});
     expect(limit.perSecond).toBeUndefined();
     expect(events).toEqual(['limit 5', 'limit 2', 'limit undefined']);
   });
@@ -58,45 +58,49 @@
   it.each([NoticeSource.Rejection, NoticeSource.Health])(
     'applies a limit named in a %s, which cannot lift one',
     (source) => {
-      const { limit, say } = setUp();
-      say({ limitPerS: Right(5) }, source);
+      const { limit, receive } = setUp();
+      receive({ limitPerS: Right(5) }, source);
       expect(limit.perSecond).toBe(5);
-      say({}, source);
+      receive({}, source);
       expect(limit.perSecond).toBe(5);
     },
   );
 
   it('reports a value that cannot be read once, without effect', () => {
-    const { events, limit, say } = setUp();
-    say({ limitPerS: Right(5) });
-    say({ limitPerS: unreadable('found "x"') });
-    say({ limitPerS: unreadable('found "x"') });
+    const { events, limit, receive } = setUp();
+    receive({ limitPerS: Right(5) });
+    receive({ limitPerS: unreadable('found "x"') });
+    receive({ limitPerS: unreadable('found "x"') });
     expect(limit.perSecond).toBe(5);
     expect(events).toEqual(['limit 5', 'limit: found "x"']);
   });
 
   it('does not hold back a back end whose first answer cannot be read', () => {
-    const { limit, say } = setUp();
+    const { limit, receive } = setUp();
     expect(limit.maxRunning).toBeLessThan(Number.POSITIVE_INFINITY);
-    say({ limitPerS: unreadable('found "x"') });
+    receive({ limitPerS: unreadable('found "x"') });
     expect(limit.maxRunning).toBe(Number.POSITIVE_INFINITY);
   });
 
   it('reports that the back end is leaving once', () => {
-    const { events, say } = setUp();
-    say({ isLeaving: Right(true) });
-    say({ isLeaving: Right(true) });
-    say({ isLeaving: Right(false) });
+    const { events, receive } = setUp();
+    receive({ isLeaving: Right(true) });
+    receive({ isLeaving: Right(true) });
+    receive({ isLeaving: Right(false) });
     expect(events).toEqual(['100 leaves', 'leaving undefined']);
   });
 
   it('ignores the late answer of an incarnation that has ended, its load included', () => {
-    const { events, limit, say, restart } = setUp();
+    const { events, limit, receive, restart } = setUp();
     restart();
-    say({ limitPerS: Right(5), isLeaving: Right(true), load: LOAD }, NoticeSource.Answer, FIRST);
+    receive(
+      { limitPerS: Right(5), isLeaving: Right(true), load: LOAD },
+      NoticeSource.Answer,
+      FIRST,
+    );
     expect(limit.perSecond).toBeUndefined();
     expect(events).toEqual([]);
-    say({ limitPerS: Right(3), load: LOAD }, NoticeSource.Answer, SECOND);
+    receive({ limitPerS: Right(3), load: LOAD }, NoticeSource.Answer, SECOND);
     expect(events).toEqual(['load 2', 'limit 3']);
   });
 });
--- a/src/owner/noticeHandler.ts
+++ b/src/owner/noticeHandler.ts
@@ -1,5 +1,5 @@
 /**
- * Applies what the back end says of itself in its answers. A notice takes effect as soon as the
+ * Applies what the back end reports about itself in its answers. A notice takes effect as soon as the
  * head of the answer has been read, and holds for the incarnation that sent it.
  */
 import type { Clock } from '../model/clock.js';
--- a/src/registry/back-end-registry.ts
+++ b/src/registry/back-end-registry.ts
@@ -98,7 +98,7 @@
     return 'unverified';
   }
 
-  /** An incarnation has deregistered, or has said that it is leaving: it accepts no more work. */
+  /** An incarnation has deregistered, or has reported that it is leaving: it accepts no more work. */
   endIncarnation(incarnation: BackEndIncarnation): void {
     const leaving = {
       ...incarnation,
--- a/src/sidecar/decisionRecords.ts
+++ b/src/sidecar/decisionRecords.ts
@@ -92,7 +92,7 @@
   });
 }
 
-/** Records a change of what the local back end says of itself in its answers. */
+/** Records a change of what the local back end reports about itself in its answers. */
 export function recordNotice(
   { log, metrics }: RecordSinks,
   { incarnation, source, field, limitPerS }: NoticeChange,
--- a/test/back-end-limits.test.ts
+++ b/test/back-end-limits.test.ts
@@ -177,10 +177,10 @@
     });
   });
 
-  describe('that says that it is leaving', () => {
+  describe('that reports that it is leaving', () => {
     const leftSince = (machine: Machine) => arrivalsAfterLeaving(noticesOf(machine), DRAIN_MS);
 
-    it('keeps all requests from it, though its heartbeats say that it is ready', async () => {
+    it('keeps all requests from it, though its heartbeats report that it is ready', async () => {
       const desks = await startMesh(2);
       const [leaving] = desks as [Machine];
       await load(60, 1);
