--- a/test/back-end-limits.test.ts
+++ b/test/back-end-limits.test.ts
@@ -101,6 +101,16 @@
       expect(served(results)).toBe(results.length);
     });
 
+    it('holds for retries after failures of another back end', async () => {
+      const [limited, failing] = (await startMesh(2)) as [Machine, Machine];
+      await load(20, 1);
+      noticesOf(limited).nameLimit(2);
+      failing.application.behaviours.push(...Array<'reset'>(500).fill('reset'));
+      await load(40, 7);
+      expect(excessesOf(limited)).toEqual([]);
+      expect(failing.application.behaviours.length).toBeLessThan(500);
+    });
+
     it('holds at once when the limit falls', async () => {
       const [desk] = (await startMesh(1)) as [Machine];
       noticesOf(desk).nameLimit(20);
