The trial of a roll-out in three files: its plan, its nodes, its course

The types of a trial stand in rolloutTrialPlan.ts, the nodes (the product's own reporter, decider and shares) in rolloutTrialNode.ts.

--- a/lab/rolloutExperiment.ts
+++ b/lab/rolloutExperiment.ts
@@ -1,7 +1,8 @@
 /** Many orders of each kind in virtual time: what bad versions got, and how many good ones were done in time. */
 import { RolloutState } from '../src/rollout/rolloutOrder.js';
 import type { ExperimentResult, Row } from './experiment.js';
-import { playRollout, type RolloutTrialResult } from './rolloutTrial.js';
+import { playRollout } from './rolloutTrial.js';
+import type { RolloutTrialResult } from './rolloutTrialPlan.js';
 import { ROLLOUT_CASES, type RolloutCase } from './rolloutTrials.js';
 
 export interface RolloutExperiment {
--- a/lab/rolloutTrial.test.ts
+++ b/lab/rolloutTrial.test.ts
@@ -8,7 +8,8 @@
  */
 import { describe, expect, it } from 'vitest';
 import { RolloutState } from '../src/rollout/rolloutOrder.js';
-import { playRollout, type RolloutTrialResult } from './rolloutTrial.js';
+import { playRollout } from './rolloutTrial.js';
+import type { RolloutTrialResult } from './rolloutTrialPlan.js';
 import { ROLLOUT_CASES, type RolloutCase } from './rolloutTrials.js';
 
 const DURATION_MS = 10_000;
--- a/lab/rolloutTrial.ts
+++ b/lab/rolloutTrial.ts
@@ -4,110 +4,33 @@
  * set; what the version got, and when the order ended, is told.
  */
 
-import type { OwnerDirectory } from '../src/directory/owner-directory.js';
-import type { OwnerEntry } from '../src/directory/owner-entry.js';
-import {
-  createRolloutController,
-  type RolloutController,
-} from '../src/directory/rolloutController.js';
-import { createRolloutReporter, type RolloutReporter } from '../src/directory/rolloutReporter.js';
-import type { Announcement } from '../src/peer/peerClient.js';
 import {
   decodeRolloutMessage,
   type PhaseMessage,
   RolloutMessageKind,
 } from '../src/rollout/rolloutMessages.js';
 import { type RolloutOrder, RolloutPhase, RolloutState } from '../src/rollout/rolloutOrder.js';
-import { createRolloutTracker, type RolloutTracker } from '../src/rollout/rolloutTracker.js';
 import { RunResult } from '../src/rollout/runCounts.js';
 import type { RunPermit } from '../src/rollout/runLimiter.js';
-import { createVersionSelector, type VersionSelector } from '../src/rollout/versionSelector.js';
 import { seededRandom } from './random.js';
+import {
+  createTrialNodes,
+  OTHER,
+  SERVICE,
+  SLOTS,
+  STEP_MS,
+  TARGET,
+  TICK_MS,
+  TRIAL_BOUNDS,
+  type TrialNode,
+} from './rolloutTrialNode.js';
+import type { RolloutTrial, RolloutTrialResult, TrialFate } from './rolloutTrialPlan.js';
 
-/** What a version makes of a request. */
-export interface TrialFate {
-  /** Share that fails. */
-  readonly failing: number;
-  /** How many times as long as usual it takes; 1 if left out. */
-  readonly slowness?: number;
-}
-
-/** What a fate may depend on. */
-export interface TrialRun {
-  readonly route: number;
-  readonly node: string;
-  /** Milliseconds since the order. */
-  readonly atMs: number;
-  readonly phase: RolloutPhase;
-}
-
-/** All times in milliseconds. */
-export interface RolloutTrial {
-  readonly seed: number;
-  /** Requests a second to the service, by route. */
-  readonly perSecond: readonly number[];
-  /** How many times as many come at a moment. */
-  readonly crowd?: (atMs: number) => number;
-  readonly durationMs?: number;
-  /** Back ends of the version and of the other one. */
-  readonly targets?: number;
-  readonly others?: number;
-  /** Reports come so late, words of the decider, and calls to the store. */
-  readonly reportMs?: number;
-  readonly wordMs?: number;
-  readonly storeMs?: number;
-  /** The middle of the durations; most lie within twice of it. */
-  readonly serviceMs?: number;
-  readonly target?: (run: TrialRun) => TrialFate;
-  readonly other?: (run: TrialRun) => TrialFate;
-  /** A node's reports do not come. */
-  readonly isMute?: (node: string, atMs: number) => boolean;
-}
-
-export interface RolloutTrialResult {
-  readonly state: RolloutState;
-  /** When the status stood in the store; infinite if it never did. */
-  readonly endedMs: number;
-  /** From the order to its deadline: requests to the service, and those of them that the version got. */
-  readonly requests: number;
-  readonly exposed: number;
-  /** What the version got as a part of what a bad one may, and whether that is more. */
-  readonly boundShare: number;
-  readonly isOver: boolean;
-  /** True if it got all that was new at some time. */
-  readonly gotAll: boolean;
-  /** Requests that no back end took, and those that the others still ran at their end. */
-  readonly refused: number;
-  readonly cut: number;
-  readonly phases: readonly string[];
-}
-
-export const TRIAL_BOUNDS = { exposureShare: 0.1, exposureSlack: 50, rollbackMs: 5_000 };
-
-const SERVICE = 'desk';
-const TARGET = 'v2';
-const OTHER = 'v1';
-const STEP_MS = 10;
-const TICK_MS = 130;
-const SLOTS = 64;
-const CONTACT_MS = 3_000;
 /** The trial goes on for so long after the deadline. */
 const AFTER_MS = 6_000;
 
-interface Node {
-  readonly name: string;
-  readonly version: string;
-  readonly rollouts: RolloutTracker;
-  readonly reporter: RolloutReporter;
-  readonly steering: RolloutController;
-  readonly shares: VersionSelector;
-  /** Ticks at other moments than the others. */
-  readonly phaseMs: number;
-  running: number;
-}
-
 interface Running {
-  readonly node: Node;
+  readonly node: TrialNode;
   readonly passage: RunPermit;
   readonly route: number;
   readonly startedAt: number;
@@ -142,7 +65,6 @@
     ...Array.from({ length: others }, (_, index) => `old-${index}`),
     ...Array.from({ length: targets }, (_, index) => `new-${index}`),
   ];
-  const versionOf = (name: string) => (name.startsWith('new') ? TARGET : OTHER);
   const order: RolloutOrder = {
     service: SERVICE,
     targetVersion: TARGET,
@@ -155,109 +77,25 @@
     messages.push({ at: now + delayMs, to, content });
   };
 
-  const entries = names.map((node) => ({
-    record: { node, address: node, zone: 'zone-a' },
-    absenceReason: undefined,
-    isLocal: false,
-  })) as unknown as OwnerEntry[];
-  const directory: Pick<OwnerDirectory, 'all' | 'ownersOf'> = {
-    all: () => entries,
-    ownersOf: () => entries,
-  };
-  const decider = entries[0] as OwnerEntry;
-
   const write = (written: RolloutState): void => {
     writing ??= { at: now + storeMs, state: written };
   };
 
-  const nodes: Node[] = names.map((name, index) => {
-    const rollouts = createRolloutTracker({ clock, staleMs: () => CONTACT_MS });
-    rollouts.isSynced = true;
-    const own = () => ({ node: name, address: name, zone: 'zone-a' }) as OwnerEntry['record'];
-    const isLeader = index === 0;
-    const election = {
-      leaderOf: () => (isLeader ? ({ ...decider, isLocal: true } as OwnerEntry) : decider),
-      isLeader: () => isLeader,
-      noteUnreachable: () => {},
-      noteResigned: () => {},
-    };
-    const caller = {
-      sendAnnouncement: (address: string, { content }: Announcement) => {
-        const isReport = decodeRolloutMessage(content)?.kind === RolloutMessageKind.Evidence;
-        if (!isReport || !isMute(name, now)) {
-          send(address, content, isReport ? reportMs : wordMs);
-        }
-        return Promise.resolve(true);
-      },
-    };
-    const node: Node = {
-      name,
-      version: versionOf(name),
-      rollouts,
-      phaseMs: Math.floor((random() * TICK_MS) / STEP_MS) * STEP_MS,
-      running: 0,
-      reporter: createRolloutReporter({
-        clock,
-        rollouts,
-        election,
-        caller,
-        own,
-        backEnd: () => ({
-          service: SERVICE,
-          version: versionOf(name),
-          isReady: true,
-          slots: SLOTS,
-          load: node.running,
-        }),
-        isSoleVersion: () => false,
-        onLocalEvidence: (evidence) => node.steering.receiveEvidence(evidence),
-      }),
-      steering: createRolloutController({
-        clock,
-        rollouts,
-        election,
-        directory,
-        broadcast: {
-          publish: (_topic, content) => {
-            for (const other of names.filter((each) => each !== name)) {
-              send(other, content, wordMs);
-            }
-          },
-        },
-        caller,
-        own,
-        contactMs: () => CONTACT_MS,
-        bounds: () => TRIAL_BOUNDS,
-        writer: () => ({
-          write: (_order, written) => write(written),
-          pending: () => writing?.state,
-        }),
-        onPhase: (news) => takePhase(node, news),
-        onLocalLimit: (news) => node.reporter.applyLimit(news),
-        onChange: ({ change, detail }) => {
-          if (change === 'decision') {
-            phases.push(
-              `${Math.round(now)} ${detail.phase}: ${detail.reason} (${detail.taken} of ${detail.allowed})`,
-            );
-          }
-        },
-      }),
-      shares: createVersionSelector({
-        clock,
-        bounds: () => TRIAL_BOUNDS,
-        applyMs: () => 0,
-        owners: () => names.map((each) => ({ node: each, version: versionOf(each) })),
-        nodes: () => names.length,
-        random,
-        view: rollouts.view,
-        isSynced: () => true,
-        withdrawn: rollouts.withdrawn,
-      }),
-    };
-    return node;
+  const nodes = createTrialNodes({
+    clock,
+    random,
+    names,
+    reportMs,
+    wordMs,
+    isMute,
+    send,
+    write,
+    pendingState: () => writing?.state,
+    applyPhase: (node, news) => takePhase(node, news),
+    onDecision: (text) => phases.push(`${Math.round(now)} ${text}`),
   });
 
-  const takePhase = (node: Node, news: PhaseMessage): void => {
+  const takePhase = (node: TrialNode, news: PhaseMessage): void => {
     if (node.rollouts.applyPhase(news)) {
       node.reporter.reportPhaseChange(SERVICE);
     }
@@ -267,7 +105,7 @@
     const due = messages.filter(({ at }) => at <= now);
     messages = messages.filter(({ at }) => at > now);
     for (const { to, content } of due) {
-      const node = nodes.find(({ name }) => name === to) as Node;
+      const node = nodes.find(({ name }) => name === to) as TrialNode;
       const news = decodeRolloutMessage(content);
       if (news?.kind === RolloutMessageKind.Phase) {
         node.steering.noteLeader(SERVICE, news.leader);
@@ -311,7 +149,7 @@
     return serviceMs * Math.exp(0.4 * normal);
   };
 
-  const start = (node: Node, passage: RunPermit, route: number): void => {
+  const start = (node: TrialNode, passage: RunPermit, route: number): void => {
     const isTarget = node.version === TARGET;
     const phase = nodes[0]?.rollouts.running(SERVICE)?.phase ?? RolloutPhase.Done;
     const run = { route, node: node.name, atMs: now, phase };
@@ -329,13 +167,14 @@
   };
 
   const arrive = (route: number): void => {
-    const ingress = nodes[Math.floor(random() * others)] as Node;
+    const ingress = nodes[Math.floor(random() * others)] as TrialNode;
     const share = ingress.shares.select(SERVICE, String(route));
     sums.requests += now < durationMs ? 1 : 0;
-    const tried = new Set<Node>();
+    const tried = new Set<TrialNode>();
     for (;;) {
       const { preferred, fallback = () => true } = share;
-      const isUp = ({ version }: Node) => version === TARGET || state !== RolloutState.Completed;
+      const isUp = ({ version }: TrialNode) =>
+        version === TARGET || state !== RolloutState.Completed;
       const able = nodes.filter((node) => !tried.has(node) && isUp(node) && node.running < SLOTS);
       const first = preferred ? able.filter(({ name }) => preferred(name)) : [];
       const asked = first.length > 0 ? first : able.filter(({ name }) => fallback(name));
--- a/lab/rolloutTrials.ts
+++ b/lab/rolloutTrials.ts
@@ -1,6 +1,6 @@
 /** The orders that the trials of roll-outs play: good and bad versions, and what makes either hard to tell. */
 import { RolloutPhase } from '../src/rollout/rolloutOrder.js';
-import type { RolloutTrial, TrialFate, TrialRun } from './rolloutTrial.js';
+import type { RolloutTrial, TrialFate, TrialRun } from './rolloutTrialPlan.js';
 
 /** One kind of order. */
 export interface RolloutCase {
