--- a/lab/application-stand-in.ts
+++ b/lab/application-stand-in.ts
@@ -5,6 +5,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
 import { answer, type Behaviour } from './applicationAnswer.js';
+import { type CallPlan, makeCalls } from './backEndCalls.js';
 import { postRegistration } from './postRegistration.js';
 import { createStatedNotices } from './statedNotices.js';
 
@@ -25,6 +26,8 @@
   readonly at: number;
   /** Set when the connection closed before the answer was sent. */
   cutAt: number | undefined;
+  /** Set when the answer was sent. */
+  answeredAt: number | undefined;
 }
 
 let instances = 0;
@@ -34,6 +37,9 @@
   return `i-${instances}`;
 }
 
+/** Status of an answer for which a call has failed. */
+const FAILED_CALL_STATUS = 500;
+
 /** Pause before a heartbeat that was not acknowledged is sent again, in milliseconds. */
 const ANNOUNCE_RETRY_MS = 100;
 
@@ -74,6 +80,12 @@
   /** Behaviours of the next requests; then {@link Behaviour} `serve`. */
   readonly behaviours: Behaviour[] = [];
   serviceMs = 5;
+  /** Least length of an answer's body. */
+  answerBytes = 0;
+  /** True if it drops a request, and frees its slot, as soon as the connection closes. */
+  dropsAbandoned = false;
+  /** The calls that it makes while it runs a request; none if undefined. */
+  callsOf: (run: Run) => CallPlan | undefined = () => undefined;
   /** What its version makes of a request. */
   fateOf: (run: Run) => RunFate = () => ({});
   /** Bytes that are kept of each body: a soak would run out of memory with all of them. */
@@ -250,25 +262,40 @@
       headers: request.headers,
       at: performance.now(),
       cutAt: undefined,
+      answeredAt: undefined,
     };
     this.runs.push(run);
+    const { bornAt } = this;
     response.on('close', () => {
       if (!response.writableFinished) {
         run.cutAt = performance.now();
+        this.running -= this.dropsAbandoned && this.bornAt === bornAt ? 1 : 0;
       }
     });
-    const { bornAt } = this;
     if (this.crashesUnder(run)) {
       setTimeout(() => this.bornAt === bornAt && this.crash(), this.crashAfterMs);
       return;
     }
     const { slowness = 1, status = 200 } = this.fateOf(run);
     await delay(this.serviceMs * slowness);
-    if (this.bornAt !== bornAt) {
+    const calls = this.callsOf(run);
+    const haveCallsSucceeded = !calls || (await makeCalls(calls, run, response));
+    const isDropped = run.cutAt !== undefined && this.dropsAbandoned;
+    if (this.bornAt !== bornAt || isDropped) {
       return;
     }
     this.running -= 1;
+    if (run.cutAt === undefined) {
+      run.answeredAt = performance.now();
+    }
     this.notices.stateIn(response);
-    answer(request, response, { requestId, behaviour, status, instance: this.instance });
+    const { instance } = this;
+    answer(request, response, {
+      requestId,
+      behaviour,
+      status: haveCallsSucceeded ? status : FAILED_CALL_STATUS,
+      instance,
+      leastBytes: this.answerBytes,
+    });
   }
 }
--- a/lab/applicationAnswer.ts
+++ b/lab/applicationAnswer.ts
@@ -25,16 +25,18 @@
   readonly status: number;
   /** Id of the back end that answers. */
   readonly instance: string;
+  /** Least length of the body, which spaces fill up. */
+  readonly leastBytes?: number;
 }
 
 /** Answers, or does not, as the behaviour says. */
 export function answer(
   request: http.IncomingMessage,
   response: http.ServerResponse,
-  { requestId, behaviour, status, instance }: AnswerFields,
+  { requestId, behaviour, status, instance, leastBytes = 0 }: AnswerFields,
 ): void {
   const fields = { [NAMES.signature]: instance, 'content-type': 'text/plain' };
-  const body = `answer to ${requestId}`;
+  const body = `answer to ${requestId}`.padEnd(leastBytes);
   switch (behaviour) {
     case 'stay-silent':
       return;
--- /dev/null
+++ b/lab/backEndCalls.ts
@@ -0,0 +1,75 @@
+/** The calls that a back end makes, through its node, while it runs a request. */
+import http from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
+import { endpointOf } from '../src/model/endpoint.js';
+import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
+
+/** The calls for one request: all are sent at the same time, after a pause. */
+export interface CallPlan {
+  /** Where the node beside the back end accepts requests. */
+  readonly address: string;
+  readonly paths: readonly string[];
+  /** Milliseconds of work before the calls. */
+  readonly afterMs?: number;
+}
+
+const HOST = 'mesh.example';
+const OK = 200;
+
+/** Id of a call: that of its parent request, a dot and a number. */
+export function callIdOf(parentId: string, index: number): string {
+  return `${parentId}.${index}`;
+}
+
+/** Id of the client's request that a request was made for: its own, or that of its first parent. */
+export function rootIdOf(requestId: string): string {
+  return requestId.split('.', 1)[0] as string;
+}
+
+/**
+ * Makes the calls of one request. Closes their connections when the connection of the parent request
+ * closes. Resolves with true if all have succeeded.
+ */
+export async function makeCalls(
+  { address, paths, afterMs = 0 }: CallPlan,
+  parent: { readonly requestId: string },
+  parentResponse: http.ServerResponse,
+): Promise<boolean> {
+  await delay(afterMs);
+  if (parentResponse.destroyed) {
+    return false;
+  }
+  const results = paths.map((path, index) =>
+    makeCall(address, path, callIdOf(parent.requestId, index), parentResponse),
+  );
+  return (await Promise.all(results)).every((status) => status === OK);
+}
+
+/** Resolves with the status, 0 if there is no answer. */
+function makeCall(
+  address: string,
+  path: string,
+  requestId: string,
+  parentResponse: http.ServerResponse,
+): Promise<number> {
+  return new Promise((resolve) => {
+    const request = http.request({
+      ...endpointOf(address),
+      path,
+      agent: false,
+      headers: { host: HOST, [NAMES.requestId]: requestId },
+    });
+    const leave = (): void => void request.destroy();
+    parentResponse.once('close', leave);
+    request.on('error', () => resolve(0));
+    request.on('close', () => {
+      parentResponse.off('close', leave);
+      resolve(0);
+    });
+    request.on('response', (response) => {
+      response.resume();
+      response.on('end', () => resolve(response.statusCode ?? 0));
+    });
+    request.end();
+  });
+}
--- a/lab/machine.ts
+++ b/lab/machine.ts
@@ -26,7 +26,10 @@
   readonly graceMs?: number;
   readonly applyMs?: number;
   /** Bounds that the platform holds, see the settings. */
-  readonly bounds?: Pick<Partial<SidecarSettings>, 'quota' | 'revocation' | 'rollout'>;
+  readonly bounds?: Pick<
+    Partial<SidecarSettings>,
+    'quota' | 'revocation' | 'rollout' | 'retryBudget'
+  >;
   /** The machine's own client of a store, in place of a call to the store in memory. */
   readonly client?: ObjectStore;
   /** Version of its back end. */
