Every request of a closed connection learns that its client has left

Callers saw work go on that nobody waited for: back ends ran pipelined requests of closed connections to their end, and made calls for them 924 to 943 ms after the close. Cause: Node's http reports a close to the answer that is next on the connection only; the request behind it had no other listener. Proved by five pipelined reads: one cut after 3 to 8 ms, four answered 2,990 to 3,000 ms after the client had left by a close, the end of its half, or a reset. Excluded: a cancellation that gets lost on the hop (the first one's arrives in 8 ms). The pipeline of a connection now tells all its requests without an answer of the departure, and gives each answer its turn: answers written before their turn made Node stop reading the connection, which hid the close as well.

--- /dev/null
+++ b/src/ingress/answerWriter.ts
@@ -0,0 +1,54 @@
+/** Writes the answer of one request when it is its turn on the connection. */
+import type http from 'node:http';
+import { discardBody } from '../owner/message-body.js';
+import type { OwnerAnswer } from '../owner/owner.js';
+import { type ClientRefusal, sendAnswer, sendRefusal } from './client-answer.js';
+import type { PipelinedRequest } from './pipelines.js';
+
+/** The place of a request's answer on its connection. */
+export interface AnswerPlace extends Pick<PipelinedRequest, 'turn'> {
+  /**
+   * Called when the answer is written. True if it must close the connection, which then serves no
+   * more requests.
+   */
+  closeIfLast(): boolean;
+}
+
+/** The request that is answered. */
+export interface AnswerWriterContext {
+  readonly request: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+  /** The field that repeats the request's id, as a name and a value; empty if it has none. */
+  readonly idField: readonly string[];
+  readonly place: AnswerPlace;
+}
+
+/** Either method is called at most once. Nothing is written to a client that has left. */
+export interface AnswerWriter {
+  /** Rejects if the answer breaks off. */
+  answer(answer: OwnerAnswer): Promise<void>;
+  /** `mustClose` is true if the connection cannot be used after the refusal. */
+  refuse(refusal: ClientRefusal, mustClose: boolean): Promise<void>;
+}
+
+export function createAnswerWriter({
+  request,
+  response,
+  idField,
+  place,
+}: AnswerWriterContext): AnswerWriter {
+  return {
+    answer: async (answer) => {
+      if (await place.turn()) {
+        await sendAnswer(response, answer, request.method ?? 'GET', place.closeIfLast());
+      } else {
+        discardBody(answer.body);
+      }
+    },
+    refuse: async (refusal, mustClose) => {
+      if (await place.turn()) {
+        sendRefusal(response, refusal, idField, place.closeIfLast() || mustClose);
+      }
+    },
+  };
+}
--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -1,49 +1,30 @@
 /** Serves one client's request, from its head to the final answer. */
 import type http from 'node:http';
-import type { OwnerRecord } from '../directory/owner-entry.js';
-import type { Clock } from '../model/clock.js';
-import type { SuspendAwareTimers } from '../model/suspendAwareTimers.js';
 import { Cancellation } from '../owner/cancellation.js';
 import type { MessageBody } from '../owner/message-body.js';
 import type { OwnerTask } from '../owner/owner.js';
 import type { MeshRoute } from '../routing/mesh-configuration.js';
 import type { MatchedRoute, RouteMatcher } from '../routing/route-matcher.js';
 import { AccessKind } from '../tenants/access.js';
-import type { QuotaDecision, QuotaGate, QuotaRefusalDetails } from '../tenants/quotaGate.js';
+import type { QuotaDecision, QuotaRefusalDetails } from '../tenants/quotaGate.js';
 import type { MeshTenant } from '../tenants/tenant.js';
-import { type ClientRefusal, sendAnswer, sendRefusal } from './client-answer.js';
-import type { ClientAccess, ClientAccessContext } from './clientAccess.js';
-import { Dispatch, type DispatchContext } from './dispatch.js';
+import { type AnswerPlace, type AnswerWriter, createAnswerWriter } from './answerWriter.js';
+import type { ClientRefusal } from './client-answer.js';
+import type { ClientAccess } from './clientAccess.js';
+import { Dispatch } from './dispatch.js';
+import type { IngressOptions } from './ingressOptions.js';
+import { BEHIND, STOPPING } from './nodeRefusals.js';
 import { ownerTaskOf } from './ownerTask.js';
+import type { Departure } from './pipelines.js';
 import { createPlacementFilter, type OwnerFilter } from './placementFilter.js';
 import { hasBody, headBytes, readBody } from './requestMessage.js';
-import type { RequestRecord } from './requestRecord.js';
 import { timeLimitOf } from './timeLimit.js';
 
-/** Milliseconds after which clients may retry if the configuration is missing or may be stale. */
-const CONFIGURATION_RETRY_AFTER_MS = 250;
-
-const BEHIND: ClientRefusal = {
-  code: 'configuration-behind',
-  status: 503,
-  retryAfterMs: CONFIGURATION_RETRY_AFTER_MS,
-};
-
-/** Milliseconds after which clients may retry during a stop. Short, as other nodes can serve. */
-const STOPPING_RETRY_AFTER_MS = 20;
-
-/** Dependencies on the node. */
-export interface IngressOptions extends DispatchContext, ClientAccessContext {
-  readonly clock: Clock;
-  readonly timers: SuspendAwareTimers;
-  readonly routes: () => RouteMatcher | undefined;
-  /** The record of this node. */
-  readonly ownRecord: () => OwnerRecord;
-  /** Name of the service whose back end runs on this machine. */
-  readonly callerService: () => string;
-  /** Undefined if no quota applies to tenants. */
-  readonly quotaGate?: QuotaGate | undefined;
-  readonly onFinished: (record: RequestRecord) => void;
+/** A request that may be offered to owners. */
+interface ReadRequest {
+  readonly matched: MatchedRoute;
+  readonly body: MessageBody;
+  readonly mayServe: OwnerFilter | undefined;
 }
 
 /** One client's request. */
@@ -65,73 +46,85 @@
   private dispatch: Dispatch | undefined;
   private cancelTimer: () => void = () => {};
   private isFinished = false;
+  private departure: Departure | undefined;
+  private readonly writer: AnswerWriter;
+  /** Resolves when the refusal, if there is one, has been written. */
+  private refusalWritten: Promise<void> = Promise.resolve();
 
   constructor(
     private readonly options: IngressOptions,
     private readonly access: ClientAccess,
     private readonly request: http.IncomingMessage,
     private readonly response: http.ServerResponse,
+    place: AnswerPlace,
   ) {
     this.startedAt = options.clock.now();
-    const id = request.headers[options.names.requestId.toLowerCase()];
+    const idName = options.names.requestId;
+    const id = request.headers[idName.toLowerCase()];
     this.requestId = typeof id === 'string' ? id : '';
+    const idField = this.requestId === '' ? [] : [idName, this.requestId];
+    this.writer = createAnswerWriter({ request, response, idField, place });
   }
 
   /**
-   * `closeIfLast` is called when the answer is written. True if the answer must close the
-   * connection, which then serves no more requests. `latestEnd` is the steady time in milliseconds
-   * at which a planned stop would cut the request off.
+   * Resolves when the answer has been written. `latestEnd` is the steady time in milliseconds at which
+   * a planned stop would cut the request off.
    */
-  async run(closeIfLast: () => boolean, latestEnd: number): Promise<void> {
+  async run(latestEnd: number): Promise<void> {
     this.request.on('error', () => {});
     this.response.on('error', () => {});
     this.response.on('close', () => this.onClose());
+    const admitted = await this.admit(latestEnd);
+    if (admitted) {
+      await this.bringToOwner(admitted);
+    }
+    await this.refusalWritten;
+  }
+
+  /** Undefined if the request has ended. */
+  private async admit(latestEnd: number): Promise<ReadRequest | undefined> {
     const routes = this.options.routes();
     if (!routes) {
-      this.refuse({ ...BEHIND, code: 'no-configuration' }, closeIfLast());
-      return;
+      return this.refuse({ ...BEHIND, code: 'no-configuration' });
     }
     this.version = routes.version;
     const matched = routes.match(this.request.headers.host ?? '', this.request.url ?? '/');
     if (!matched) {
-      this.refuse(this.noRoute(), closeIfLast());
-      return;
+      return this.refuse(this.noRoute());
     }
     this.route = matched.route;
-    if (!this.checkAccess(routes, matched.route, closeIfLast)) {
-      return;
+    if (!this.checkAccess(routes, matched.route)) {
+      return undefined;
     }
     if (headBytes(this.request) > routes.configuration.limits.maxHeaderBytes) {
-      this.refuse({ code: 'head-too-large', status: 431 }, true);
-      return;
+      return this.refuse({ code: 'head-too-large', status: 431 }, true);
     }
     this.service = matched.split.next();
-    this.startTimer(matched.route, closeIfLast);
+    this.startTimer(matched.route);
     if (this.startedAt + this.allowedMs > latestEnd) {
-      const refusal = { status: 503, retryAfterMs: STOPPING_RETRY_AFTER_MS } as const;
-      this.refuse({ code: 'stopping', ...refusal }, closeIfLast());
-      return;
+      return this.refuse(STOPPING);
     }
     const placement = this.placementFor(matched);
     if (placement.isLeft()) {
-      this.refuse({ code: 'ambiguous-path', status: 400 }, closeIfLast());
-      return;
+      return this.refuse({ code: 'ambiguous-path', status: 400 });
     }
     const { tenant } = this;
     const decision = tenant && (await this.options.quotaGate?.admit(tenant));
-    if (decision && !this.applyQuota(decision, closeIfLast)) {
-      return;
+    if (decision && !this.applyQuota(decision)) {
+      return undefined;
     }
     const body = await readBody(this.request, routes.configuration.limits);
     if (body === 'too-large') {
-      this.refuse({ code: 'too-large', status: 413 }, true);
-    } else if (body && !this.isFinished && this.recheckAccess(routes, matched.route, closeIfLast)) {
-      // While the body arrived, the key may have been moved to another tenant.
-      const isSameTenant = this.tenant?.name === tenant?.name;
-      const placementNow = isSameTenant ? placement : this.placementFor(matched);
-      // Never a refusal here, as the same path was accepted above.
-      await this.bringToOwner(matched, body, placementNow.orDefault(undefined), closeIfLast);
+      return this.refuse({ code: 'too-large', status: 413 }, true);
+    }
+    if (!body || this.isFinished || !this.recheckAccess(routes, matched.route)) {
+      return undefined;
     }
+    // While the body arrived, the key may have been moved to another tenant.
+    const isSameTenant = this.tenant?.name === tenant?.name;
+    const placementNow = isSameTenant ? placement : this.placementFor(matched);
+    // Never a refusal here, as the same path was accepted above.
+    return { matched, body, mayServe: placementNow.orDefault(undefined) };
   }
 
   /** If there may be a newer configuration, it may have the route; 404 would then be wrong. */
@@ -140,7 +133,7 @@
   }
 
   /** Stores the tenant of the request, or refuses the request and returns false. */
-  private checkAccess(routes: RouteMatcher, route: MeshRoute, closeIfLast: () => boolean): boolean {
+  private checkAccess(routes: RouteMatcher, route: MeshRoute): boolean {
     const access = this.access.decide(this.request, routes, route);
     this.hasTenants ||= routes.keyring.hasTenants;
     if (access.kind === AccessKind.Granted) {
@@ -148,12 +141,12 @@
       return true;
     }
     const isDenied = access.kind === AccessKind.Denied;
-    this.refuse(isDenied ? { code: 'unknown-key', status: 401 } : BEHIND, closeIfLast());
+    this.refuse(isDenied ? { code: 'unknown-key', status: 401 } : BEHIND);
     return false;
   }
 
   /** Stores the refund, or refuses the request. False if the request has ended. */
-  private applyQuota(decision: QuotaDecision, closeIfLast: () => boolean): boolean {
+  private applyQuota(decision: QuotaDecision): boolean {
     if (decision.isAdmitted) {
       this.refundQuota = decision.refund;
       if (this.isFinished) {
@@ -164,31 +157,22 @@
     }
     this.quota = decision.details;
     const { retryAfterMs } = decision;
-    this.refuse({ code: 'over-quota', status: 429, retryAfterMs }, closeIfLast());
+    this.refuse({ code: 'over-quota', status: 429, retryAfterMs });
     return false;
   }
 
   /** Checks the key again, as a new configuration may have revoked it while the body arrived. */
-  private recheckAccess(
-    earlierRoutes: RouteMatcher,
-    route: MeshRoute,
-    closeIfLast: () => boolean,
-  ): boolean {
+  private recheckAccess(earlierRoutes: RouteMatcher, route: MeshRoute): boolean {
     const routes = this.options.routes() ?? earlierRoutes;
-    return !hasBody(this.request) || this.checkAccess(routes, route, closeIfLast);
+    return !hasBody(this.request) || this.checkAccess(routes, route);
   }
 
-  private async bringToOwner(
-    matched: MatchedRoute,
-    body: MessageBody,
-    mayServe: OwnerFilter | undefined,
-    closeIfLast: () => boolean,
-  ): Promise<void> {
-    const isStream = body.kind === 'stream';
+  private async bringToOwner({ matched, body, mayServe }: ReadRequest): Promise<void> {
+    const task = this.taskOf(matched, body);
     const dispatch = new Dispatch(
       this.options,
-      this.taskOf(matched, body),
-      isStream ? 1 : matched.route.maxAttempts,
+      task,
+      body.kind === 'stream' ? 1 : matched.route.maxAttempts,
       body.kind === 'bytes' ? body.bytes.length : Number.POSITIVE_INFINITY,
       mayServe,
     );
@@ -199,9 +183,9 @@
     }
     if ('kind' in result) {
       this.finish(result.status, 'answered');
-      await sendAnswer(this.response, result, this.request.method ?? 'GET', closeIfLast());
+      await this.writer.answer(result);
     } else {
-      this.refuse(result, closeIfLast());
+      this.refuse(result);
     }
   }
 
@@ -239,7 +223,7 @@
   }
 
   /** Cancels the request at the client's deadline or the route's timeout, whichever is sooner. */
-  private startTimer(route: MeshRoute, closeIfLast: () => boolean): void {
+  private startTimer(route: MeshRoute): void {
     const deadlineField = this.options.names.deadline.toLowerCase();
     const { allowedMs, code } = timeLimitOf(this.request, deadlineField, route);
     this.allowedMs = allowedMs;
@@ -248,21 +232,29 @@
       // and a status that depends on whether the request may have run.
       this.cancellation.cancel();
       if (!this.dispatch) {
-        this.refuse({ code, status: 503, retryAfterMs: 0 }, closeIfLast());
+        this.refuse({ code, status: 503, retryAfterMs: 0 });
       }
     }, allowedMs);
   }
 
-  private refuse(refusal: ClientRefusal, closes: boolean): void {
-    if (this.isFinished) {
-      return;
+  /** `mustClose` is true if the connection cannot be used after the refusal. */
+  private refuse(refusal: ClientRefusal, mustClose = false): undefined {
+    if (!this.isFinished) {
+      this.finish(refusal.status, refusal.code);
+      this.refusalWritten = this.writer.refuse(refusal, mustClose);
+    }
+  }
+
+  /** The client has left before it got the whole answer. */
+  onDeparture(departure: Departure): void {
+    if (!this.response.writableFinished) {
+      this.departure = departure;
+      this.finish(0, 'client-left');
+      this.cancellation.cancel();
     }
-    this.finish(refusal.status, refusal.code);
-    const idField = this.requestId === '' ? [] : [this.options.names.requestId, this.requestId];
-    sendRefusal(this.response, refusal, idField, closes);
   }
 
-  /** Called when the client has left or the whole answer has been sent. */
+  /** Called when the whole answer has been sent, or when it has been broken off. */
   private onClose(): void {
     this.cancelTimer();
     if (!this.response.writableFinished) {
@@ -292,6 +284,7 @@
       version: this.version,
       status,
       code,
+      departure: this.departure,
       offers: this.dispatch?.history ?? [],
       durationMs: this.options.clock.now() - this.startedAt,
       allowedMs: this.allowedMs,
--- a/src/ingress/ingress-server.ts
+++ b/src/ingress/ingress-server.ts
@@ -4,7 +4,8 @@
 import { listenOn } from '../peer/listenOn.js';
 import type { MeshLimits } from '../routing/mesh-configuration.js';
 import { type ClientAccess, createClientAccess } from './clientAccess.js';
-import { type IngressOptions, IngressRequest } from './ingress-request.js';
+import { IngressRequest } from './ingress-request.js';
+import type { IngressOptions } from './ingressOptions.js';
 import { createPipelines } from './pipelines.js';
 
 /**
@@ -92,15 +93,18 @@
       this.pipelines.closeWhenIdle(socket, () => socket.end());
       return;
     }
-    if (!this.pipelines.begin(socket)) {
+    const pipelined = this.pipelines.begin(socket);
+    if (!pipelined) {
       return;
     }
-    response.on('close', () => this.pipelines.end(socket));
+    const closeIfLast = () => this.shutdown !== undefined && this.pipelines.closeIfLast(socket);
+    const place = { turn: pipelined.turn, closeIfLast };
+    const served = new IngressRequest(this.options, this.access, request, response, place);
+    pipelined.onDeparture((departure) => served.onDeparture(departure));
+    response.on('close', pipelined.end);
     this.inFlightCount += 1;
     try {
-      const ingressRequest = new IngressRequest(this.options, this.access, request, response);
-      const closeIfLast = () => this.shutdown !== undefined && this.pipelines.closeIfLast(socket);
-      await ingressRequest.run(closeIfLast, this.latestEnd());
+      await served.run(this.latestEnd());
     } catch {
       // The code cannot tell whether the request has run, so no status would be correct.
       response.destroy();
--- a/src/ingress/requestRecord.ts
+++ b/src/ingress/requestRecord.ts
@@ -1,6 +1,7 @@
 /** The record of a finished request. */
 import type { QuotaRefusalDetails } from '../tenants/quotaGate.js';
 import type { OfferRecord } from './dispatch.js';
+import type { Departure } from './pipelines.js';
 
 /** A finished request, for logs and metrics. */
 export interface RequestRecord {
@@ -18,6 +19,8 @@
   /** Status that was sent to the client. 0 if the client left before. */
   readonly status: number;
   readonly code: string;
+  /** How the client left, if it did before the answer. */
+  readonly departure?: Departure | undefined;
   readonly offers: readonly OfferRecord[];
   readonly durationMs: number;
   /** Milliseconds that the request was allowed to take, from its arrival. */
