A node reads what has arrived before it acts on a request

Callers saw requests run that they had left before the node looked at them: a node short of processor time reads a request in one poll of its sockets and the close behind it in the next, and sent the request in between. 40 of 40 arrived 732 to 816 ms after the close at a starved ingress, 24 of 24 after 704 to 710 ms at a starved owner. The ingress and the owner now let the next poll pass before a request is offered or admitted, a task that has waited lets the poll under way end before it is sent, and a cancelled exchange is reset, so that what still waits on a slow link is dropped.

--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -1,5 +1,6 @@
 /** Serves one client's request, from its head to the final answer. */
 import type http from 'node:http';
+import { afterPendingReads } from '../model/readBarrier.js';
 import { Cancellation } from '../owner/cancellation.js';
 import type { MessageBody } from '../owner/message-body.js';
 import type { OwnerTask } from '../owner/owner.js';
@@ -114,6 +115,8 @@
       return undefined;
     }
     const body = await readBody(this.request, routes.configuration.limits);
+    // A client that has left may have done so together with the last of its request.
+    await afterPendingReads();
     if (body === 'too-large') {
       return this.refuse({ code: 'too-large', status: 413 }, true);
     }
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -1,4 +1,5 @@
 /** The owner of the back end on this machine: admits tasks, sends them, and reports its load. */
+import { afterPoll } from '../model/readBarrier.js';
 import { QuarantineStatus } from '../quarantine/crashTracker.js';
 import type { BackEnd, Heartbeat } from '../registry/back-end-registry.js';
 import type { BackEndIncarnation } from '../registry/backEndIncarnation.js';
@@ -207,6 +208,8 @@
       if (rejection) {
         return rejection;
       }
+      // Its cancellation may have arrived together with the answer that freed the slot.
+      await afterPoll();
     } else {
       this.admission.noteStarted(request, clock.now());
     }
@@ -255,6 +258,9 @@
   }
 
   private rejectionReasonFor(task: OwnerTask): NotRunReason | undefined {
+    if (task.cancellation.cancelled) {
+      return 'cancelled';
+    }
     return this.rejectionReason() ?? this.taskRejectionReason(task);
   }
 
--- a/src/peer/bodyReceiver.test.ts
+++ b/src/peer/bodyReceiver.test.ts
@@ -22,6 +22,7 @@
       state.isPaused = paused;
     },
     destroy: () => {},
+    reset: () => {},
   };
   return { state, connection };
 }
--- a/src/peer/peerConnection.ts
+++ b/src/peer/peerConnection.ts
@@ -32,6 +32,8 @@
   /** Pauses or resumes reading, so that a slow consumer slows the sender down. */
   setPaused(paused: boolean): void;
   destroy(): void;
+  /** Closes the connection with a reset, so that what was sent and has not left yet is dropped. */
+  reset(): void;
 }
 
 /** Called for every message that is sent, with its size in bytes. */
@@ -113,6 +115,14 @@
       }
     },
     destroy: () => socket.destroy(),
+    reset: () => {
+      // Node.js would delay the reset of a connecting socket until it has connected.
+      if (socket.connecting) {
+        socket.destroy();
+      } else {
+        socket.resetAndDestroy();
+      }
+    },
   };
 }
 
--- a/src/peer/peerServer.ts
+++ b/src/peer/peerServer.ts
@@ -4,6 +4,7 @@
  */
 import net from 'node:net';
 import type { Clock } from '../model/clock.js';
+import { afterPendingReads } from '../model/readBarrier.js';
 import { Cancellation } from '../owner/cancellation.js';
 import type { Owner, OwnerAnswer, OwnerOutcome, OwnerTask } from '../owner/owner.js';
 import type { StoreQuery } from '../source/object-store.js';
@@ -157,6 +158,7 @@
 /** Runs one task of another node, from its offer to its outcome. */
 class TaskExchange {
   private readonly cancellation = new Cancellation();
+  private readonly arrivedAt: number;
   private receiver: BodyReceiver | undefined;
   private hasEnded = false;
 
@@ -164,9 +166,13 @@
     private readonly connection: PeerConnection,
     private readonly offer: OfferMessage,
     private readonly context: PeerServerContext,
-  ) {}
+  ) {
+    this.arrivedAt = context.clock.now();
+  }
 
   async run(): Promise<void> {
+    // The ingress may have cancelled the task while this node had no time to read.
+    await afterPendingReads();
     const outcome = await this.context.owner.run(this.task());
     this.hasEnded = true;
     this.receiver?.discard();
@@ -193,15 +199,14 @@
 
   private task(): OwnerTask {
     const { task, method, target, headers, body } = this.offer;
-    const now = this.context.clock.now();
     const bufferedBody = body && ({ kind: 'bytes', bytes: body } as const);
     return {
       ...task,
       method,
       target,
       headers,
-      deadlineAt: now + task.remainingMs,
-      targetAt: now + task.targetMs,
+      deadlineAt: this.arrivedAt + task.remainingMs,
+      targetAt: this.arrivedAt + task.targetMs,
       cancellation: this.cancellation,
       bufferedBody,
       loadBody: () => (bufferedBody ? Promise.resolve(bufferedBody) : this.requestBody()),
--- a/src/peer/remoteRun.ts
+++ b/src/peer/remoteRun.ts
@@ -189,7 +189,8 @@
     this.settle(
       this.mayHaveRun ? { kind: 'unknown', reason: 'cancelled' } : createRejection('cancelled'),
     );
-    this.connection.destroy();
+    // On a slow link the task may still wait to be sent, and the owner must not get it any more.
+    this.connection.reset();
   }
 
   private ping(): boolean {
