A long body that waits for its owner is read ahead, so that a departure shows

An upload of 2 MB that waited for a slot was noticed as left only when the slot was free, 1,200 ms late, and could arrive at the back end: bodies over 1 MiB were not read further until an owner had admitted them, and Node shows the close only of a connection that is read.

--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -172,15 +172,18 @@
 
   private async bringToOwner({ matched, body, mayServe }: ReadRequest): Promise<void> {
     const task = this.taskOf(matched, body);
+    const readAhead =
+      body.kind === 'stream' ? this.options.readAhead.start(body.head, this.request) : undefined;
     const dispatch = new Dispatch(
       this.options,
-      task,
-      body.kind === 'stream' ? 1 : matched.route.maxAttempts,
+      readAhead ? { ...task, loadBody: readAhead.take } : task,
+      readAhead ? 1 : matched.route.maxAttempts,
       body.kind === 'bytes' ? body.bytes.length : Number.POSITIVE_INFINITY,
       mayServe,
     );
     this.dispatch = dispatch;
     const { result } = await dispatch.run();
+    readAhead?.release();
     if (this.isFinished) {
       return;
     }
--- a/src/ingress/ingressOptions.ts
+++ b/src/ingress/ingressOptions.ts
@@ -6,6 +6,7 @@
 import type { QuotaGate } from '../tenants/quotaGate.js';
 import type { ClientAccessContext } from './clientAccess.js';
 import type { DispatchContext } from './dispatch.js';
+import type { ReadAhead } from './readAhead.js';
 import type { RequestRecord } from './requestRecord.js';
 
 /** Dependencies on the node. */
@@ -17,6 +18,7 @@
   readonly ownRecord: () => OwnerRecord;
   /** Name of the service whose back end runs on this machine. */
   readonly callerService: () => string;
+  readonly readAhead: ReadAhead;
   /** Undefined if no quota applies to tenants. */
   readonly quotaGate?: QuotaGate | undefined;
   readonly onFinished: (record: RequestRecord) => void;
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -13,6 +13,7 @@
 import { createQuarantineSync, type QuarantineSync } from '../directory/quarantineSync.js';
 import { IngressServer } from '../ingress/ingress-server.js';
 import { createOfferLimit } from '../ingress/offerLimit.js';
+import { createReadAhead } from '../ingress/readAhead.js';
 import { createRetryAfterPacer } from '../ingress/retryAfterPacer.js';
 import { SharedRetryBudget } from '../ingress/shared-retry-budget.js';
 import { createSuspendAwareTimers } from '../model/suspendAwareTimers.js';
@@ -227,6 +228,7 @@
     crossZoneBudget: createCrossZoneBudget(),
     retryAfterPacer: createRetryAfterPacer(),
     offerLimit: createOfferLimit(),
+    readAhead: createReadAhead(),
     crashTracker,
     versionSelector: rollouts?.versionSelector,
     routes: () => configuration.routes,
