The soak knows clients that leave, pipelined reads, calls of back ends and starved nodes

Three clients pipeline one to five reads, stay up to 0.3 s and leave; the back ends make two calls for each of these reads. Rules gone (more than three arrivals later than 0.5 s after their client, or runs that go on) and budget (repeats at a service, calls included). A new fault lets a process run for a fifth of the time. Only a frozen node excuses a departure.

--- a/lab/application-stand-in.ts
+++ b/lab/application-stand-in.ts
@@ -6,29 +6,11 @@
 import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
 import { answer, type Behaviour } from './applicationAnswer.js';
 import { type CallPlan, makeCalls } from './backEndCalls.js';
+import type { Run, RunFate } from './backEndRun.js';
 import { postRegistration } from './postRegistration.js';
 import { createStatedNotices } from './statedNotices.js';
 
-/** One request that a back end has begun to work on. */
-export interface Run {
-  readonly requestId: string;
-  readonly instance: string;
-  /** Birth of the life that ran it. */
-  readonly bornAt: number;
-  /** Of the software that ran it. */
-  readonly version: string;
-  readonly method: string;
-  readonly target: string;
-  /** See `keptBodyBytes`. */
-  readonly body: string;
-  readonly bodyBytes: number;
-  readonly headers: http.IncomingHttpHeaders;
-  readonly at: number;
-  /** Set when the connection closed before the answer was sent. */
-  cutAt: number | undefined;
-  /** Set when the answer was sent. */
-  answeredAt: number | undefined;
-}
+export type { Run, RunFate } from './backEndRun.js';
 
 let instances = 0;
 
@@ -47,14 +29,6 @@
 const SHORTEST_DOWN_MS = 2_500;
 export const LONGEST_DOWN_MS = 4_000;
 
-/** What a version makes of a request. */
-export interface RunFate {
-  /** Of the answer; 200 when left out. */
-  readonly status?: number;
-  /** How many times as long as usual it takes. */
-  readonly slowness?: number;
-}
-
 /** Listens until closed. */
 export class ApplicationStandIn {
   /** Id, which a later life may have too. */
--- a/lab/backEndCalls.ts
+++ b/lab/backEndCalls.ts
@@ -16,14 +16,21 @@
 const HOST = 'mesh.example';
 const OK = 200;
 
-/** Id of a call: that of its parent request, a dot and a number. */
-export function callIdOf(parentId: string, index: number): string {
-  return `${parentId}.${index}`;
+/** Stands between the id of a request and the number of a call that is made for it. */
+const CALL_MARK = '.';
+
+/** Id of a call: that of its parent request and a number. */
+function callIdOf(parentId: string, index: number): string {
+  return `${parentId}${CALL_MARK}${index}`;
+}
+
+export function isCallId(requestId: string): boolean {
+  return requestId.includes(CALL_MARK);
 }
 
 /** Id of the client's request that a request was made for: its own, or that of its first parent. */
 export function rootIdOf(requestId: string): string {
-  return requestId.split('.', 1)[0] as string;
+  return requestId.split(CALL_MARK, 1)[0] as string;
 }
 
 /**
--- a/lab/rawClient.ts
+++ b/lab/rawClient.ts
@@ -38,9 +38,10 @@
   };
 }
 
-/** A request without a body. */
-export function getText(path: string, requestId: string): string {
-  return `GET ${path} HTTP/1.1\r\nHost: mesh.example\r\n${NAMES.requestId}: ${requestId}\r\n\r\n`;
+/** A request without a body; `fields` are further lines of its head. */
+export function getText(path: string, requestId: string, fields: readonly string[] = []): string {
+  const head = [`GET ${path} HTTP/1.1`, 'Host: mesh.example', `${NAMES.requestId}: ${requestId}`];
+  return `${[...head, ...fields].join('\r\n')}\r\n\r\n`;
 }
 
 /** The head of a request with a body of this length. */
--- a/lab/sidecarSoak.ts
+++ b/lab/sidecarSoak.ts
@@ -7,6 +7,7 @@
 
 import { readFleet } from '../src/cli/fleetStatus.js';
 import { LONGEST_DOWN_MS } from './application-stand-in.js';
+import { isCallId } from './backEndCalls.js';
 import { MemoryStore, StoreView } from './memory-store.js';
 import { pickOne, seededRandom } from './random.js';
 import type { Sidecar } from './sidecarProcesses.js';
@@ -31,7 +32,8 @@
   isCrashing,
   openSpan,
 } from './soakCrashing.js';
-import { createFaultInjector, FAULTS, type Fault, type FaultInjector } from './soakFaults.js';
+import { createDepartingClients, type DepartingClients, isForDeparting } from './soakDepartures.js';
+import { createFaultInjector, FAULTS, Fault, type FaultInjector } from './soakFaults.js';
 import { DRAIN_MS, QUOTA, REVOKE_MS, ROLLOUT, SLOTS, startSoakMesh } from './soakMesh.js';
 import { createSoakNotices, type SoakNotices } from './soakNotices.js';
 import { createSoakRollouts, type SoakRollouts } from './soakRollouts.js';
@@ -73,6 +75,8 @@
   readonly statuses: Readonly<Record<string, number>>;
   /** Limits that back ends have named, and back ends that have said that they leave. */
   readonly notices: SoakNotices['counts'];
+  /** Requests whose clients left. */
+  readonly departures: number;
   /** What became of each order. */
   readonly rollouts: readonly RolloutHistory[];
   readonly breaches: readonly SoakBreach[];
@@ -117,8 +121,11 @@
   private readonly tenants: TenantClients;
   private readonly rollouts: SoakRollouts;
   private readonly notices: SoakNotices;
+  private readonly departing: DepartingClients;
   /** When faults were under way. */
   private readonly spans: Span[] = [];
+  /** When a node was frozen. */
+  private readonly frozen: Span[] = [];
 
   constructor(private readonly parts: SoakParts) {
     const { plan, sidecars, platform, configurations, random, say } = parts;
@@ -140,6 +147,7 @@
       { contactMs: CONTACT_MS, drainMs: DRAIN_MS },
       seededRandom(plan.seed + 5),
     );
+    this.departing = createDepartingClients(sidecars, seededRandom(plan.seed + 6));
     this.injector = createFaultInjector({
       sidecars,
       platform,
@@ -153,7 +161,7 @@
   async run(): Promise<SidecarSoakResult> {
     const { plan, sidecars, configurations } = this.parts;
     await pause(SETTLE_MS);
-    const clients = [this.clients.run(), this.tenants.run()];
+    const clients = [this.clients.run(), this.tenants.run(), this.departing.run()];
     const crashing = this.crashing.run();
     const rollouts = this.rollouts.run();
     const notices = this.notices.run();
@@ -173,6 +181,7 @@
     await pause(RECOVERY_MS);
     this.clients.stop();
     this.tenants.stop();
+    this.departing.stop();
     await Promise.all([...clients, crashing]);
     return this.result(await this.fleet());
   }
@@ -209,6 +218,9 @@
     this.faults.set(fault, (this.faults.get(fault) ?? 0) + 1);
     const span = openSpan();
     this.spans.push(span);
+    if (fault === Fault.Freeze) {
+      this.frozen.push(span);
+    }
     await this.injector.strike(fault);
     span.until = performance.now();
   }
@@ -216,11 +228,13 @@
   private result(fleet: SoakFleet): SidecarSoakResult {
     const { plan, sidecars, configurations } = this.parts;
     const requests = [...this.clients.requests, ...this.tenants.history];
-    const tenantRuns = sidecars.flatMap(({ application }) => tenantRunsOf(application));
+    const tenantRuns = sidecars
+      .flatMap(({ application }) => tenantRunsOf(application))
+      .filter(({ id }) => !isCallId(id));
     const sent = this.tenants.requests;
     const runs: SoakRun[] = sidecars.flatMap(({ application }) =>
       application.runs
-        .filter((run) => !isCrashing(run))
+        .filter((run) => !isCrashing(run) && !isForDeparting(run.requestId))
         .map(({ requestId, bodyBytes, method }) => ({
           id: requestId,
           bodyBytes,
@@ -240,6 +254,7 @@
       statuses,
       rollouts: this.rollouts.histories,
       notices: this.notices.counts,
+      departures: this.departing.departures.length,
       breaches: [
         ...checkSoak(requests, runs, MAX_ATTEMPTS),
         ...configurations.late,
@@ -247,6 +262,7 @@
         ...checkTenants(sent, tenantRuns, SECRET, MAIN_TENANT),
         ...checkRevoked(sent, tenantRuns, configurations.writtenAt, REVOKE_MS),
         ...this.notices.breaches(),
+        ...this.departing.breaches(this.frozen),
         ...checkRollouts(this.rollouts.histories, ROLLOUT),
         ...checkQuota(sent, tenantRuns, { tenant: HOT_TENANT, bounds: QUOTA }),
         ...checkCrashing(this.crashing.runs(), this.spans, CONTACT_MS),
--- a/lab/sidecarSoakCheck.ts
+++ b/lab/sidecarSoakCheck.ts
@@ -40,6 +40,10 @@
   Limit = 'limit',
   /** A back end got a request too long after it had reported that it is leaving. */
   Leaving = 'leaving',
+  /** Work began or went on for clients that had left. */
+  Gone = 'gone',
+  /** A service got more repeats than its retry budget allows. */
+  Budget = 'budget',
 }
 
 /** One request as its caller saw it. */
--- a/lab/soakFaults.ts
+++ b/lab/soakFaults.ts
@@ -11,6 +11,10 @@
 
 const SLOWER = 6;
 
+/** Parts of the time in which a starved process is stopped and runs, in milliseconds. */
+const STARVED_MS = 80;
+const RUNNING_MS = 20;
+
 /** How many times as long as usual a back end that hangs takes: longer than any client waits. */
 const HANGING = 100;
 
@@ -27,6 +31,7 @@
 export enum Fault {
   Kill = 'kill',
   Freeze = 'freeze',
+  Starve = 'starve',
   Stop = 'planned stop',
   Reload = 'reload',
   Misbehave = 'back end misbehaves',
@@ -111,6 +116,8 @@
             await pause(forMs);
             had?.process.signal('SIGCONT');
           });
+        case Fault.Starve:
+          return withProcesses([sidecar], async ([had]) => had && starve(had, forMs));
         case Fault.Stop:
           return withProcesses([sidecar], async ([had]) => {
             await had?.process.stop();
@@ -147,6 +154,17 @@
   };
 }
 
+/** Lets the process run for a fifth of the time only. */
+async function starve({ process }: Sidecar, forMs: number): Promise<void> {
+  const until = performance.now() + forMs;
+  while (performance.now() < until) {
+    process.signal('SIGSTOP');
+    await pause(STARVED_MS);
+    process.signal('SIGCONT');
+    await pause(RUNNING_MS);
+  }
+}
+
 /** By its last figure: half of the requests. */
 function isOdd(requestId: string): boolean {
   return requestId.charCodeAt(requestId.length - 1) % 2 === 1;
--- a/lab/soakTraffic.ts
+++ b/lab/soakTraffic.ts
@@ -8,9 +8,13 @@
 const DEADLINE_MS = 2_500;
 
 export const SERVICES = ['desk', 'vault'];
+const CALLED_SERVICE = 'vault';
 /** Back ends that one request may be sent to. */
 export const MAX_ATTEMPTS = 2;
 
+/** The call that back ends make; clients don't send it. */
+export const CALL_PATH = '/check/1';
+
 /** Begins every key: no back end may ever see it. */
 export const SECRET = 'secret-';
 
@@ -53,8 +57,19 @@
       split: [{ service, weight: 1 }],
     })),
   );
+  const calls = {
+    name: 'check',
+    host: HOST,
+    pathPrefix: '/check/',
+    kind: 'safe',
+    maxAttempts: MAX_ATTEMPTS,
+    timeoutMs: DEADLINE_MS,
+    targetLatencyMs: 300,
+    isPublic: true,
+    split: [{ service: CALLED_SERVICE, weight: 1 }],
+  };
   const services = SERVICES.map((name) => ({ name }));
-  return { version, routes, services, tenants: tenantsOf(version) };
+  return { version, routes: [...routes, calls], services, tenants: tenantsOf(version) };
 }
 
 /** One request of a client. */
