Clients that leave no longer keep a request that crashes back ends from being quarantined

Cause: a run that its caller abandoned counts as in flight for a second, as the back end may still work on it; with some ten departures a second there always was one, so a suspect was never alone when its back end crashed. A suspect, which runs alone, now counts as alone beside abandoned requests of which no crash is known. crashTracker.test.ts: one test that fails before, three cases that stay as strict.

--- a/src/owner/crashDetector.ts
+++ b/src/owner/crashDetector.ts
@@ -98,10 +98,11 @@
           isSameIncarnation(run.incarnation, incarnation) && begunAt <= begunUntil,
       )
       .map(([run]) => run);
-    onCrash(
-      incarnation,
-      [...recentlyEnded, ...inFlight].map(({ request }) => request),
-    );
+    const endedRequests = recentlyEnded.map(({ request, isLost }) => ({
+      ...request,
+      isAbandoned: !isLost,
+    }));
+    onCrash(incarnation, [...endedRequests, ...inFlight.map(({ request }) => request)]);
   };
 
   /** Runs that end at the same moment share one check of the port. */
--- a/src/quarantine/crashTracker.test.ts
+++ b/src/quarantine/crashTracker.test.ts
@@ -69,6 +69,36 @@
     expect(tracker.quarantined(9)).toEqual([]);
   });
 
+  // Guards against requests that are never quarantined because clients keep leaving beside them.
+  it('quarantines a suspect that crashed a back end beside abandoned requests', () => {
+    const tracker = createCrashTracker();
+    crash(tracker, 'i-1', [CULPRIT, other(1)], 0);
+    crash(tracker, 'i-2', [CULPRIT, other(2)], 0);
+    const inFlight = [
+      { ...CULPRIT, hadPriorCrash: true },
+      { ...other(3), hadPriorCrash: false, isAbandoned: true },
+    ];
+    expect(tracker.noteCrash('i-3', inFlight, 0).quarantined).toEqual([CULPRIT]);
+    expect(tracker.statusOf(other(3), 0)).toBe(QuarantineStatus.Clear);
+  });
+
+  it.each([
+    ['no suspect yet', [], { ...other(3), hadPriorCrash: false, isAbandoned: true }],
+    ['beside one that runs', ['i-2'], { ...other(3), hadPriorCrash: false }],
+    [
+      'beside an abandoned one with a crash',
+      ['i-2'],
+      { ...other(1), hadPriorCrash: true, isAbandoned: true },
+    ],
+  ])('quarantines no request that was %s', (_case, earlier, beside) => {
+    const tracker = createCrashTracker();
+    for (const instance of ['i-1', ...earlier]) {
+      crash(tracker, instance, [CULPRIT, other(1)], 0);
+    }
+    const inFlight = [{ ...CULPRIT, hadPriorCrash: true }, beside];
+    expect(tracker.noteCrash('i-3', inFlight, 0).quarantined).toEqual([]);
+  });
+
   it('counts an incarnation once when another node announces it as well', () => {
     const tracker = createCrashTracker();
     const announcement = crash(tracker, 'i-1', [CULPRIT, other(1)], 0);
--- a/src/quarantine/crashTracker.ts
+++ b/src/quarantine/crashTracker.ts
@@ -7,7 +7,9 @@
  * owner of the mesh. If a back end crashes while only this request is in flight, and an earlier
  * crash of the request was known before this run began, the request is quarantined. The earlier
  * crash is required because back ends may end together for another reason, such as the loss of a
- * whole domain, which says nothing about the requests that ran on all of them. If a request
+ * whole domain, which says nothing about the requests that ran on all of them. A suspect counts as
+ * alone beside requests that their callers had abandoned, if no crash of these is known: back ends
+ * mostly drop such requests, and where clients leave often there is always one. If a request
  * completes, it is cleared. A request is therefore never refused only because it was in flight
  * beside the one that caused a crash.
  */
@@ -22,6 +24,8 @@
 export interface InFlightRequest extends RequestKey {
   /** True if a crash of the request was known when it began to run. */
   readonly hadPriorCrash: boolean;
+  /** True if its caller had abandoned it: the back end may still have worked on it. */
+  readonly isAbandoned?: boolean;
 }
 
 /** How a request is treated. */
@@ -153,6 +157,17 @@
       : QuarantineStatus.Clear;
   };
 
+  /** The suspect beside which every other request was abandoned and has no known crash. */
+  const soleSuspectOf = (inFlight: readonly InFlightRequest[], now: number): RequestKey[] => {
+    const candidates = inFlight.filter(
+      ({ fingerprint, isAbandoned }) => !isAbandoned || entries.get(fingerprint) !== undefined,
+    );
+    const [sole, ...others] = distinctKeys(candidates);
+    const isSuspect = sole !== undefined && statusOf(sole, now) === QuarantineStatus.Suspect;
+    const hadPriorCrash = candidates.every((request) => request.hadPriorCrash);
+    return isSuspect && hadPriorCrash && others.length === 0 ? [sole] : [];
+  };
+
   return {
     statusOf,
     quarantineLeftMs: ({ fingerprint, caller }, now) => {
@@ -169,11 +184,12 @@
       // The same request may run more than once at a time on a back end.
       const isAlone = new Set(inFlight.map(keyText)).size === 1;
       const suspects = distinctKeys(inFlight).filter((key) => isAlone || !completed.has(key, now));
+      const soleSuspect = soleSuspectOf(inFlight, now);
       for (const key of suspects) {
         blame(incarnation, key, now);
       }
       const hadPriorCrash = inFlight.some((request) => request.hadPriorCrash);
-      const quarantined = isAlone && hadPriorCrash ? suspects : [];
+      const quarantined = isAlone && hadPriorCrash ? suspects : soleSuspect;
       for (const key of quarantined) {
         quarantine(key, now);
       }
