A request whose client left is no failure of its version

One cause, found by reading: a cancelled attempt counted as a failure of the version at the node that offered it, and after a few of those the node prefers the version no more. With every request of a closed connection cancelled there are many more.

--- a/src/ingress/dispatch.test.ts
+++ b/src/ingress/dispatch.test.ts
@@ -1,17 +1,12 @@
 import { describe, expect, it, vi } from 'vitest';
+import { dispatchContext } from '../../test/dispatchContext.js';
 import { ownerTask } from '../../test/fixtures.js';
 import { createCrossZoneBudget, LARGE_BODY_BYTES } from '../directory/crossZoneBudget.js';
 import { OwnerDirectory } from '../directory/owner-directory.js';
 import { OwnerEntry } from '../directory/owner-entry.js';
-import { createCallRates } from '../owner/callRates.js';
 import { EMPTY_BODY } from '../owner/message-body.js';
 import { createRejection, type Owner, type OwnerOutcome, type OwnerTask } from '../owner/owner.js';
-import { createCrashTracker } from '../quarantine/crashTracker.js';
-import { createCallRoutes } from './callRoutes.js';
 import { Dispatch } from './dispatch.js';
-import { createOfferLimit } from './offerLimit.js';
-import { createRetryAfterPacer } from './retryAfterPacer.js';
-import { SharedRetryBudget } from './shared-retry-budget.js';
 
 const answer = (status: number): OwnerOutcome => ({
   kind: 'answer',
@@ -51,30 +46,13 @@
     directory.put({ node, address: `10.0.0.1:${index}`, zone, service: 'desk' });
   });
   const task = ownerTask({ repeatable: options.repeatable ?? true });
-  const retryBudget = new SharedRetryBudget(
-    () => ({ ratio: 0.2, windowMs: 10_000, slack: options.slack ?? 64 }),
-    () => 1,
-  );
   const crossZoneBudget = createCrossZoneBudget();
   while (crossZoneBudget.tryWithdraw()) {
     // Spends the whole budget, as in a zone whose owners have been busy for a while.
   }
-  const retryAfterPacer = createRetryAfterPacer();
-  const offerLimit = createOfferLimit();
-  const crashTracker = createCrashTracker();
-  const context = {
-    clock: { now: () => 0 },
-    directory,
-    retryBudget,
-    callRoutes: createCallRoutes(),
-    callRates: createCallRates(),
-    crossZoneBudget,
-    retryAfterPacer,
-    offerLimit,
-    crashTracker,
-  };
+  const context = { ...dispatchContext(directory, 0.2, options.slack), crossZoneBudget };
   if (options.slack === 0) {
-    retryBudget.pay(new Map([['desk', 1]]), 0);
+    context.retryBudget.pay(new Map([['desk', 1]]), 0);
   }
   const { result } = await new Dispatch(
     context,
@@ -212,21 +190,7 @@
     directory.put({ node: `node-${index}`, address, zone: 'near', service: 'desk' });
   }
   const task = ownerTask({ repeatable: true });
-  const bound = { ratio: 0, windowMs: 10_000, slack: options.slack ?? 64 };
-  const context = {
-    clock: { now: () => 0 },
-    directory,
-    retryBudget: new SharedRetryBudget(
-      () => bound,
-      () => 1,
-    ),
-    callRoutes: createCallRoutes(),
-    callRates: createCallRates(),
-    crossZoneBudget: createCrossZoneBudget(),
-    retryAfterPacer: createRetryAfterPacer(),
-    offerLimit: createOfferLimit(),
-    crashTracker: createCrashTracker(),
-  };
+  const context = dispatchContext(directory, 0, options.slack);
   const result = new Dispatch(context, task, options.maxAttempts ?? 2, 0).run();
   return {
     offered,
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -275,11 +275,19 @@
   private noteVersionOutcome({ record }: OwnerEntry, outcome: OwnerOutcome): void {
     if (outcome.kind === 'not-run' && !outcome.arrived) {
       this.versionSelection.noteUndelivered(record.node);
-    } else if (outcome.kind !== 'answer' || outcome.status >= FIRST_FAILED_STATUS) {
+    } else if (this.hasFailed(outcome)) {
       this.versionSelection.noteFailure(record.node);
     }
   }
 
+  /** False if the client left in time, as this says nothing about the back end. */
+  private hasFailed(outcome: OwnerOutcome): boolean {
+    if (outcome.kind === 'answer') {
+      return outcome.status >= FIRST_FAILED_STATUS;
+    }
+    return outcome.reason !== 'cancelled' || this.context.clock.now() >= this.task.deadlineAt;
+  }
+
   private record(attempt: Attempt, result: string): void {
     const { entry, startedAt } = attempt;
     this.offers.set(attempt, {
