--- a/lab/soakDepartures.ts
+++ b/lab/soakDepartures.ts
@@ -23,8 +23,8 @@
 const LONGEST_STAY_MS = 300;
 const LONGEST_PAUSE_MS = 250;
 
-/** Milliseconds of work after which a back end makes its calls. */
-const CALLS_AFTER_MS = 40;
+/** What a back end calls. Failed calls fail no request: they would count against its version. */
+const CALLS = { paths: [CALL_PATH, CALL_PATH], afterMs: 40, areNeeded: false };
 
 /** "More than a few" requests that arrive for clients that have left break the rule. */
 const FEW = 3;
@@ -58,7 +58,7 @@
     application.dropsAbandoned = true;
     application.callsOf = ({ requestId }) =>
       isForDeparting(requestId) && !isCallId(requestId)
-        ? { address: listen.clients, paths: [CALL_PATH, CALL_PATH], afterMs: CALLS_AFTER_MS }
+        ? { ...CALLS, address: listen.clients }
         : undefined;
   }
 
--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -150,7 +150,7 @@
     if (refusal) {
       return refusal;
     }
-    const entry = this.chooseOwner();
+    const entry = this.choice.next(this.choiceState);
     if (!entry) {
       this.account.dropRetry();
       return this.refusals.noOwner(this.progress);
@@ -211,10 +211,6 @@
     return { mayHaveRun: this.mayHaveRun, lastNotRun: this.lastNotRun };
   }
 
-  private chooseOwner(): OwnerEntry | undefined {
-    return this.choice.next(this.choiceState);
-  }
-
   private get choiceState(): ChoiceState {
     const { tried, busyInZone } = this;
     const isSuspect = this.quarantineStatus === QuarantineStatus.Suspect;
