--- a/src/owner/callRates.ts
+++ b/src/owner/callRates.ts
@@ -32,7 +32,7 @@
 /** Time for which a result is reused, in milliseconds: it is reported with every answer. */
 const CACHE_MS = 250;
 
-/** A call counts as made by a run even if it ends later; rarer calls than this cost nothing. */
+/** Smaller rates are left out. */
 const MIN_PER_RUN = 0.01;
 
 export function createCallRates(): CallRates {
--- a/test/pipelining.test.ts
+++ b/test/pipelining.test.ts
@@ -3,8 +3,8 @@
  * ran is answered, in order, also when the node stops or the client sends something that is not a
  * request.
  */
-import net from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { connectRaw, getText } from '../lab/rawClient.js';
 import { SidecarMesh, waitFor } from '../lab/sidecar-mesh.js';
 
 let mesh: SidecarMesh;
@@ -27,28 +27,7 @@
   return machine;
 }
 
-function requestText(id: string): string {
-  return `GET /read/${id} HTTP/1.1\r\nHost: mesh.example\r\nx-request-id: ${id}\r\n\r\n`;
-}
-
-/** Sends the text and collects the bytes received until the connection ends. */
-function exchange(address: string, text: string) {
-  const separator = address.lastIndexOf(':');
-  const socket = net.connect({
-    host: address.slice(0, separator),
-    port: Number(address.slice(separator + 1)),
-  });
-  const state = { received: '', ended: false };
-  socket.on('data', (bytes) => {
-    state.received += bytes.toString();
-  });
-  socket.on('close', () => {
-    state.ended = true;
-  });
-  socket.on('error', () => {});
-  socket.write(text);
-  return { state, socket };
-}
+const requestText = (id: string) => getText(`/read/${id}`, id);
 
 function answersIn(received: string): string[] {
   return [...received.matchAll(/answer to (\S+?)(?=HTTP|\r|$)/g)].map(([, id]) => id ?? '');
@@ -58,21 +37,21 @@
   it('gets its answers in the order of its requests', async () => {
     const machine = await oneMachine();
     const text = ['a', 'b', 'c'].map(requestText).join('');
-    const { state, socket } = exchange(machine.node.addresses.clients, text);
-    await waitFor(() => answersIn(state.received).length === 3);
-    expect(answersIn(state.received)).toEqual(['a', 'b', 'c']);
-    socket.destroy();
+    const client = connectRaw(machine.node.addresses.clients, text);
+    await waitFor(() => answersIn(client.received).length === 3);
+    expect(answersIn(client.received)).toEqual(['a', 'b', 'c']);
+    client.socket.destroy();
   });
 
   it('gets an answer to each request in flight at a planned stop', async () => {
     const machine = await oneMachine();
     machine.application.serviceMs = 300;
     const text = ['a', 'b'].map(requestText).join('');
-    const { state } = exchange(machine.node.addresses.clients, text);
+    const client = connectRaw(machine.node.addresses.clients, text);
     await waitFor(() => mesh.runs().length === 2);
     const stopped = machine.node.stop();
-    await waitFor(() => state.ended);
-    expect(answersIn(state.received)).toEqual(['a', 'b']);
+    await waitFor(() => client.hasEnded);
+    expect(answersIn(client.received)).toEqual(['a', 'b']);
     await stopped;
   });
 
@@ -85,19 +64,19 @@
     ]);
     await mesh.settled();
     owner.application.serviceMs = 300;
-    const { state, socket } = exchange(machine.node.addresses.clients, requestText('r0'));
+    const client = connectRaw(machine.node.addresses.clients, requestText('r0'));
     let sent = 0;
     const timer = setInterval(() => {
       sent += 1;
-      socket.write(requestText(`r${sent}`));
+      client.socket.write(requestText(`r${sent}`));
     }, 100);
     await waitFor(() => mesh.runs().length >= 2);
     const startedAt = performance.now();
     const stopped = machine.node.stop();
-    await waitFor(() => state.ended);
+    await waitFor(() => client.hasEnded);
     clearInterval(timer);
     expect(performance.now() - startedAt).toBeLessThan(3_500);
-    expect(answersIn(state.received)).toEqual(mesh.runs().map(({ requestId }) => requestId));
+    expect(answersIn(client.received)).toEqual(mesh.runs().map(({ requestId }) => requestId));
     await stopped;
   });
 
@@ -105,11 +84,11 @@
     const machine = await oneMachine();
     machine.application.serviceMs = 200;
     const text = `${requestText('a')}no request at all\r\n\r\n`;
-    const { state } = exchange(machine.node.addresses.clients, text);
-    await waitFor(() => state.ended);
-    expect(state.received.indexOf('answer to a')).toBeGreaterThan(0);
-    expect(state.received.indexOf('400 Bad Request')).toBeGreaterThan(
-      state.received.indexOf('answer to a'),
+    const client = connectRaw(machine.node.addresses.clients, text);
+    await waitFor(() => client.hasEnded);
+    expect(client.received.indexOf('answer to a')).toBeGreaterThan(0);
+    expect(client.received.indexOf('400 Bad Request')).toBeGreaterThan(
+      client.received.indexOf('answer to a'),
     );
   });
 });
