--- a/src/ingress/retryBudget.model.test.ts
+++ b/src/ingress/retryBudget.model.test.ts
@@ -23,6 +23,8 @@
   readonly calls: readonly [number, number, number];
   /** Share of the attempts that fail after the run, which may be repeated. */
   readonly failureShare: number;
+  /** Steps after which one more node restarts, and knows nothing of its retries; 0 for none. */
+  readonly restartEvery: number;
   /** Requests of clients for each service, in each step. */
   readonly steps: readonly (readonly [number, number, number])[];
 }
@@ -38,6 +40,7 @@
     fc.constantFrom(0, 1, 2),
   ),
   failureShare: fc.constantFrom(0.05, 0.4, 0.9),
+  restartEvery: fc.constantFrom(0, 4, 20),
   steps: fc.array(
     fc.tuple(
       fc.integer({ min: 0, max: 20 }),
@@ -55,19 +58,24 @@
     store: { requestTimes: [], arrivals: [] },
   };
   private readonly random: () => number;
-  private readonly budgets: readonly SharedRetryBudget[];
+  private readonly budgets: SharedRetryBudget[];
   private requests = 0;
   now = 0;
 
   constructor(private readonly scenario: Scenario) {
     this.random = seededRandom(scenario.seed);
-    this.budgets = Array.from(
-      { length: scenario.nodes },
-      () =>
-        new SharedRetryBudget(
-          () => BOUND,
-          () => scenario.nodes,
-        ),
+    this.budgets = Array.from({ length: scenario.nodes }, () => this.createBudget());
+  }
+
+  /** Restarts the nodes in turn; each of them once in a window at the most. */
+  restart(index: number): void {
+    this.budgets[index % this.budgets.length] = this.createBudget();
+  }
+
+  private createBudget(): SharedRetryBudget {
+    return new SharedRetryBudget(
+      () => BOUND,
+      () => this.scenario.nodes,
     );
   }
 
@@ -130,10 +138,18 @@
   }
 }
 
+function isRestartDue({ restartEvery, nodes }: Scenario, step: number): boolean {
+  const isOncePerWindow = restartEvery * nodes * STEP_MS >= BOUND.windowMs;
+  return restartEvery > 0 && isOncePerWindow && step % restartEvery === 0;
+}
+
 function play(scenario: Scenario): readonly ServiceHistory[] {
   const mesh = new Mesh(scenario);
-  for (const counts of scenario.steps) {
+  for (const [step, counts] of scenario.steps.entries()) {
     mesh.now += STEP_MS;
+    if (isRestartDue(scenario, step)) {
+      mesh.restart(step / scenario.restartEvery);
+    }
     for (const [index, service] of SERVICES.entries()) {
       for (let request = 0; request < (counts[index] ?? 0); request += 1) {
         mesh.request(service);
