A request is logged and counted when its answer has ended, not at its head

What operators saw: a request whose long answer broke off was counted as answered, and had no line in the log.

Cause: IngressRequest.finish reported a request as soon as the head of its answer was there (more than 256 KiB: while the body still arrived). What came after the head could no longer change the record.

Change: createRequestEnd follows a request until its response has closed: whole (the operating system has taken the last byte), broken off ('answer-broken', with brokenBy), or left by the client. sendBody leaves its target open when it fails, so the ingress can note why it closes the connection before it does.

The behaviour towards clients is unchanged here: what a node cannot notice yet (a reset answer without a length, silence) it still logs as answered or not at all.

--- a/lab/application-stand-in.ts
+++ b/lab/application-stand-in.ts
@@ -4,9 +4,9 @@
 import type { AddressInfo } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
-import { answer, type Behaviour } from './applicationAnswer.js';
+import { answer, type Behaviour, type LongAnswer } from './applicationAnswer.js';
 import { type CallPlan, makeCalls } from './backEndCalls.js';
-import type { Run, RunFate } from './backEndRun.js';
+import { beginRun, type Run, type RunFate } from './backEndRun.js';
 import { postRegistration } from './postRegistration.js';
 import { createStatedNotices } from './statedNotices.js';
 
@@ -52,7 +52,7 @@
   /** Called when another life listens after a crash. */
   onBack: () => void = () => {};
   /** Behaviours of the next requests; then {@link Behaviour} `serve`. */
-  readonly behaviours: Behaviour[] = [];
+  readonly behaviours: (Behaviour | LongAnswer)[] = [];
   serviceMs = 5;
   /** Least length of an answer's body. */
   answerBytes = 0;
@@ -213,37 +213,34 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
     requestId: string,
-    behaviour: Behaviour,
+    behaviour: Behaviour | LongAnswer,
   ): Promise<void> {
+    const isLong = typeof behaviour === 'object';
+    const isEarly = isLong ? behaviour.isEarly === true : behaviour === 'answer-early';
     const chunks: Buffer[] = [];
-    if (behaviour !== 'answer-early') {
+    if (!isEarly) {
       for await (const chunk of request) {
         chunks.push(chunk as Buffer);
       }
     }
-    const whole = Buffer.concat(chunks);
     this.running += 1;
     this.mostRunning = Math.max(this.mostRunning, this.running);
-    const run: Run = {
-      requestId,
-      instance: this.instance,
-      bornAt: this.bornAt,
-      version: this.version,
-      method: request.method ?? '',
-      target: request.url ?? '',
-      body: whole.subarray(0, this.keptBodyBytes).toString(),
-      bodyBytes: whole.length,
-      headers: request.headers,
-      at: performance.now(),
-      cutAt: undefined,
-      answeredAt: undefined,
-    };
+    const body = Buffer.concat(chunks);
+    const { keptBodyBytes, bornAt } = this;
+    const run = beginRun({ request, requestId, body, keptBodyBytes, backEnd: this });
     this.runs.push(run);
-    const { bornAt } = this;
+    let holdsSlot = true;
+    const releaseSlot = (): void => {
+      this.running -= holdsSlot && this.bornAt === bornAt ? 1 : 0;
+      holdsSlot = false;
+    };
+    const { socket } = request;
     response.on('close', () => {
-      if (!response.writableFinished) {
+      if (isLong ? !socket.writableFinished : !response.writableFinished) {
         run.cutAt = performance.now();
-        this.running -= this.dropsAbandoned && this.bornAt === bornAt ? 1 : 0;
+      }
+      if (isLong || (run.cutAt !== undefined && this.dropsAbandoned)) {
+        releaseSlot();
       }
     });
     if (this.crashesUnder(run)) {
@@ -258,7 +255,9 @@
     if (this.bornAt !== bornAt || isDropped) {
       return;
     }
-    this.running -= 1;
+    if (!isLong) {
+      releaseSlot();
+    }
     if (run.cutAt === undefined) {
       run.answeredAt = performance.now();
     }
--- a/lab/applicationAnswer.ts
+++ b/lab/applicationAnswer.ts
@@ -1,5 +1,6 @@
 /** How a back end answers a request that it has run, with the faults that back ends show. */
 import type http from 'node:http';
+import type { Socket } from 'node:net';
 import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
 
 /** How a back end treats the next request. */
@@ -18,10 +19,40 @@
   /** Answers before it has read the body. */
   | 'answer-early';
 
+/** How an answer states where its body ends (RFC 9112, section 6.3). */
+export enum Framing {
+  Length = 'length',
+  Chunks = 'chunks',
+  /** It ends with its connection. */
+  Close = 'close',
+}
+
+/** How an answer breaks off. */
+export enum Break {
+  Reset = 'reset',
+  Close = 'close',
+  /** Nothing more is sent, and the connection stays open. */
+  Silence = 'silence',
+  /** Bytes that don't belong to an answer follow. */
+  Nonsense = 'nonsense',
+}
+
+/** A long answer, which may break off after {@link sentBytes} of its body. */
+export interface LongAnswer {
+  readonly framing: Framing;
+  readonly bytes: number;
+  /** The answer is whole if left out. */
+  readonly breaksBy?: Break;
+  /** Half of the body if left out. */
+  readonly sentBytes?: number;
+  /** True if it is sent before the request's body has been read. */
+  readonly isEarly?: boolean;
+}
+
 /** What an answer says. */
 export interface AnswerFields {
   readonly requestId: string;
-  readonly behaviour: Behaviour;
+  readonly behaviour: Behaviour | LongAnswer;
   readonly status: number;
   /** Id of the back end that answers. */
   readonly instance: string;
@@ -36,6 +67,10 @@
   { requestId, behaviour, status, instance, leastBytes = 0 }: AnswerFields,
 ): void {
   const fields = { [NAMES.signature]: instance, 'content-type': 'text/plain' };
+  if (typeof behaviour === 'object') {
+    answerAtLength(request.socket, { ...fields, [NAMES.requestId]: requestId }, behaviour);
+    return;
+  }
   const body = `answer to ${requestId}`.padEnd(leastBytes);
   switch (behaviour) {
     case 'stay-silent':
@@ -60,3 +95,59 @@
       response.end(body);
   }
 }
+
+/** Time for the part that was sent before a break to be read, in milliseconds. */
+const BREAK_DELAY_MS = 30;
+
+const NONSENSE = 'no chunk, no length and no answer\r\n';
+
+/** Writes the answer to its connection, which it does not share with other answers. */
+function answerAtLength(
+  socket: Socket,
+  fields: Readonly<Record<string, string>>,
+  { framing, bytes, breaksBy, sentBytes = Math.floor(bytes / 2) }: LongAnswer,
+): void {
+  const lines = Object.entries({ ...fields, ...framingFieldsOf(framing, bytes) });
+  const head = lines.map(([name, value]) => `${name}: ${value}\r\n`).join('');
+  const body = Buffer.alloc(breaksBy === undefined ? bytes : sentBytes, 'x');
+  const isChunked = framing === Framing.Chunks;
+  socket.on('error', () => {});
+  socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n`);
+  if (isChunked) {
+    socket.write(`${body.length.toString(16)}\r\n`);
+  }
+  socket.write(body);
+  socket.write(isChunked ? '\r\n' : '', () => {
+    if (breaksBy === undefined) {
+      socket.end(isChunked ? '0\r\n\r\n' : '');
+    } else {
+      setTimeout(() => breakOff(socket, breaksBy), BREAK_DELAY_MS);
+    }
+  });
+}
+
+function framingFieldsOf(framing: Framing, bytes: number): Record<string, string> {
+  switch (framing) {
+    case Framing.Length:
+      return { 'content-length': String(bytes), connection: 'close' };
+    case Framing.Chunks:
+      return { 'transfer-encoding': 'chunked', connection: 'close' };
+    default:
+      return { connection: 'close' };
+  }
+}
+
+function breakOff(socket: Socket, how: Break): void {
+  switch (how) {
+    case Break.Reset:
+      socket.resetAndDestroy();
+      return;
+    case Break.Close:
+      socket.end();
+      return;
+    case Break.Nonsense:
+      socket.end(NONSENSE);
+      return;
+    default:
+  }
+}
--- a/src/ingress/answerWriter.ts
+++ b/src/ingress/answerWriter.ts
@@ -1,6 +1,5 @@
-/** Writes the answer of one request when it is its turn on the connection. */
+/** Writes the answer of one request on its client's connection. */
 import type http from 'node:http';
-import { discardBody } from '../owner/message-body.js';
 import type { OwnerAnswer } from '../owner/owner.js';
 import { type ClientRefusal, sendAnswer, sendRefusal } from './client-answer.js';
 import type { PipelinedRequest } from './pipelines.js';
@@ -23,12 +22,12 @@
   readonly place: AnswerPlace;
 }
 
-/** Either method is called at most once. Nothing is written to a client that has left. */
+/** Either method is called at most once, when it is the request's turn on the connection. */
 export interface AnswerWriter {
-  /** Rejects if the answer breaks off. */
+  /** Resolves when the body has been passed on; rejects if it breaks off. */
   answer(answer: OwnerAnswer): Promise<void>;
   /** `mustClose` is true if the connection cannot be used after the refusal. */
-  refuse(refusal: ClientRefusal, mustClose: boolean): Promise<void>;
+  refuse(refusal: ClientRefusal, mustClose: boolean): void;
 }
 
 export function createAnswerWriter({
@@ -38,17 +37,8 @@
   place,
 }: AnswerWriterContext): AnswerWriter {
   return {
-    answer: async (answer) => {
-      if (await place.turn()) {
-        await sendAnswer(response, answer, request.method ?? 'GET', place.closeIfLast());
-      } else {
-        discardBody(answer.body);
-      }
-    },
-    refuse: async (refusal, mustClose) => {
-      if (await place.turn()) {
-        sendRefusal(response, refusal, idField, place.closeIfLast() || mustClose);
-      }
-    },
+    answer: (answer) => sendAnswer(response, answer, request.method ?? 'GET', place.closeIfLast()),
+    refuse: (refusal, mustClose) =>
+      sendRefusal(response, refusal, idField, place.closeIfLast() || mustClose),
   };
 }
--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -1,14 +1,11 @@
-/** Serves one client's request, from its head to the final answer. */
+/** Serves one client's request, from its head to the end of its answer. */
 import type http from 'node:http';
 import { afterPendingReads } from '../model/readBarrier.js';
 import { Cancellation } from '../owner/cancellation.js';
-import type { MessageBody } from '../owner/message-body.js';
-import type { OwnerTask } from '../owner/owner.js';
+import { discardBody, type MessageBody } from '../owner/message-body.js';
+import type { OwnerAnswer, OwnerTask } from '../owner/owner.js';
 import type { MeshRoute } from '../routing/mesh-configuration.js';
 import type { MatchedRoute, RouteMatcher } from '../routing/route-matcher.js';
-import { AccessKind } from '../tenants/access.js';
-import type { QuotaDecision, QuotaRefusalDetails } from '../tenants/quotaGate.js';
-import type { MeshTenant } from '../tenants/tenant.js';
 import { type AnswerPlace, type AnswerWriter, createAnswerWriter } from './answerWriter.js';
 import type { ClientRefusal } from './client-answer.js';
 import type { ClientAccess } from './clientAccess.js';
@@ -18,7 +15,15 @@
 import { ownerTaskOf } from './ownerTask.js';
 import type { Departure } from './pipelines.js';
 import { createPlacementFilter, type OwnerFilter } from './placementFilter.js';
+import {
+  createRequestEnd,
+  type Decision,
+  type EndedRequest,
+  type RequestEnd,
+} from './requestEnd.js';
 import { hasBody, headBytes, readBody } from './requestMessage.js';
+import { AnswerBreak, RequestEnding } from './requestRecord.js';
+import { createRequestTenant, type RequestTenant } from './requestTenant.js';
 import { timeLimitOf } from './timeLimit.js';
 
 /** A request that may be offered to owners. */
@@ -33,21 +38,15 @@
   private readonly cancellation = new Cancellation();
   private readonly startedAt: number;
   private readonly requestId: string;
+  private readonly tenant: RequestTenant;
   private route: MeshRoute | undefined;
   private service = '';
-  private tenant: MeshTenant | undefined;
-  /** True if any configuration by which this request's access was decided has tenants. */
-  private hasTenants = false;
-  private quota: QuotaRefusalDetails | undefined;
-  /** Puts the request's token back into the tenant's quota. */
-  private refundQuota = (): void => {};
   private fingerprint = '';
   private version = 0;
   private allowedMs = 0;
   private dispatch: Dispatch | undefined;
   private cancelTimer: () => void = () => {};
-  private isFinished = false;
-  private departure: Departure | undefined;
+  private readonly end: RequestEnd;
   private readonly writer: AnswerWriter;
   /** Resolves when the refusal, if there is one, has been written. */
   private refusalWritten: Promise<void> = Promise.resolve();
@@ -57,7 +56,7 @@
     private readonly access: ClientAccess,
     private readonly request: http.IncomingMessage,
     private readonly response: http.ServerResponse,
-    place: AnswerPlace,
+    private readonly place: AnswerPlace,
   ) {
     this.startedAt = options.clock.now();
     const idName = options.names.requestId;
@@ -65,16 +64,26 @@
     this.requestId = typeof id === 'string' ? id : '';
     const idField = this.requestId === '' ? [] : [idName, this.requestId];
     this.writer = createAnswerWriter({ request, response, idField, place });
+    this.end = createRequestEnd({
+      response,
+      onDecided: (decision) => this.onDecided(decision),
+      onEnded: (ended) => this.onEnded(ended),
+    });
+    this.tenant = createRequestTenant({
+      request,
+      access,
+      quotaGate: options.quotaGate,
+      hasEnded: () => this.end.hasEnded,
+    });
   }
 
   /**
-   * Resolves when the answer has been written. `latestEnd` is the steady time in milliseconds at which
-   * a planned stop would cut the request off.
+   * Resolves when the answer has been passed on. `latestEnd` is the steady time in milliseconds at
+   * which a planned stop would cut the request off.
    */
   async run(latestEnd: number): Promise<void> {
     this.request.on('error', () => {});
     this.response.on('error', () => {});
-    this.response.on('close', () => this.onClose());
     const admitted = await this.admit(latestEnd);
     if (admitted) {
       await this.bringToOwner(admitted);
@@ -82,7 +91,7 @@
     await this.refusalWritten;
   }
 
-  /** Undefined if the request has ended. */
+  /** Undefined if an answer has been decided on, or if the client has left. */
   private async admit(latestEnd: number): Promise<ReadRequest | undefined> {
     const routes = this.options.routes();
     if (!routes) {
@@ -94,8 +103,9 @@
       return this.refuse(this.noRoute());
     }
     this.route = matched.route;
-    if (!this.checkAccess(routes, matched.route)) {
-      return undefined;
+    const denied = this.tenant.check(routes, matched.route);
+    if (denied) {
+      return this.refuse(denied);
     }
     if (headBytes(this.request) > routes.configuration.limits.maxHeaderBytes) {
       return this.refuse({ code: 'head-too-large', status: 431 }, true);
@@ -109,9 +119,12 @@
     if (placement.isLeft()) {
       return this.refuse({ code: 'ambiguous-path', status: 400 });
     }
-    const { tenant } = this;
-    const decision = tenant && (await this.options.quotaGate?.admit(tenant));
-    if (decision && !this.applyQuota(decision)) {
+    const { tenant } = this.tenant;
+    const overQuota = tenant && (await this.tenant.takeToken());
+    if (overQuota) {
+      return this.refuse(overQuota);
+    }
+    if (this.end.hasEnded) {
       return undefined;
     }
     const body = await readBody(this.request, routes.configuration.limits);
@@ -120,11 +133,15 @@
     if (body === 'too-large') {
       return this.refuse({ code: 'too-large', status: 413 }, true);
     }
-    if (!body || this.isFinished || !this.recheckAccess(routes, matched.route)) {
+    if (!body || this.end.isDecided || this.end.hasEnded) {
       return undefined;
     }
+    const deniedNow = this.recheckAccess(routes, matched.route);
+    if (deniedNow) {
+      return this.refuse(deniedNow);
+    }
     // While the body arrived, the key may have been moved to another tenant.
-    const isSameTenant = this.tenant?.name === tenant?.name;
+    const isSameTenant = this.tenant.tenant?.name === tenant?.name;
     const placementNow = isSameTenant ? placement : this.placementFor(matched);
     // Never a refusal here, as the same path was accepted above.
     return { matched, body, mayServe: placementNow.orDefault(undefined) };
@@ -135,39 +152,10 @@
     return this.options.mayBeBehind() ? BEHIND : { code: 'no-route', status: 404 };
   }
 
-  /** Stores the tenant of the request, or refuses the request and returns false. */
-  private checkAccess(routes: RouteMatcher, route: MeshRoute): boolean {
-    const access = this.access.decide(this.request, routes, route);
-    this.hasTenants ||= routes.keyring.hasTenants;
-    if (access.kind === AccessKind.Granted) {
-      this.tenant = access.tenant;
-      return true;
-    }
-    const isDenied = access.kind === AccessKind.Denied;
-    this.refuse(isDenied ? { code: 'unknown-key', status: 401 } : BEHIND);
-    return false;
-  }
-
-  /** Stores the refund, or refuses the request. False if the request has ended. */
-  private applyQuota(decision: QuotaDecision): boolean {
-    if (decision.isAdmitted) {
-      this.refundQuota = decision.refund;
-      if (this.isFinished) {
-        // The client has left while the gate asked other holders for tokens.
-        this.refundQuota();
-      }
-      return !this.isFinished;
-    }
-    this.quota = decision.details;
-    const { retryAfterMs } = decision;
-    this.refuse({ code: 'over-quota', status: 429, retryAfterMs });
-    return false;
-  }
-
   /** Checks the key again, as a new configuration may have revoked it while the body arrived. */
-  private recheckAccess(earlierRoutes: RouteMatcher, route: MeshRoute): boolean {
+  private recheckAccess(earlierRoutes: RouteMatcher, route: MeshRoute): ClientRefusal | undefined {
     const routes = this.options.routes() ?? earlierRoutes;
-    return !hasBody(this.request) || this.checkAccess(routes, route);
+    return hasBody(this.request) ? this.tenant.check(routes, route) : undefined;
   }
 
   private async bringToOwner({ matched, body, mayServe }: ReadRequest): Promise<void> {
@@ -184,23 +172,32 @@
     this.dispatch = dispatch;
     const { result } = await dispatch.run();
     readAhead?.release();
-    if (this.isFinished) {
-      return;
-    }
     if ('kind' in result) {
-      this.finish(result.status, 'answered');
-      await this.writer.answer(result);
+      await this.passOn(result);
     } else {
       this.refuse(result);
     }
   }
 
+  /** Passes a back end's answer on when it is its turn on the connection. */
+  private async passOn(answer: OwnerAnswer): Promise<void> {
+    const isFirst = await this.place.turn();
+    if (!isFirst || this.end.hasEnded) {
+      discardBody(answer.body);
+      return;
+    }
+    this.end.decide(answer.status, RequestEnding.Answered);
+    try {
+      await this.writer.answer(answer);
+    } catch {
+      this.end.breakOff(AnswerBreak.Lost);
+    }
+  }
+
   /** Owner filter of the route's policies. Undefined if none; Left if the path is ambiguous. */
   private placementFor(matched: MatchedRoute): ReturnType<typeof createPlacementFilter> {
-    const caller = {
-      tenant: this.tenant?.name,
-      hiddenFields: this.access.tenantFields(this.hasTenants),
-    };
+    const { tenant, hasTenants } = this.tenant;
+    const caller = { tenant: tenant?.name, hiddenFields: this.access.tenantFields(hasTenants) };
     return createPlacementFilter(
       this.request,
       matched,
@@ -211,15 +208,16 @@
   }
 
   private taskOf(matched: MatchedRoute, body: MessageBody): OwnerTask {
+    const { tenant, hasTenants } = this.tenant;
     const task = ownerTaskOf({
       request: this.request,
       requestId: this.requestId,
       matched,
       body,
-      reserved: this.access.reservedFields(this.hasTenants),
+      reserved: this.access.reservedFields(hasTenants),
       service: this.service,
       callerService: this.options.callerService(),
-      tenant: this.tenant,
+      tenant,
       startedAt: this.startedAt,
       allowedMs: this.allowedMs,
       cancellation: this.cancellation,
@@ -245,52 +243,54 @@
 
   /** `mustClose` is true if the connection cannot be used after the refusal. */
   private refuse(refusal: ClientRefusal, mustClose = false): undefined {
-    if (!this.isFinished) {
-      this.finish(refusal.status, refusal.code);
-      this.refusalWritten = this.writer.refuse(refusal, mustClose);
+    if (!this.end.isDecided && !this.end.hasEnded) {
+      this.end.decide(refusal.status, refusal.code);
+      this.refusalWritten = this.writeRefusal(refusal, mustClose);
     }
   }
 
-  /** The client has left before it got the whole answer. */
-  onDeparture(departure: Departure): void {
-    if (!this.response.writableFinished) {
-      this.departure = departure;
-      this.finish(0, 'client-left');
-      this.cancellation.cancel();
+  private async writeRefusal(refusal: ClientRefusal, mustClose: boolean): Promise<void> {
+    if (await this.place.turn()) {
+      this.writer.refuse(refusal, mustClose);
     }
   }
 
-  /** Called when the whole answer has been sent, or when it has been broken off. */
-  private onClose(): void {
+  /** The client has left. */
+  onDeparture(departure: Departure): void {
+    this.end.noteDeparture(departure);
+  }
+
+  private onDecided({ status, code }: Decision): void {
     this.cancelTimer();
-    if (!this.response.writableFinished) {
-      this.finish(0, 'client-left');
-      this.cancellation.cancel();
+    // Status 503 promises that the request has not run.
+    if (!this.dispatch || (code !== RequestEnding.Answered && status === 503)) {
+      this.tenant.refundToken();
     }
   }
 
-  private finish(status: number, code: string): void {
-    if (this.isFinished) {
-      return;
-    }
-    this.isFinished = true;
+  /** Reports the request. Cancels what still runs for it if the answer is not whole. */
+  private onEnded({ status, code, brokenBy, departure }: EndedRequest): void {
     this.cancelTimer();
-    // Status 503 promises that the request has not run. If the client has left, an owner may still
-    // have the request, so its token is not put back.
-    if (!this.dispatch || (code !== 'answered' && status === 503)) {
-      this.refundQuota();
+    if (code === RequestEnding.ClientLeft) {
+      this.cancellation.cancel();
+      // An owner may have the request.
+      if (!this.dispatch) {
+        this.tenant.refundToken();
+      }
     }
+    const { tenant, quota } = this.tenant;
     this.options.onFinished({
       requestId: this.requestId,
       fingerprint: this.fingerprint,
       route: this.route?.name ?? '',
       service: this.service,
-      tenant: this.tenant?.name,
-      quota: this.quota,
+      tenant: tenant?.name,
+      quota,
       version: this.version,
       status,
       code,
-      departure: this.departure,
+      brokenBy,
+      departure,
       offers: this.dispatch?.history ?? [],
       retry: this.dispatch?.account.retry,
       durationMs: this.options.clock.now() - this.startedAt,
--- a/src/ingress/requestRecord.ts
+++ b/src/ingress/requestRecord.ts
@@ -1,4 +1,4 @@
-/** The record of a finished request and of its offers. */
+/** The record of a request that has ended, and of its offers. */
 import type { QuotaRefusalDetails } from '../tenants/quotaGate.js';
 import type { Departure } from './pipelines.js';
 import type { RetryRecord } from './requestAccount.js';
@@ -13,7 +13,22 @@
   readonly wasSilent?: boolean;
 }
 
-/** A finished request, for logs and metrics. */
+/** How a request ended, if the node did not refuse it. */
+export enum RequestEnding {
+  /** The whole answer of a back end has been sent. */
+  Answered = 'answered',
+  /** The answer was broken off; see {@link AnswerBreak}. */
+  Broken = 'answer-broken',
+  ClientLeft = 'client-left',
+}
+
+/** Why an answer was broken off after its head. */
+export enum AnswerBreak {
+  /** The back end or its owner has not sent the rest. */
+  Lost = 'lost',
+}
+
+/** A request that has ended, for logs and metrics. */
 export interface RequestRecord {
   readonly requestId: string;
   /** See `fingerprintOf`. Empty if the request was refused before its body had arrived. */
@@ -26,14 +41,18 @@
   readonly quota?: QuotaRefusalDetails | undefined;
   /** Version of the configuration that decided on the request. */
   readonly version: number;
-  /** Status that was sent to the client. 0 if the client left before. */
+  /** Status that was sent to the client. 0 if nothing was. */
   readonly status: number;
+  /** A {@link RequestEnding}, or the code of the refusal. */
   readonly code: string;
-  /** How the client left, if it did before the answer. */
+  /** Present if the code is {@link RequestEnding.Broken}. */
+  readonly brokenBy?: AnswerBreak | undefined;
+  /** How the client left, if it did before the end of the answer. */
   readonly departure?: Departure | undefined;
   readonly offers: readonly OfferRecord[];
   /** The latest retry and its cost, if there was one. */
   readonly retry?: RetryRecord | undefined;
+  /** Milliseconds from the arrival of the head until the last byte of the answer was sent. */
   readonly durationMs: number;
   /** Milliseconds that the request was allowed to take, from its arrival. */
   readonly allowedMs: number;
--- a/src/owner/message-body.ts
+++ b/src/owner/message-body.ts
@@ -68,7 +68,10 @@
   });
 }
 
-/** Writes a body and ends the target. Rejects if either stream fails or ends early. */
+/**
+ * Writes a body and ends the target. Rejects if either stream fails or ends early; the target is
+ * then left open, and the caller has to close it.
+ */
 export async function sendBody(body: MessageBody, target: Writable): Promise<void> {
   if (body.kind === 'bytes') {
     target.end(body.bytes);
@@ -77,7 +80,8 @@
   for (const chunk of body.head) {
     target.write(chunk);
   }
-  await pipeline(body.rest, target);
+  await pipeline(body.rest, target, { end: false });
+  target.end();
 }
 
 /** Releases a body that will not be read. */
--- a/src/sidecar/decisionRecords.ts
+++ b/src/sidecar/decisionRecords.ts
@@ -2,7 +2,7 @@
 import type { DecisionLog } from '../diagnostics/decision-log.js';
 import type { SidecarMetrics } from '../diagnostics/sidecar-metrics.js';
 import type { RolloutChange } from '../directory/rolloutController.js';
-import type { RequestRecord } from '../ingress/requestRecord.js';
+import { RequestEnding, type RequestRecord } from '../ingress/requestRecord.js';
 import type { OverdueRun } from '../owner/backEndObservations.js';
 import type { NoticeChange } from '../owner/noticeHandler.js';
 import type { OwnerReport, TaskRecord } from '../owner/owner-report.js';
@@ -20,8 +20,8 @@
 }
 
 /**
- * Records a request whose client has received its final answer or has left. A request that
- * succeeded with its first offer is not logged.
+ * Records a request whose answer has been sent to its end or broken off, or whose client has left.
+ * A request that succeeded with its first offer is not logged.
  */
 export function recordRequest(
   { log, metrics, tenantUse }: RecordSinks & { readonly tenantUse: TenantUsageCounter },
@@ -32,7 +32,8 @@
     tenantUse.note(record.tenant, record.code === 'over-quota');
   }
   const { status, offers, durationMs, allowedMs, ...otherFields } = record;
-  const isRoutine = status > 0 && status < FIRST_ERROR_STATUS && offers.length < 2;
+  const isAnswered = record.code === RequestEnding.Answered && status < FIRST_ERROR_STATUS;
+  const isRoutine = isAnswered && offers.length < 2;
   if (!isRoutine) {
     log.decision('request', {
       ...otherFields,
--- /dev/null
+++ b/test/long-answers.test.ts
@@ -0,0 +1,72 @@
+/**
+ * Guards against the incidents of broken and silent answers: an answer of more than 256 KiB is
+ * passed on while it arrives, and what went wrong behind its head was noticed by nobody. See
+ * docs/incidents/broken-answers.md and silent-answers.md.
+ */
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { AnswerLook, readAnswer } from '../lab/answerReader.js';
+import { Break, Framing } from '../lab/applicationAnswer.js';
+import { call, type Machine, SidecarMesh, waitFor } from '../lab/sidecar-mesh.js';
+
+/** Above what a node reads before it passes an answer on. */
+const LONG_BYTES = 1_500_000;
+
+const TIMEOUT_MS = 1_500;
+
+let mesh: SidecarMesh;
+
+beforeEach(() => {
+  mesh = new SidecarMesh();
+});
+
+afterEach(() => mesh.close());
+
+async function startMesh(): Promise<{ readonly desk: Machine; readonly vault: Machine }> {
+  const desk = await mesh.add('desk');
+  const vault = await mesh.add('vault');
+  mesh.configure([
+    { name: 'read', service: 'desk', timeoutMs: TIMEOUT_MS },
+    { name: 'grant', service: 'desk', kind: 'unsafe', timeoutMs: TIMEOUT_MS },
+    { name: 'other', service: 'vault' },
+  ]);
+  await mesh.settled();
+  // A back end runs few requests at once until it has answered one.
+  await call(clientsOf(vault), '/read/0');
+  return { desk, vault };
+}
+
+const clientsOf = ({ node }: Machine) => node.addresses.clients;
+
+const linesOf = ({ lines }: Machine, requestId: string) =>
+  lines.filter((line) => line.requestId === requestId);
+
+const ENTRIES = ['desk', 'vault'] as const;
+
+describe('the log of a request with a long answer', () => {
+  // Guards against requests that were logged as answered though their answers broke off.
+  it.each(ENTRIES)('says that the answer broke off, asked beside %s', async (entry) => {
+    const machines = await startMesh();
+    const long = { framing: Framing.Length, bytes: LONG_BYTES, breaksBy: Break.Close };
+    machines.desk.application.behaviours.push(long);
+    const machine = machines[entry];
+    const answer = await readAnswer(clientsOf(machine), '/read/1', { requestId: 'cut' });
+    expect(answer).toMatchObject({ status: 200, look: AnswerLook.Broken });
+    await waitFor(() => linesOf(machine, 'cut').some(({ event }) => event === 'request'));
+    const line = linesOf(machine, 'cut').find(({ event }) => event === 'request');
+    expect(line).toMatchObject({ status: 200, code: 'answer-broken', brokenBy: 'lost' });
+  });
+
+  it('has the time until the last byte, also for one that is logged for its status', async () => {
+    const { desk, vault } = await startMesh();
+    desk.application.fateOf = () => ({ status: 500 });
+    desk.application.answerBytes = 8 * LONG_BYTES;
+    const pauseMs = 400;
+    const reading = { requestId: 'slow', pauseMs };
+    const answer = await readAnswer(clientsOf(vault), '/read/1', reading);
+    expect(answer).toMatchObject({ status: 500, look: AnswerLook.Whole });
+    await waitFor(() => linesOf(vault, 'slow').length > 0);
+    const [line] = linesOf(vault, 'slow');
+    expect(line).toMatchObject({ status: 500, code: 'answered' });
+    expect(Number(line?.durationMs)).toBeGreaterThan(pauseMs);
+  });
+});
