--- a/src/owner/back-end-call.test.ts
+++ b/src/owner/back-end-call.test.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import net from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, describe, expect, it, vi } from 'vitest';
 import { ownerTask } from '../../test/fixtures.js';
 import { callBackEnd } from './back-end-call.js';
@@ -8,9 +9,13 @@
 import { DEFAULT_HEADER_NAMES } from './header-names.js';
 import { EMPTY_BODY } from './message-body.js';
 import { NoticeSource } from './noticeHandler.js';
-import type { OwnerTask } from './owner.js';
+import type { OwnerOutcome, OwnerTask } from './owner.js';
 
 const REQUEST_ID = 'request-1';
+
+/** Above what is read before an answer is passed on. */
+const LONG_BYTES = 600_000;
+
 const SIGNED = `X-Request-Id: ${REQUEST_ID}\r\nSpindlepaddle-Signature: s\r\n`;
 
 let server: net.Server | undefined;
@@ -64,6 +69,22 @@
   });
 }
 
+/** Reads the body of an answer; resolves with its length, rejects if it breaks off. */
+async function readToEnd(outcome: OwnerOutcome): Promise<number> {
+  if (outcome.kind !== 'answer') {
+    throw new Error(`expected an answer, got ${outcome.kind}`);
+  }
+  const { body } = outcome;
+  if (body.kind === 'bytes') {
+    return body.bytes.length;
+  }
+  let bytes = body.head.reduce((sum, chunk) => sum + chunk.length, 0);
+  for await (const chunk of body.rest) {
+    bytes += (chunk as Buffer).length;
+  }
+  return bytes;
+}
+
 /** Blocks this thread, so that all data sent before arrives together. */
 function block(milliseconds: number): void {
   const until = performance.now() + milliseconds;
@@ -91,6 +112,47 @@
     expect(outcome.kind).toBe('unknown');
   });
 
+  // Guards against answers that were reset in their middle and looked complete (MIXED).
+  it.each([
+    ['while it is read', 0],
+    ['while reading is paused', 100],
+  ])(
+    'passes on no end of a long answer without a length that is reset %s',
+    async (_case, pauseMs) => {
+      const address = await backEnd((socket) => {
+        socket.write(`HTTP/1.1 200 OK\r\n${SIGNED}\r\n`);
+        socket.write(Buffer.alloc(LONG_BYTES), () => {
+          setTimeout(() => socket.resetAndDestroy(), 30);
+        });
+      });
+      const { outcome } = await call(address);
+      expect(outcome).toMatchObject({ kind: 'answer', body: { kind: 'stream' } });
+      await delay(pauseMs);
+      await expect(readToEnd(outcome)).rejects.toThrow();
+    },
+  );
+
+  it('accepts a long answer without a length that ends with its connection', async () => {
+    const address = await backEnd((socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\n${SIGNED}\r\n`);
+      socket.end(Buffer.alloc(LONG_BYTES));
+    });
+    const { outcome } = await call(address);
+    expect(await readToEnd(outcome)).toBe(LONG_BYTES);
+  });
+
+  it.each([
+    ['text', 'not an answer'],
+    ['another answer', 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'],
+  ])('accepts a whole answer that is followed by %s', async (_case, surplus) => {
+    const address = await backEnd((socket) => {
+      socket.end(`HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 5\r\n\r\nwhole${surplus}`);
+    });
+    const { outcome } = await call(address);
+    expect(outcome).toMatchObject({ kind: 'answer', status: 200 });
+    expect(await readToEnd(outcome)).toBe(5);
+  });
+
   it('does not accept an answer that is shorter than its length', async () => {
     const address = await backEnd((socket) => {
       socket.end(`HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 10\r\n\r\npart`);
--- a/src/owner/back-end-call.ts
+++ b/src/owner/back-end-call.ts
@@ -66,7 +66,8 @@
   /** True from the moment at which the first byte may be sent to the back end. */
   private sent = false;
   private settled = false;
-  private hasAnswer = false;
+  /** Undefined before the head of an answer has been read. */
+  private response: http.IncomingMessage | undefined;
   private request: http.ClientRequest | undefined;
   private removeCancelListener: () => void = () => {};
   private resolve: (result: BackEndCallResult) => void = () => {};
@@ -92,7 +93,7 @@
       this.removeCancelListener = this.task.cancellation.onCancel(() => {
         request.destroy();
         if (this.sent) {
-          const wasReusedConnectionSilent = request.reusedSocket && !this.hasAnswer;
+          const wasReusedConnectionSilent = request.reusedSocket && !this.response;
           const outcome = { kind: 'unknown', reason: 'cancelled' } as const;
           this.settle({ outcome, unreachable: false, wasReusedConnectionSilent });
         } else {
@@ -163,7 +164,7 @@
   ): Promise<void> {
     const { names } = this.options;
     const { headers } = response;
-    this.hasAnswer = true;
+    this.response = response;
     if (headers[names.requestId.toLowerCase()] !== this.task.requestId) {
       request.destroy();
       this.unknown('foreign-answer');
@@ -235,7 +236,7 @@
 
   private onError(error: Error): void {
     if (this.sent) {
-      this.unknown('connection-lost');
+      this.onConnectionError(error);
       return;
     }
     this.settle({
@@ -244,6 +245,18 @@
     });
   }
 
+  /**
+   * After a reset, Node.js reports an answer without a length as complete, but only after this
+   * error: the answer is destroyed before that, also if it is being passed on. An answer that is
+   * complete already is whole; the error is about bytes behind it.
+   */
+  private onConnectionError(error: Error): void {
+    if (!this.response?.complete) {
+      this.response?.destroy(error);
+      this.unknown('connection-lost');
+    }
+  }
+
   private notRun(
     reason: 'cancelled' | 'other-instance' | 'rejected-by-back-end',
     arrived: boolean,
--- a/test/long-answers.test.ts
+++ b/test/long-answers.test.ts
@@ -42,6 +42,51 @@
 
 const ENTRIES = ['desk', 'vault'] as const;
 
+/** What can be told from the end of an answer: a close ends one without a length in order. */
+const BREAKS = [Framing.Length, Framing.Chunks, Framing.Close].flatMap((framing) =>
+  [Break.Reset, Break.Close, Break.Nonsense].flatMap((breaksBy) =>
+    framing === Framing.Close && breaksBy !== Break.Reset ? [] : [{ framing, breaksBy }],
+  ),
+);
+
+/** Clients by where they ask, their version of HTTP, and their pause in reading, in ms. */
+const READERS = ENTRIES.flatMap((entry) =>
+  (['1.1'] as const).flatMap((version) =>
+    [0, 200].map((pauseMs) => [entry, version, pauseMs] as const),
+  ),
+);
+
+describe('a long answer', () => {
+  // Guards against halves of answers that looked complete to their clients (MIXED).
+  it.each(READERS)(
+    'that breaks off looks broken: asked beside %s by HTTP/%s with a pause of %i ms',
+    async (entry, version, pauseMs) => {
+      const machines = await startMesh();
+      for (const { framing, breaksBy } of BREAKS) {
+        const broken = { framing, breaksBy, bytes: LONG_BYTES };
+        machines.desk.application.behaviours.push(broken);
+        const reading = { requestId: `${framing}-${breaksBy}`, version, pauseMs };
+        const answer = await readAnswer(clientsOf(machines[entry]), '/read/1', reading);
+        expect(answer, reading.requestId).toMatchObject({ status: 200, look: AnswerLook.Broken });
+      }
+    },
+  );
+
+  it.each(READERS)(
+    'that is whole looks whole: asked beside %s by HTTP/%s with a pause of %i ms',
+    async (entry, version, pauseMs) => {
+      const machines = await startMesh();
+      for (const framing of [Framing.Length, Framing.Chunks, Framing.Close]) {
+        machines.desk.application.behaviours.push({ framing, bytes: LONG_BYTES });
+        const reading = { requestId: framing, version, pauseMs };
+        const answer = await readAnswer(clientsOf(machines[entry]), '/read/1', reading);
+        const whole = { status: 200, look: AnswerLook.Whole, bytes: LONG_BYTES };
+        expect(answer, framing).toMatchObject(whole);
+      }
+    },
+  );
+});
+
 describe('the log of a request with a long answer', () => {
   // Guards against requests that were logged as answered though their answers broke off.
   it.each(ENTRIES)('says that the answer broke off, asked beside %s', async (entry) => {
