An answer with a transfer coding other than chunked is not taken for the back end's body

Found while going through the ways in which an answer can be framed (design/answers.md): Node's client decodes chunks only. An answer with 'Transfer-Encoding: gzip' came through as coded bytes under a signed 200, the coding's field dropped as one of the connection (MIXED: not the back end's body). It now counts as malformed, like a content coding.

Evidence: the new case in back-end-call.test.ts failed before (an answer in place of 'spoilt-answer').

--- a/src/owner/back-end-call.test.ts
+++ b/src/owner/back-end-call.test.ts
@@ -153,6 +153,13 @@
     expect(await readToEnd(outcome)).toBe(5);
   });
 
+  it('does not accept an answer with a transfer coding other than chunked', async () => {
+    const address = await backEnd((socket) => {
+      socket.end(`HTTP/1.1 200 OK\r\n${SIGNED}Transfer-Encoding: gzip\r\n\r\ncoded`);
+    });
+    expect((await call(address)).outcome).toEqual({ kind: 'unknown', reason: 'spoilt-answer' });
+  });
+
   it('does not accept an answer that is shorter than its length', async () => {
     const address = await backEnd((socket) => {
       socket.end(`HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 10\r\n\r\npart`);
--- a/src/owner/back-end-call.ts
+++ b/src/owner/back-end-call.ts
@@ -27,6 +27,9 @@
  */
 const MISDIRECTED = 421;
 
+/** The transfer coding that the HTTP parser decodes (RFC 9112, section 7.1). */
+const CHUNKED = 'chunked';
+
 /** Methods whose requests are always framed as having a body, even an empty one. */
 const BODY_METHODS = new Set(['POST', 'PUT', 'PATCH']);
 
@@ -197,8 +200,11 @@
   private isInvalidAnswer(response: http.IncomingMessage): boolean {
     const status = response.statusCode ?? 0;
     const isSuccess = status >= 200 && status < 300;
-    const isSigned = response.headers[this.options.names.signature.toLowerCase()] !== undefined;
-    return response.headers['content-encoding'] !== undefined || (isSuccess && !isSigned);
+    const { headers } = response;
+    const isSigned = headers[this.options.names.signature.toLowerCase()] !== undefined;
+    const transferCoding = headers['transfer-encoding']?.toLowerCase() ?? CHUNKED;
+    const isCoded = headers['content-encoding'] !== undefined || transferCoding !== CHUNKED;
+    return isCoded || (isSuccess && !isSigned);
   }
 
   private async readAnswer(
