--- a/lab/application-stand-in.ts
+++ b/lab/application-stand-in.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { DEFAULT_HEADER_NAMES as NAMES } from '../src/owner/header-names.js';
-import { answer, type Behaviour, type LongAnswer } from './applicationAnswer.js';
+import { answer, type Behaviour, hasSent, type LongAnswer } from './applicationAnswer.js';
 import { type CallPlan, makeCalls } from './backEndCalls.js';
 import { beginRun, type Run, type RunFate } from './backEndRun.js';
 import { postRegistration } from './postRegistration.js';
@@ -236,7 +236,8 @@
     };
     const { socket } = request;
     response.on('close', () => {
-      if (isLong ? !socket.writableFinished : !response.writableFinished) {
+      const isSent = isLong ? hasSent(socket, behaviour) : response.writableFinished;
+      if (!isSent) {
         run.cutAt = performance.now();
       }
       if (isLong || (run.cutAt !== undefined && this.dropsAbandoned)) {
--- a/lab/applicationAnswer.ts
+++ b/lab/applicationAnswer.ts
@@ -126,6 +126,11 @@
   });
 }
 
+/** True if the back end has sent all of the answer that it meant to. A silent one never has. */
+export function hasSent(socket: Socket, { breaksBy }: LongAnswer): boolean {
+  return socket.writableFinished && breaksBy !== Break.Silence;
+}
+
 function framingFieldsOf(framing: Framing, bytes: number): Record<string, string> {
   switch (framing) {
     case Framing.Length:
--- a/src/ingress/attempt.ts
+++ b/src/ingress/attempt.ts
@@ -1,7 +1,8 @@
-/** Offers a request to one owner and follows the offer until its outcome. */
+/** Offers a request to one owner and follows the offer until its outcome is final. */
 import type { OwnerEntry } from '../directory/owner-entry.js';
 import type { Clock } from '../model/clock.js';
 import { Cancellation } from '../owner/cancellation.js';
+import { whenEnded } from '../owner/outcomeEnd.js';
 import type { OwnerOutcome, OwnerTask } from '../owner/owner.js';
 
 /** The owner that has the request no longer sends any messages. It may still answer. */
@@ -17,7 +18,7 @@
   readonly outcome: Promise<OwnerOutcome>;
   /** Resolves if the owner falls silent; see {@link SILENT}. Never rejects. */
   readonly silence: Promise<typeof SILENT>;
-  /** Cancels the request at this owner, as its outcome is no longer needed. */
+  /** Cancels the request at this owner, also in the middle of a streamed answer. */
   cancel(): void;
 }
 
@@ -47,20 +48,20 @@
   });
   const startedAt = clock.now();
   entry.outstanding += 1;
-  const outcome = entry.owner
-    .run({
-      ...task,
-      mayWait,
-      cancellation,
-      onProgress: (stage) => {
-        if (stage === SILENT) {
-          fallSilent(SILENT);
-        }
-      },
-    })
-    .finally(() => {
-      entry.outstanding -= 1;
-      removeListener();
-    });
+  const outcome = entry.owner.run({
+    ...task,
+    mayWait,
+    cancellation,
+    onProgress: (stage) => {
+      if (stage === SILENT) {
+        fallSilent(SILENT);
+      }
+    },
+  });
+  const onEnded = (): void => {
+    entry.outstanding -= 1;
+    removeListener();
+  };
+  void outcome.then((result) => whenEnded(result, onEnded));
   return { entry, earlierOffers, startedAt, outcome, silence, cancel: () => cancellation.cancel() };
 }
--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -2,10 +2,11 @@
 import type http from 'node:http';
 import { afterPendingReads } from '../model/readBarrier.js';
 import { Cancellation } from '../owner/cancellation.js';
-import { discardBody, type MessageBody } from '../owner/message-body.js';
-import type { OwnerAnswer, OwnerTask } from '../owner/owner.js';
+import type { MessageBody } from '../owner/message-body.js';
+import type { OwnerTask } from '../owner/owner.js';
 import type { MeshRoute } from '../routing/mesh-configuration.js';
 import type { MatchedRoute, RouteMatcher } from '../routing/route-matcher.js';
+import { type AnswerDelivery, createAnswerDelivery } from './answerDelivery.js';
 import { type AnswerPlace, type AnswerWriter, createAnswerWriter } from './answerWriter.js';
 import type { ClientRefusal } from './client-answer.js';
 import type { ClientAccess } from './clientAccess.js';
@@ -22,7 +23,7 @@
   type RequestEnd,
 } from './requestEnd.js';
 import { hasBody, headBytes, readBody } from './requestMessage.js';
-import { AnswerBreak, RequestEnding } from './requestRecord.js';
+import { RequestEnding } from './requestRecord.js';
 import { createRequestTenant, type RequestTenant } from './requestTenant.js';
 import { timeLimitOf } from './timeLimit.js';
 
@@ -48,6 +49,7 @@
   private cancelTimer: () => void = () => {};
   private readonly end: RequestEnd;
   private readonly writer: AnswerWriter;
+  private readonly delivery: AnswerDelivery;
   /** Resolves when the refusal, if there is one, has been written. */
   private refusalWritten: Promise<void> = Promise.resolve();
 
@@ -69,6 +71,9 @@
       onDecided: (decision) => this.onDecided(decision),
       onEnded: (ended) => this.onEnded(ended),
     });
+    const { clock, timers } = options;
+    const { writer, end } = this;
+    this.delivery = createAnswerDelivery({ clock, timers, place, writer, end });
     this.tenant = createRequestTenant({
       request,
       access,
@@ -172,25 +177,9 @@
     this.dispatch = dispatch;
     const { result } = await dispatch.run();
     readAhead?.release();
-    if ('kind' in result) {
-      await this.passOn(result);
-    } else {
-      this.refuse(result);
-    }
-  }
-
-  /** Passes a back end's answer on when it is its turn on the connection. */
-  private async passOn(answer: OwnerAnswer): Promise<void> {
-    const isFirst = await this.place.turn();
-    if (!isFirst || this.end.hasEnded) {
-      discardBody(answer.body);
-      return;
-    }
-    this.end.decide(answer.status, RequestEnding.Answered);
-    try {
-      await this.writer.answer(answer);
-    } catch {
-      this.end.breakOff(AnswerBreak.Lost);
+    const refusal = 'kind' in result ? await this.delivery.deliver(result) : result;
+    if (refusal) {
+      this.refuse(refusal);
     }
   }
 
@@ -226,19 +215,22 @@
     return task;
   }
 
-  /** Cancels the request at the client's deadline or the route's timeout, whichever is sooner. */
+  /** Limits the request to the client's deadline or the route's timeout, whichever is sooner. */
   private startTimer(route: MeshRoute): void {
     const deadlineField = this.options.names.deadline.toLowerCase();
     const { allowedMs, code } = timeLimitOf(this.request, deadlineField, route);
     this.allowedMs = allowedMs;
-    this.cancelTimer = this.options.timers.set(() => {
-      // A cancelled dispatch ends at once. Its refusal has the code `deadline` for the timeout too,
-      // and a status that depends on whether the request may have run.
-      this.cancellation.cancel();
-      if (!this.dispatch) {
-        this.refuse({ code, status: 503, retryAfterMs: 0 });
-      }
-    }, allowedMs);
+    this.cancelTimer = this.options.timers.set(() => this.onTimeUp(code), allowedMs);
+  }
+
+  private onTimeUp(code: 'timeout' | 'deadline'): void {
+    this.delivery.onTimeUp();
+    // A cancelled dispatch ends at once. Its refusal has the code `deadline` for the timeout too,
+    // and a status that depends on whether the request may have run.
+    this.cancellation.cancel();
+    if (!this.dispatch) {
+      this.refuse({ code, status: 503, retryAfterMs: 0 });
+    }
   }
 
   /** `mustClose` is true if the connection cannot be used after the refusal. */
@@ -261,7 +253,6 @@
   }
 
   private onDecided({ status, code }: Decision): void {
-    this.cancelTimer();
     // Status 503 promises that the request has not run.
     if (!this.dispatch || (code !== RequestEnding.Answered && status === 503)) {
       this.tenant.refundToken();
@@ -271,12 +262,13 @@
   /** Reports the request. Cancels what still runs for it if the answer is not whole. */
   private onEnded({ status, code, brokenBy, departure }: EndedRequest): void {
     this.cancelTimer();
-    if (code === RequestEnding.ClientLeft) {
+    this.delivery.stop();
+    if (code === RequestEnding.ClientLeft || code === RequestEnding.Broken) {
       this.cancellation.cancel();
-      // An owner may have the request.
-      if (!this.dispatch) {
-        this.tenant.refundToken();
-      }
+    }
+    // Once the request has been offered, an owner may have it.
+    if (code === RequestEnding.ClientLeft && !this.dispatch) {
+      this.tenant.refundToken();
     }
     const { tenant, quota } = this.tenant;
     this.options.onFinished({
--- a/src/ingress/nodeRefusals.ts
+++ b/src/ingress/nodeRefusals.ts
@@ -1,4 +1,4 @@
-/** Refusals for which the state of the node is the reason. */
+/** Refusals for which no owner's rejection is the reason. */
 import type { ClientRefusal } from './client-answer.js';
 
 /** Milliseconds after which clients may retry if the configuration is missing or may be stale. */
@@ -20,3 +20,9 @@
   status: 503,
   retryAfterMs: STOPPING_RETRY_AFTER_MS,
 };
+
+/** An answer broke off before it was its turn on the connection, so nothing of it was written. */
+export const LOST: ClientRefusal = { code: 'lost', status: 502 };
+
+/** The same, as the request's time was up. */
+export const TOO_LATE: ClientRefusal = { code: 'deadline', status: 504 };
--- a/src/ingress/requestEnd.ts
+++ b/src/ingress/requestEnd.ts
@@ -76,6 +76,9 @@
       onDecided(decision);
     },
     breakOff: (reason) => {
+      if (hasEnded || response.writableFinished) {
+        return;
+      }
       brokenBy ??= reason;
       if (mayEndWithConnection(response)) {
         response.socket?.resetAndDestroy();
--- a/src/ingress/requestRecord.ts
+++ b/src/ingress/requestRecord.ts
@@ -24,8 +24,10 @@
 
 /** Why an answer was broken off after its head. */
 export enum AnswerBreak {
-  /** The back end or its owner has not sent the rest. */
+  /** The back end or its owner has not sent the rest; the last of the offers has the reason. */
   Lost = 'lost',
+  /** The client's deadline or the route's timeout has passed. */
+  Deadline = 'deadline',
 }
 
 /** A request that has ended, for logs and metrics. */
--- a/src/owner/back-end-call.ts
+++ b/src/owner/back-end-call.ts
@@ -7,10 +7,9 @@
 
 import http from 'node:http';
 import type { Socket } from 'node:net';
-import { endpointOf } from '../model/endpoint.js';
-import type { BackEnd } from '../registry/back-end-registry.js';
+import { destroyOnReset, isInvalidAnswer, isReadToEnd, lengthFieldOf } from './backEndAnswer.js';
 import { type BackEndNotice, readBackEndNotice } from './backEndNotice.js';
-import type { HeaderNames } from './header-names.js';
+import { type BackEndRequestContext, backEndRequestOf } from './backEndRequest.js';
 import { collectBody, type MessageBody, sendBody } from './message-body.js';
 import { NoticeSource } from './noticeHandler.js';
 import type { OwnerOutcome, OwnerTask, UnknownReason } from './owner.js';
@@ -27,19 +26,8 @@
  */
 const MISDIRECTED = 421;
 
-/** The transfer coding that the HTTP parser decodes (RFC 9112, section 7.1). */
-const CHUNKED = 'chunked';
-
-/** Methods whose requests are always framed as having a body, even an empty one. */
-const BODY_METHODS = new Set(['POST', 'PUT', 'PATCH']);
-
 /** What a call to the back end needs besides the task and its body. */
-export interface BackEndCallOptions {
-  readonly backEnd: BackEnd;
-  readonly names: HeaderNames;
-  readonly agent: http.Agent;
-  /** Milliseconds until the task's deadline. */
-  readonly remainingMs: number;
+export interface BackEndCallOptions extends BackEndRequestContext {
   /**
    * Called as soon as the head of an answer has been read, unless the answer is invalid, is one to
    * another request, or comes from another back end.
@@ -56,7 +44,10 @@
   readonly wasReusedConnectionSilent?: boolean;
 }
 
-/** Sends the task. Resolves once and never rejects. */
+/**
+ * Sends the task. Resolves once and never rejects. After a streamed answer, a cancellation of the
+ * task has an effect until the answer's end.
+ */
 export function callBackEnd(
   task: OwnerTask,
   body: MessageBody,
@@ -69,6 +60,7 @@
   /** True from the moment at which the first byte may be sent to the back end. */
   private sent = false;
   private settled = false;
+  private hasLostConnection = false;
   /** Undefined before the head of an answer has been read. */
   private response: http.IncomingMessage | undefined;
   private request: http.ClientRequest | undefined;
@@ -88,7 +80,7 @@
         this.notRun('cancelled', false);
         return;
       }
-      const request = this.open();
+      const request = http.request(backEndRequestOf(this.task, this.body, this.options));
       this.request = request;
       request.on('socket', (socket) => this.onSocket(request, socket));
       request.on('response', (response) => void this.onResponse(request, response));
@@ -106,37 +98,6 @@
     });
   }
 
-  private open(): http.ClientRequest {
-    const { backEnd, names, agent, remainingMs } = this.options;
-    const headers = [
-      ...this.task.headers,
-      names.deadline,
-      String(Math.max(1, Math.floor(remainingMs))),
-      names.expectInstance,
-      backEnd.instance,
-      names.callerService,
-      this.task.callerService,
-      ...(this.task.tenant === undefined ? [] : [names.tenant, this.task.tenant]),
-      ...this.framing(),
-    ];
-    return http.request({
-      ...endpointOf(backEnd.address),
-      method: this.task.method,
-      path: this.task.target,
-      headers: headers as unknown as http.OutgoingHttpHeaders,
-      agent,
-    });
-  }
-
-  private framing(): string[] {
-    if (this.body.kind === 'stream') {
-      return ['Transfer-Encoding', 'chunked', 'Connection', 'keep-alive'];
-    }
-    const { length } = this.body.bytes;
-    const isFramed = this.task.hasBody || length > 0 || BODY_METHODS.has(this.task.method);
-    return [...(isFramed ? ['Content-Length', String(length)] : []), 'Connection', 'keep-alive'];
-  }
-
   /** Nothing is written before the connection is open, so a failed connect proves "not run". */
   private onSocket(request: http.ClientRequest, socket: Socket): void {
     if (!socket.connecting) {
@@ -184,7 +145,7 @@
       this.notRun(isOtherInstance ? 'other-instance' : 'rejected-by-back-end', true);
       return;
     }
-    if (this.isInvalidAnswer(response)) {
+    if (isInvalidAnswer(response, names)) {
       request.destroy();
       this.unknown('spoilt-answer');
       return;
@@ -197,25 +158,17 @@
     this.options.onNotice(readBackEndNotice(headers, this.options.names), source);
   }
 
-  private isInvalidAnswer(response: http.IncomingMessage): boolean {
-    const status = response.statusCode ?? 0;
-    const isSuccess = status >= 200 && status < 300;
-    const { headers } = response;
-    const isSigned = headers[this.options.names.signature.toLowerCase()] !== undefined;
-    const transferCoding = headers['transfer-encoding']?.toLowerCase() ?? CHUNKED;
-    const isCoded = headers['content-encoding'] !== undefined || transferCoding !== CHUNKED;
-    return isCoded || (isSuccess && !isSigned);
-  }
-
   private async readAnswer(
     request: http.ClientRequest,
     response: http.IncomingMessage,
   ): Promise<void> {
     destroyOnReset(response);
     const body = await collectBody(response, MAX_BUFFERED_ANSWER_BYTES).catch(() => undefined);
-    this.closeIfUnfinished(request);
+    if (body?.kind !== 'stream') {
+      this.closeIfUnfinished(request);
+    }
     if (body === undefined) {
-      this.unknown(this.task.cancellation.cancelled ? 'cancelled' : 'spoilt-answer');
+      this.unknown(this.breakReason);
       return;
     }
     this.settle({
@@ -227,11 +180,31 @@
           ...lengthFieldOf(response, body),
         ],
         body,
+        end: body.kind === 'stream' ? this.followRest(request, response) : undefined,
       },
       unreachable: false,
     });
   }
 
+  /** Resolves at the end of a long answer, until which a cancellation closes its connection. */
+  private async followRest(
+    request: http.ClientRequest,
+    response: http.IncomingMessage,
+  ): Promise<UnknownReason | undefined> {
+    const isWhole = await isReadToEnd(response);
+    this.removeCancelListener();
+    this.closeIfUnfinished(request);
+    return isWhole ? undefined : this.breakReason;
+  }
+
+  /** Why an answer has broken off. */
+  private get breakReason(): UnknownReason {
+    if (this.task.cancellation.cancelled) {
+      return 'cancelled';
+    }
+    return this.hasLostConnection ? 'connection-lost' : 'spoilt-answer';
+  }
+
   /**
    * A back end may answer before it has read the whole body, and may read the
    * rest afterwards. It must not take the next request for that rest, so the
@@ -261,6 +234,7 @@
    */
   private onConnectionError(error: Error): void {
     if (!this.response?.complete) {
+      this.hasLostConnection = true;
       this.response?.destroy(error);
       this.unknown('connection-lost');
     }
@@ -278,41 +252,18 @@
   }
 
   private settle(result: BackEndCallResult): void {
-    if (!this.settled) {
-      this.settled = true;
+    if (this.settled) {
+      return;
+    }
+    this.settled = true;
+    const { outcome } = result;
+    if (outcome.kind !== 'answer' || !outcome.end) {
       this.removeCancelListener();
-      this.resolve(result);
     }
+    this.resolve(result);
   }
 }
 
-/**
- * Destroys an answer without a length if its connection is reset. Such an answer
- * ends with its connection (RFC 9112, section 6.3, rule 8), so a reset means that
- * it is incomplete. Node.js reports a reset that arrives together with the last
- * bytes as a normal end, but the socket then has no remote address.
- */
-function destroyOnReset(response: http.IncomingMessage): void {
-  const { headers, socket } = response;
-  if (headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined) {
-    return;
-  }
-  socket.prependOnceListener('end', () => {
-    if (socket.remoteAddress === undefined) {
-      response.destroy(new Error('the connection was reset'));
-    }
-  });
-}
-
-/**
- * The length of a long body, if the back end has stated it. A short body is framed where it is sent
- * to the client.
- */
-function lengthFieldOf({ headers }: http.IncomingMessage, body: MessageBody): string[] {
-  const length = headers['content-length'];
-  return body.kind === 'bytes' || length === undefined ? [] : ['Content-Length', length];
-}
-
 function isTimeout(error: Error): boolean {
   return error.message === 'connect timeout';
 }
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -103,6 +103,11 @@
   /** End-to-end header fields as a flat list of names and values. */
   readonly headers: readonly string[];
   readonly body: MessageBody;
+  /**
+   * The end of a streamed body: resolves with undefined when its last byte has been read, or with
+   * the reason if it breaks off. Never rejects. Undefined for a buffered body, which is whole.
+   */
+  readonly end?: Promise<UnknownReason | undefined> | undefined;
 }
 
 /** The task has not run and never will. */
--- a/src/peer/peerServer.ts
+++ b/src/peer/peerServer.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../model/clock.js';
 import { afterPendingReads } from '../model/readBarrier.js';
 import { Cancellation } from '../owner/cancellation.js';
+import { whenEnded } from '../owner/outcomeEnd.js';
 import type { Owner, OwnerAnswer, OwnerOutcome, OwnerTask } from '../owner/owner.js';
 import type { StoreQuery } from '../source/object-store.js';
 import { type BodyReceiver, createBodyReceiver } from './bodyReceiver.js';
@@ -155,7 +156,7 @@
   }
 }
 
-/** Runs one task of another node, from its offer to its outcome. */
+/** Runs one task of another node, from its offer until its outcome has been sent. */
 class TaskExchange {
   private readonly cancellation = new Cancellation();
   private readonly arrivedAt: number;
@@ -174,11 +175,12 @@
     // The ingress may have cancelled the task while this node had no time to read.
     await afterPendingReads();
     const outcome = await this.context.owner.run(this.task());
-    this.hasEnded = true;
-    this.receiver?.discard();
+    // A back end may answer before it has read the whole body of the request.
+    whenEnded(outcome, () => this.receiver?.discard());
     if (!this.cancellation.cancelled) {
       await this.sendOutcome(outcome).catch(() => this.connection.destroy());
     }
+    this.hasEnded = true;
   }
 
   /** Returns false if no chunk is expected. */
--- a/src/peer/remoteRun.ts
+++ b/src/peer/remoteRun.ts
@@ -1,6 +1,12 @@
-/** Runs one task at an owner on another node, from the offer to the outcome. */
+/** Runs one task at an owner on another node, from the offer to the end of its outcome. */
 import type { MessageBody } from '../owner/message-body.js';
-import type { OwnerOutcome, OwnerTask, OwnerUnknown } from '../owner/owner.js';
+import type {
+  OwnerAnswer,
+  OwnerOutcome,
+  OwnerTask,
+  OwnerUnknown,
+  UnknownReason,
+} from '../owner/owner.js';
 import { createRejection } from '../owner/owner.js';
 import { type BodyReceiver, createBodyReceiver } from './bodyReceiver.js';
 import { createLivenessTimer, type LivenessTimer } from './livenessTimer.js';
@@ -35,7 +41,10 @@
   private settled = false;
   /** True from the owner's admission until the last chunk of the request body is sent. */
   private isBodyPending = false;
-  private answer: { readonly message: AnswerMessage; readonly receiver: BodyReceiver } | undefined;
+  /** Receives the body of an answer that arrives in chunks. */
+  private receiver: BodyReceiver | undefined;
+  /** Resolves the end of such an answer. */
+  private resolveEnd: (reason: UnknownReason | undefined) => void = () => {};
   private readonly livenessTimer: LivenessTimer;
   private readonly connection: PeerConnection;
   private unsubscribe: () => void = () => {};
@@ -153,27 +162,32 @@
     const receiver = createBodyReceiver(this.connection, MAX_BUFFERED_ANSWER_BYTES, () =>
       this.connection.destroy(),
     );
-    this.answer = { message, receiver };
+    this.receiver = receiver;
+    const end = new Promise<UnknownReason | undefined>((resolve) => {
+      this.resolveEnd = resolve;
+    });
     receiver.body.then(
-      (body) => this.settle(createAnswer(message, body)),
+      (body) => this.settle(createAnswer(message, body, end)),
       () => this.settle(PEER_LOST),
     );
   }
 
   private onChunk(message: PeerMessage & { kind: MessageKind.Chunk }): void {
-    if (!this.answer) {
+    if (!this.receiver) {
       this.connection.destroy();
       return;
     }
-    this.answer.receiver.onChunk(message);
+    this.receiver.onChunk(message);
     if (message.isLast) {
       this.release();
+      this.endAnswer(undefined);
     }
   }
 
   private onClose(): void {
-    this.answer?.receiver.abort();
+    this.receiver?.abort();
     if (this.settled) {
+      this.endAnswer(PEER_LOST.reason);
       return;
     }
     this.context.onFailure('unreachable');
@@ -186,9 +200,13 @@
   }
 
   private onCancel(): void {
-    this.settle(
-      this.mayHaveRun ? { kind: 'unknown', reason: 'cancelled' } : createRejection('cancelled'),
-    );
+    if (this.settled) {
+      this.endAnswer('cancelled');
+    } else {
+      this.settle(
+        this.mayHaveRun ? { kind: 'unknown', reason: 'cancelled' } : createRejection('cancelled'),
+      );
+    }
     // On a slow link the task may still wait to be sent, and the owner must not get it any more.
     this.connection.reset();
   }
@@ -233,18 +251,31 @@
   }
 
   private settle(outcome: OwnerOutcome): void {
-    if (!this.settled) {
-      this.settled = true;
-      this.livenessTimer.stop();
+    if (this.settled) {
+      return;
+    }
+    this.settled = true;
+    this.livenessTimer.stop();
+    if (outcome.kind !== 'answer' || !outcome.end) {
       this.unsubscribe();
-      this.resolve(outcome);
     }
+    this.resolve(outcome);
+  }
+
+  /** The last chunk of the answer has arrived, or will not; `reason` is why. */
+  private endAnswer(reason: UnknownReason | undefined): void {
+    this.unsubscribe();
+    this.resolveEnd(reason);
   }
 }
 
 const PEER_LOST: OwnerUnknown = { kind: 'unknown', reason: 'peer-lost' };
 
-function createAnswer(message: AnswerMessage, body: MessageBody): OwnerOutcome {
-  const { status, headers, isCall } = message;
-  return { kind: 'answer', status, headers, body, isCall };
+function createAnswer(
+  { status, headers, isCall }: AnswerMessage,
+  body: MessageBody,
+  end?: OwnerAnswer['end'],
+): OwnerOutcome {
+  const answer: OwnerAnswer = { kind: 'answer', status, headers, body, isCall };
+  return body.kind === 'stream' ? { ...answer, end } : answer;
 }
--- a/test/long-answers.test.ts
+++ b/test/long-answers.test.ts
@@ -97,6 +97,71 @@
   },
 );
 
+/** A client must have its final answer so long after the time limit, in milliseconds. */
+const FINAL_ANSWER_MS = 500;
+
+const silentOnes = Object.values(Framing).map((framing) => ({
+  framing,
+  bytes: LONG_BYTES,
+  breaksBy: Break.Silence,
+}));
+
+const cutAtOf = (requestId: string) =>
+  mesh.runs().find((run) => run.requestId === requestId)?.cutAt;
+
+describe('the time limit of a request', () => {
+  // Guards against requests that were never ended, as their back end fell silent in its answer.
+  it.each(ENTRIES)('holds in the middle of a long answer, asked beside %s', async (entry) => {
+    const machines = await startMesh();
+    const { lines, node } = machines[entry];
+    machines.desk.application.behaviours.push(...silentOnes);
+    const answers = await Promise.all(
+      silentOnes.map(({ framing }) =>
+        readAnswer(clientsOf(machines[entry]), '/read/1', { requestId: framing }),
+      ),
+    );
+    for (const { look, status, tookMs } of answers) {
+      expect({ look, status }).toEqual({ look: AnswerLook.Broken, status: 200 });
+      expect(tookMs).toBeGreaterThan(TIMEOUT_MS - 20);
+      expect(tookMs).toBeLessThan(TIMEOUT_MS + FINAL_ANSWER_MS);
+    }
+    await waitFor(() => silentOnes.every(({ framing }) => cutAtOf(framing) !== undefined));
+    await waitFor(() => node.status.inFlight === 0);
+    const codes = lines.filter(({ event }) => event === 'request');
+    expect(codes).toMatchObject(
+      Array(silentOnes.length).fill({ code: 'answer-broken', brokenBy: 'deadline' }),
+    );
+  });
+
+  it.each(ENTRIES)('holds for a client that does not read, beside %s', async (entry) => {
+    const machines = await startMesh();
+    machines.desk.application.behaviours.push({ framing: Framing.Length, bytes: 20 * LONG_BYTES });
+    const startedAt = performance.now();
+    const reading = { requestId: 'unread', pauseMs: 3 * TIMEOUT_MS };
+    const answer = readAnswer(clientsOf(machines[entry]), '/read/1', reading);
+    await waitFor(() => cutAtOf('unread') !== undefined);
+    expect((cutAtOf('unread') ?? 0) - startedAt).toBeLessThan(TIMEOUT_MS + FINAL_ANSWER_MS);
+    expect((await answer).look).toBe(AnswerLook.Broken);
+  });
+});
+
+describe('a client that leaves in the middle of a long answer', () => {
+  it.each(ENTRIES)('ends the run of a back end that is silent, from beside %s', async (entry) => {
+    const machines = await startMesh();
+    for (const long of silentOnes) {
+      machines.desk.application.behaviours.push(long);
+      const requestId = `left-${long.framing}`;
+      const waitMs = 300;
+      const reading = { requestId, waitMs };
+      const answer = await readAnswer(clientsOf(machines[entry]), '/read/1', reading);
+      expect(answer.look).toBe(AnswerLook.Unended);
+      const leftAt = performance.now();
+      await waitFor(() => cutAtOf(requestId) !== undefined);
+      expect((cutAtOf(requestId) ?? 0) - leftAt).toBeLessThan(FINAL_ANSWER_MS);
+    }
+  });
+});
+
 describe('the log of a request with a long answer', () => {
   // Guards against requests that were logged as answered though their answers broke off.
   it.each(ENTRIES)('says that the answer broke off, asked beside %s', async (entry) => {
