An upload that is answered before its end leaves its connection usable, and its answer whole

A long early answer was cut.

Cause: the client's request was paused by the node and resumed by nobody, or destroyed by the way to the owner, whichever ended first. Node drops the rest of a request by itself only if nothing of it has been read. The connection to the back end was closed at the head of an early answer. With 'Connection: close' Node closes when the answer is written, and unread data makes that a reset, which takes the end of the answer away.

Change: restOfBody.ts (a stream of its own for the way to the owner), readAhead.release reads on, lingeringClose.ts. readAhead.test.ts checked that the rest is the request itself; it now checks what is read from the rest, that the request is read no sooner, that a break of the client breaks it, and that released bodies are dropped.

--- a/lab/applicationAnswer.ts
+++ b/lab/applicationAnswer.ts
@@ -68,7 +68,7 @@
 ): void {
   const fields = { [NAMES.signature]: instance, 'content-type': 'text/plain' };
   if (typeof behaviour === 'object') {
-    answerAtLength(request.socket, { ...fields, [NAMES.requestId]: requestId }, behaviour);
+    answerAtLength(request, { ...fields, [NAMES.requestId]: requestId }, behaviour);
     return;
   }
   const body = `answer to ${requestId}`.padEnd(leastBytes);
@@ -101,12 +101,16 @@
 
 const NONSENSE = 'no chunk, no length and no answer\r\n';
 
-/** Writes the answer to its connection, which it does not share with other answers. */
+/**
+ * Writes the answer to its connection, which it does not share with other answers. The rest of an
+ * early one's request is read behind it.
+ */
 function answerAtLength(
-  socket: Socket,
+  request: http.IncomingMessage,
   fields: Readonly<Record<string, string>>,
   { framing, bytes, breaksBy, sentBytes = Math.floor(bytes / 2) }: LongAnswer,
 ): void {
+  const { socket } = request;
   const lines = Object.entries({ ...fields, ...framingFieldsOf(framing, bytes) });
   const head = lines.map(([name, value]) => `${name}: ${value}\r\n`).join('');
   const body = Buffer.alloc(breaksBy === undefined ? bytes : sentBytes, 'x');
@@ -119,6 +123,7 @@
   socket.write(body);
   socket.write(isChunked ? '\r\n' : '', () => {
     if (breaksBy === undefined) {
+      request.resume();
       socket.end(isChunked ? '0\r\n\r\n' : '');
     } else {
       setTimeout(() => breakOff(socket, breaksBy), BREAK_DELAY_MS);
--- a/src/ingress/answerWriter.ts
+++ b/src/ingress/answerWriter.ts
@@ -2,6 +2,7 @@
 import type http from 'node:http';
 import type { OwnerAnswer } from '../owner/owner.js';
 import { type ClientRefusal, sendAnswer, sendRefusal } from './client-answer.js';
+import { lingerBeforeClose } from './lingeringClose.js';
 import type { PipelinedRequest } from './pipelines.js';
 
 /** The place of a request's answer on its connection. */
@@ -37,8 +38,13 @@
   place,
 }: AnswerWriterContext): AnswerWriter {
   return {
-    answer: (answer) => sendAnswer(response, answer, request.method ?? 'GET', place.closeIfLast()),
-    refuse: (refusal, mustClose) =>
-      sendRefusal(response, refusal, idField, place.closeIfLast() || mustClose),
+    answer: (answer) => {
+      lingerBeforeClose(request);
+      return sendAnswer(response, answer, request.method ?? 'GET', place.closeIfLast());
+    },
+    refuse: (refusal, mustClose) => {
+      lingerBeforeClose(request);
+      sendRefusal(response, refusal, idField, place.closeIfLast() || mustClose);
+    },
   };
 }
--- a/src/ingress/ingress-request.ts
+++ b/src/ingress/ingress-request.ts
@@ -3,6 +3,7 @@
 import { afterPendingReads } from '../model/readBarrier.js';
 import { Cancellation } from '../owner/cancellation.js';
 import type { MessageBody } from '../owner/message-body.js';
+import { whenEnded } from '../owner/outcomeEnd.js';
 import type { OwnerTask } from '../owner/owner.js';
 import type { MeshRoute } from '../routing/mesh-configuration.js';
 import type { MatchedRoute, RouteMatcher } from '../routing/route-matcher.js';
@@ -139,6 +140,8 @@
       return this.refuse({ code: 'too-large', status: 413 }, true);
     }
     if (!body || this.end.isDecided || this.end.hasEnded) {
+      // The connection can serve another request when it has been read.
+      this.request.resume();
       return undefined;
     }
     const deniedNow = this.recheckAccess(routes, matched.route);
@@ -176,8 +179,14 @@
     );
     this.dispatch = dispatch;
     const { result } = await dispatch.run();
-    readAhead?.release();
-    const refusal = 'kind' in result ? await this.delivery.deliver(result) : result;
+    if (!('kind' in result)) {
+      readAhead?.release();
+      this.refuse(result);
+      return;
+    }
+    // A back end may answer before it has read the whole body.
+    whenEnded(result, () => readAhead?.release());
+    const refusal = await this.delivery.deliver(result);
     if (refusal) {
       this.refuse(refusal);
     }
--- a/src/ingress/readAhead.test.ts
+++ b/src/ingress/readAhead.test.ts
@@ -1,7 +1,9 @@
 import { EventEmitter } from 'node:events';
 import type { IncomingMessage } from 'node:http';
+import type { Readable } from 'node:stream';
 import { describe, expect, it } from 'vitest';
-import { createReadAhead } from './readAhead.js';
+import type { StreamBody } from '../owner/message-body.js';
+import { type BodyReadAhead, createReadAhead } from './readAhead.js';
 
 const MAX_BYTES_PER_BODY = 10;
 const MAX_BYTES = 15;
@@ -25,6 +27,22 @@
   }
 }
 
+async function takeStream(body: BodyReadAhead): Promise<StreamBody> {
+  const taken = await body.take();
+  if (taken.kind !== 'stream') {
+    throw new Error(`expected a stream, got ${taken.kind}`);
+  }
+  return taken;
+}
+
+async function textOf(rest: Readable): Promise<string> {
+  let text = '';
+  for await (const chunk of rest) {
+    text += String(chunk);
+  }
+  return text;
+}
+
 const start = (readAhead: ReturnType<typeof createReadAhead>) => {
   const request = new RequestStandIn();
   const body = readAhead.start([Buffer.from('head')], request as unknown as IncomingMessage);
@@ -35,12 +53,44 @@
   it('returns what it has read in front of the rest', async () => {
     const { request, body } = start(createReadAhead());
     request.receive(' more');
-    const taken = await body.take();
-    expect(taken).toMatchObject({ kind: 'stream', rest: request });
-    expect(taken.kind === 'stream' && Buffer.concat([...taken.head]).toString()).toBe('head more');
+    const { head, rest } = await takeStream(body);
+    expect(Buffer.concat([...head]).toString()).toBe('head more');
     expect(request.isRead).toBe(false);
+    const reading = textOf(rest);
+    expect(request.isRead).toBe(true);
+    request.receive(' and');
+    request.receive(' the rest');
+    request.complete = true;
+    request.emit('end');
+    expect(await reading).toBe(' and the rest');
   });
 
+  it('breaks the rest off if the client does', async () => {
+    const { request, body } = start(createReadAhead());
+    const { rest } = await takeStream(body);
+    const reading = textOf(rest);
+    request.receive(' and');
+    request.emit('close');
+    await expect(reading).rejects.toThrow('before its body was complete');
+  });
+
+  // Guards against connections that were never read again after a refused or an early answer.
+  it.each([true, false])(
+    'reads and drops what nobody needs any more; taken before: %s',
+    async (isTaken) => {
+      const { request, body } = start(createReadAhead(MAX_BYTES_PER_BODY));
+      request.receive('x'.repeat(MAX_BYTES_PER_BODY));
+      if (isTaken) {
+        await body.take();
+      }
+      expect(request.isRead).toBe(false);
+      body.release();
+      expect(request.isRead).toBe(true);
+      request.receive('x'.repeat(MAX_BYTES_PER_BODY));
+      expect(request.isRead).toBe(true);
+    },
+  );
+
   it('returns the whole body if it has read it to its end', async () => {
     const { request, body } = start(createReadAhead());
     request.receive(' end');
--- a/src/ingress/readAhead.ts
+++ b/src/ingress/readAhead.ts
@@ -4,7 +4,9 @@
  * client has left.
  */
 import type { IncomingMessage } from 'node:http';
+import type { Readable } from 'node:stream';
 import type { MessageBody } from '../owner/message-body.js';
+import { restOfBody } from './restOfBody.js';
 
 /** Largest part of one body, in bytes, that is read ahead. */
 const MAX_BYTES_PER_BODY = 4 * 1024 * 1024;
@@ -19,7 +21,7 @@
    * sent once.
    */
   take(): Promise<MessageBody>;
-  /** Stops reading ahead; the body will not be sent. */
+  /** Nobody needs the body any more. What still arrives of it is read and dropped. */
   release(): void;
 }
 
@@ -39,6 +41,7 @@
       const chunks = [...head];
       let bytes = 0;
       let isTaken = false;
+      let rest: Readable | undefined;
       const onData = (chunk: Buffer): void => {
         chunks.push(chunk);
         bytes += chunk.length;
@@ -47,28 +50,37 @@
           request.pause();
         }
       };
-      const release = (): void => {
+      const stopReading = (): void => {
         request.off('data', onData);
-        request.off('close', release);
+        request.off('close', stopReading);
         request.pause();
         totalBytes -= bytes;
         bytes = 0;
       };
       request.on('data', onData);
-      request.on('close', release);
+      request.on('close', stopReading);
       request.resume();
       return {
         take: async () => {
-          release();
+          stopReading();
           if (isTaken) {
             throw new Error('the body has been taken before');
           }
           isTaken = true;
-          return request.readableEnded && request.complete
-            ? { kind: 'bytes', bytes: Buffer.concat(chunks) }
-            : { kind: 'stream', head: chunks, rest: request };
+          if (request.readableEnded && request.complete) {
+            return { kind: 'bytes', bytes: Buffer.concat(chunks) };
+          }
+          rest = restOfBody(request);
+          return { kind: 'stream', head: chunks, rest };
+        },
+        release: () => {
+          if (rest) {
+            rest.destroy();
+          } else {
+            stopReading();
+            request.resume();
+          }
         },
-        release,
       };
     },
   };
