--- a/test/unfinished-uploads.test.ts
+++ b/test/unfinished-uploads.test.ts
@@ -37,9 +37,7 @@
 
 const clientsOf = ({ node }: Machine) => node.addresses.clients;
 
-async function startMesh(
-  maxBodyBytes = 2 * UPLOAD_BYTES,
-): Promise<{ readonly desk: Machine; readonly vault: Machine }> {
+async function startMesh(): Promise<{ readonly desk: Machine; readonly vault: Machine }> {
   const desk = await mesh.add('desk');
   const vault = await mesh.add('vault');
   mesh.configure(ROUTES);
