The owner holds a slot, and judges its back end, until the last byte of a long answer

What callers would have seen: a back end got more requests than slots while it sent long answers; one that broke all of them off, or fell silent in them, counted as sound and its version as good; a crash in the middle of an answer was nobody's.

Cause: LocalOwner and the parts that record a run took the outcome for final at the answer's head.

Change: all of them wait for the final outcome (outcomeEnd.ts). A cancellation while some of the answer waited to be read is 'unread' and says nothing against the back end.

--- a/src/ingress/dispatch.ts
+++ b/src/ingress/dispatch.ts
@@ -3,6 +3,7 @@
 import type { CrossZoneBudget } from '../directory/crossZoneBudget.js';
 import type { OwnerCriteria } from '../directory/owner-directory.js';
 import type { OwnerEntry } from '../directory/owner-entry.js';
+import { whenEnded } from '../owner/outcomeEnd.js';
 import {
   crashKeyOf,
   type OwnerAnswer,
@@ -29,6 +30,7 @@
   type RequestProgress,
 } from './dispatchRefusals.js';
 import type { OfferLimit } from './offerLimit.js';
+import { createOfferRecords, type OfferRecords } from './offerRecords.js';
 import { type ChoiceState, createOwnerChoice, type OwnerChoice } from './ownerChoice.js';
 import {
   createRequestAccount,
@@ -62,8 +64,7 @@
   /** Running attempts whose owner has fallen silent. */
   private readonly silent = new Set<Attempt>();
   private readonly tried = new Set<OwnerEntry>();
-  /** The record of each attempt, in the order in which their first results arrived. */
-  private readonly offers = new Map<Attempt, OfferRecord>();
+  private readonly offers: OfferRecords;
   /** Number of attempts that reached, or may have reached, a back end. */
   private arrivals = 0;
   /** Number of owners in this node's zone that rejected the request because they were busy. */
@@ -88,6 +89,7 @@
     this.versionSelection =
       context.versionSelector?.select(task.service, task.route) ?? UNRESTRICTED_SELECTION;
     this.account = createRequestAccount(context, task);
+    this.offers = createOfferRecords(context.clock);
     // This runs for each request, and naming the fields costs a fraction of spreading the context.
     const { clock, directory, crossZoneBudget, retryAfterPacer, crashTracker } = context;
     const { versionSelection: share } = this;
@@ -112,7 +114,7 @@
   }
 
   get history(): readonly OfferRecord[] {
-    return [...this.offers.values()];
+    return this.offers.history;
   }
 
   /** Resolves with the final answer. The caller's timer ends it early by cancelling the task. */
@@ -239,7 +241,7 @@
     this.silent.add(attempt);
     this.arrivals += 1;
     this.mayHaveRun = true;
-    this.record(attempt, SILENT);
+    this.offers.note(attempt, SILENT);
   }
 
   private noteOutcome(attempt: Attempt, outcome: OwnerOutcome): void {
@@ -265,7 +267,18 @@
       this.mayHaveRun = true;
     }
     const detail = outcome.kind === 'answer' ? outcome.status : outcome.reason;
-    this.record(attempt, `${outcome.kind} ${detail}`);
+    this.offers.note(attempt, `${outcome.kind} ${detail}`);
+    if (outcome.kind === 'answer' && outcome.end) {
+      whenEnded(outcome, (finalOutcome) => this.noteEnd(attempt, finalOutcome));
+    }
+  }
+
+  /** A streamed answer has been read to its end, or has broken off. */
+  private noteEnd(attempt: Attempt, outcome: OwnerOutcome): void {
+    if (outcome.kind !== 'answer') {
+      this.noteVersionOutcome(attempt.entry, outcome);
+      this.offers.note(attempt, `broken-off ${outcome.reason}`);
+    }
   }
 
   private noteVersionOutcome({ record }: OwnerEntry, outcome: OwnerOutcome): void {
@@ -283,15 +296,4 @@
     }
     return outcome.reason !== 'cancelled' || this.context.clock.now() >= this.task.deadlineAt;
   }
-
-  private record(attempt: Attempt, result: string): void {
-    const { entry, startedAt } = attempt;
-    this.offers.set(attempt, {
-      owner: entry.record.node,
-      zone: entry.record.zone,
-      result,
-      tookMs: Math.round(this.context.clock.now() - startedAt),
-      ...(this.offers.has(attempt) ? { wasSilent: true } : {}),
-    });
-  }
 }
--- a/src/owner/back-end-call.ts
+++ b/src/owner/back-end-call.ts
@@ -61,6 +61,8 @@
   private sent = false;
   private settled = false;
   private hasLostConnection = false;
+  /** True if a streamed answer was cancelled while some of it waited to be read. */
+  private isUnread = false;
   /** Undefined before the head of an answer has been read. */
   private response: http.IncomingMessage | undefined;
   private request: http.ClientRequest | undefined;
@@ -86,6 +88,7 @@
       request.on('response', (response) => void this.onResponse(request, response));
       request.on('error', (error) => this.onError(error));
       this.removeCancelListener = this.task.cancellation.onCancel(() => {
+        this.isUnread = this.settled && (this.response?.readableLength ?? 0) > 0;
         request.destroy();
         if (this.sent) {
           const wasReusedConnectionSilent = request.reusedSocket && !this.response;
@@ -200,7 +203,7 @@
   /** Why an answer has broken off. */
   private get breakReason(): UnknownReason {
     if (this.task.cancellation.cancelled) {
-      return 'cancelled';
+      return this.isUnread ? 'unread' : 'cancelled';
     }
     return this.hasLostConnection ? 'connection-lost' : 'spoilt-answer';
   }
--- a/src/owner/backEndObservations.ts
+++ b/src/owner/backEndObservations.ts
@@ -28,7 +28,10 @@
 
 /** Measurements of a run that has ended. */
 export interface RunObservation {
-  /** Milliseconds that the run took. Undefined if the back end did not answer it. */
+  /**
+   * Milliseconds until the outcome was known. Undefined if the back end has not answered it to the
+   * end.
+   */
   readonly serviceMs: number | undefined;
   /** How long work took during the run, as a multiple of the usual time. */
   readonly slowness: number;
@@ -39,6 +42,9 @@
 
 /** A run in flight at the back end. */
 export interface ObservedRun {
+  /** The outcome is known, but a streamed answer may still break off. */
+  noteOutcome(outcome: OwnerOutcome): void;
+  /** The outcome is final. */
   end(outcome: OwnerOutcome): RunObservation;
 }
 
@@ -97,14 +103,19 @@
     const sentAt = clock.now();
     const slownessAtStart = slowness();
     const runMonitor = monitor(task, slots);
+    let tookMs = 0;
+    let wasOverdue = false;
     return {
+      noteOutcome: (outcome) => {
+        tookMs = clock.now() - sentAt;
+        wasOverdue = runMonitor?.end(outcome.kind === 'answer') ?? false;
+      },
       end: (outcome) => {
         const isAnswered = outcome.kind === 'answer';
-        const tookMs = clock.now() - sentAt;
-        const wasOverdue = runMonitor?.end(isAnswered) ?? false;
         // A run that became overdue was counted as a failure at that time.
         if (isAnswered || !wasOverdue) {
-          failures.note(outcome, tookMs, times.expectedMs(task.route));
+          const endedMs = isAnswered ? tookMs : clock.now() - sentAt;
+          failures.note(outcome, endedMs, times.expectedMs(task.route));
         }
         return {
           serviceMs: isAnswered ? tookMs : undefined,
--- a/src/owner/backEndRun.ts
+++ b/src/owner/backEndRun.ts
@@ -50,12 +50,16 @@
   }
 }
 
-/** Losses on the way between nodes (`peer-lost`, `body-lost`) give no result for the back end. */
+/**
+ * Losses on the way between nodes (`peer-lost`, `body-lost`) and answers that are not read give no
+ * result for the back end.
+ */
 const RESULT_BY_UNKNOWN_REASON = {
   'connection-lost': RunResult.ConnectionLost,
   'foreign-answer': RunResult.Failed,
   'spoilt-answer': RunResult.Failed,
   cancelled: RunResult.Cancelled,
+  unread: undefined,
   'peer-lost': undefined,
   'body-lost': undefined,
 } as const;
--- a/src/owner/backEndSender.ts
+++ b/src/owner/backEndSender.ts
@@ -5,12 +5,13 @@
 import type { BackEndIncarnation } from '../registry/backEndIncarnation.js';
 import type { BackEndRun } from '../rollout/runCounts.js';
 import { BackEndConnections } from './backEndConnections.js';
+import type { BackEndNotice } from './backEndNotice.js';
 import type { BackEndObservations } from './backEndObservations.js';
 import { backEndRunOf, type EndedCall } from './backEndRun.js';
 import type { HeaderNames } from './header-names.js';
 import type { MessageBody } from './message-body.js';
-import type { MonitoredCalls } from './monitoredCalls.js';
-import type { NoticeHandler } from './noticeHandler.js';
+import type { EndedBackEndCall, MonitoredCalls } from './monitoredCalls.js';
+import type { NoticeHandler, NoticeSource } from './noticeHandler.js';
 import type { OwnerOutcome, OwnerTask } from './owner.js';
 
 /** Milliseconds after an answer to another request during which unrepeatable tasks connect anew. */
@@ -38,7 +39,7 @@
 }
 
 export interface BackEndSender {
-  /** Sends a task to the back end. Never rejects. */
+  /** Sends a task to the back end. Never rejects. What it shows is recorded when it has ended. */
   send(task: OwnerTask, body: MessageBody, backEnd: BackEnd): Promise<OwnerOutcome>;
   /** Closes the idle connections to the previous incarnation. */
   reset(): void;
@@ -66,29 +67,36 @@
     }
   };
 
+  const noteEnded = (
+    task: OwnerTask,
+    backEnd: BackEnd,
+    { outcome, tookMs, unreachable, wasReusedConnectionSilent }: EndedBackEndCall,
+  ): void => {
+    // The slowness is divided out: other programs on the machine don't count against the version.
+    const usualMs = tookMs / Math.max(1, observations.slowness);
+    noteRun({ task, backEnd, outcome, tookMs: usualMs });
+    if (unreachable) {
+      context.onUnreachable(backEnd);
+    }
+    if (wasReusedConnectionSilent && clock.now() >= task.deadlineAt - DEADLINE_SLACK_MS) {
+      connections.closeIdle();
+    }
+    if (outcome.kind === 'unknown' && outcome.reason === 'foreign-answer') {
+      noReuseUntil = clock.now() + NO_REUSE_MS;
+    }
+  };
+
   return {
-    send: async (task, body, backEnd) => {
-      const sentAt = clock.now();
-      const { outcome, unreachable, wasReusedConnectionSilent } = await calls.call(task, body, {
+    send: (task, body, backEnd) => {
+      const options = {
         backEnd,
         names,
         agent: agentFor(task),
         remainingMs: task.deadlineAt - clock.now(),
-        onNotice: (notice, source) => context.onNotice(notice, backEnd, source),
-      });
-      // The slowness is divided out: other programs on the machine don't count against the version.
-      const tookMs = (clock.now() - sentAt) / Math.max(1, observations.slowness);
-      noteRun({ task, backEnd, outcome, tookMs });
-      if (unreachable) {
-        context.onUnreachable(backEnd);
-      }
-      if (wasReusedConnectionSilent && clock.now() >= task.deadlineAt - DEADLINE_SLACK_MS) {
-        connections.closeIdle();
-      }
-      if (outcome.kind === 'unknown' && outcome.reason === 'foreign-answer') {
-        noReuseUntil = clock.now() + NO_REUSE_MS;
-      }
-      return outcome;
+        onNotice: (notice: BackEndNotice, source: NoticeSource) =>
+          context.onNotice(notice, backEnd, source),
+      };
+      return calls.call(task, body, options, (ended) => noteEnded(task, backEnd, ended));
     },
     reset: () => connections.reset(),
     close: () => connections.close(),
--- a/src/owner/crashDetector.ts
+++ b/src/owner/crashDetector.ts
@@ -127,7 +127,7 @@
         return false;
       }
       const now = clock.now();
-      const isLost = outcome.reason !== 'cancelled';
+      const isLost = outcome.reason !== 'cancelled' && outcome.reason !== 'unread';
       ended = ended.filter(({ endedAt }) => now - endedAt < LOST_RUN_MS);
       ended.push({ ...run, endedAt: now, isLost });
       return isLost && isAddressClosed(run);
--- a/src/owner/failureShare.ts
+++ b/src/owner/failureShare.ts
@@ -59,6 +59,9 @@
   if (outcome.kind === 'answer') {
     return outcome.status >= FIRST_FAILED_STATUS ? FAILED_ANSWER_VALUE : 0;
   }
+  if (outcome.reason === 'unread') {
+    return undefined;
+  }
   if (outcome.reason === 'cancelled') {
     return tookMs > usualMs * SILENT_FACTOR + SILENT_MARGIN_MS ? 1 : undefined;
   }
--- a/src/owner/local-owner.ts
+++ b/src/owner/local-owner.ts
@@ -1,25 +1,22 @@
 /** The owner of the back end on this machine: admits tasks, sends them, and reports its load. */
 import { afterPoll } from '../model/readBarrier.js';
 import { QuarantineStatus } from '../quarantine/crashTracker.js';
-import type { BackEnd, Heartbeat } from '../registry/back-end-registry.js';
+import type { Heartbeat } from '../registry/back-end-registry.js';
 import type { BackEndIncarnation } from '../registry/backEndIncarnation.js';
 import { UNCONDITIONAL_PERMIT } from '../rollout/runLimiter.js';
 import { AdmissionControl } from './admission-control.js';
 import type { AdmissionRequest } from './admissionRequest.js';
+import { type AdmittedTasks, createAdmittedTasks } from './admittedTasks.js';
 import { BackEndPresence } from './back-end-presence.js';
 import { createBackEndLimit } from './backEndLimit.js';
-import {
-  type BackEndObservations,
-  createBackEndObservations,
-  type ObservedRun,
-} from './backEndObservations.js';
+import { type BackEndObservations, createBackEndObservations } from './backEndObservations.js';
 import { type BackEndSender, createBackEndSender } from './backEndSender.js';
 import { type CallRouteDetector, createCallRouteDetector } from './callRouteDetector.js';
 import { createLimitedStarts, type LimitedStarts } from './limitedStarts.js';
 import type { LocalOwnerOptions } from './localOwnerOptions.js';
-import type { MessageBody } from './message-body.js';
 import { createMonitoredCalls, type MonitoredCalls } from './monitoredCalls.js';
 import { createNoticeHandler, type NoticeHandler, NoticeSource } from './noticeHandler.js';
+import { whenEnded } from './outcomeEnd.js';
 import {
   crashKeyOf,
   createRejection,
@@ -46,6 +43,7 @@
   private readonly limit = createBackEndLimit();
   private readonly notices: NoticeHandler;
   private readonly limitedStarts: LimitedStarts;
+  private readonly admitted: AdmittedTasks;
   private stopping = false;
 
   constructor(private readonly options: LocalOwnerOptions) {
@@ -85,6 +83,17 @@
       onNotice: this.notices.handle,
       onUnreachable: (incarnation) => this.presence.noteUnreachable(incarnation),
     });
+    const { admission, observations, limit, limitedStarts, sender } = this;
+    this.admitted = createAdmittedTasks({
+      ...options,
+      admission,
+      observations,
+      limit,
+      limitedStarts,
+      sender,
+      currentBackEnd: () => this.presence.backEnd,
+      rejectionReason: (task, request) => this.rejectionReasonAfterAdmission(task, request),
+    });
   }
 
   /** Service times are kept: they depend on the service's requests and on this machine. */
@@ -150,8 +159,13 @@
     const outcome = await this.admitAndRun(task, times);
     const instance = this.presence.backEnd?.instance;
     const isCall = this.callRoutes.isCallRoute(task.route);
-    const now = this.options.clock.now();
-    this.options.onTask(taskRecordOf({ task, outcome, times, instance, isCall, now }));
+    times.outcomeAt = this.options.clock.now();
+    whenEnded(outcome, (finalOutcome) => {
+      const now = this.options.clock.now();
+      this.options.onTask(
+        taskRecordOf({ task, outcome, finalOutcome, times, instance, isCall, now }),
+      );
+    });
     return isCall ? { ...outcome, isCall } : outcome;
   }
 
@@ -166,7 +180,7 @@
       return createRejection('busy', NO_PERMIT_RETRY_MS);
     }
     const outcome = await this.admit(task, times);
-    permit.finish(outcome.kind !== 'not-run' || outcome.arrived);
+    whenEnded(outcome, () => permit.finish(outcome.kind !== 'not-run' || outcome.arrived));
     return outcome;
   }
 
@@ -204,7 +218,7 @@
     } else {
       this.admission.noteStarted(request, clock.now());
     }
-    return this.runAdmitted(task, request, times);
+    return this.admitted.run(task, request, times);
   }
 
   private quarantineStatusOf(task: OwnerTask): QuarantineStatus {
@@ -212,43 +226,6 @@
     return ledger.statusOf(crashKeyOf(task), clock.now());
   }
 
-  private async runAdmitted(
-    task: OwnerTask,
-    request: AdmissionRequest,
-    times: TaskTimes,
-  ): Promise<OwnerOutcome> {
-    const { clock } = this.options;
-    const admittedAt = clock.now();
-    times.admittedAt = admittedAt;
-    let outcome: OwnerOutcome = createRejection('cancelled');
-    let run: ObservedRun | undefined;
-    try {
-      task.onProgress('admitted');
-      const body = await task.loadBody();
-      const reason =
-        this.rejectionReasonAfterAdmission(task, request) ?? this.limitReason(body, admittedAt);
-      if (reason) {
-        outcome = createRejection(reason);
-        return outcome;
-      }
-      times.sentAt = clock.now();
-      this.options.callRates.noteRun(times.sentAt);
-      run = this.observations.begin(task, this.admission.capacity);
-      outcome = await this.sender.send(task, body, this.presence.backEnd as BackEnd);
-      return outcome;
-    } catch {
-      // The body ended early, before anything was sent to the back end.
-      return outcome;
-    } finally {
-      const result = run?.end(outcome);
-      if (!run) {
-        this.limit.refund(admittedAt, clock.now());
-      }
-      this.admission.noteFinished(request, result?.serviceMs, clock.now(), result?.slowness);
-      this.limitedStarts.update();
-    }
-  }
-
   private rejectionReasonFor(task: OwnerTask): NotRunReason | undefined {
     if (task.cancellation.cancelled) {
       return 'cancelled';
@@ -270,12 +247,6 @@
     return this.presence.sendRejectionReason() ?? this.taskRejectionReason(task);
   }
 
-  /** A long body can be sent only once, so its task is not rejected any more. */
-  private limitReason({ kind }: MessageBody, admittedAt: number): NotRunReason | undefined {
-    const isConfirmed = this.limit.confirm(admittedAt, this.options.clock.now());
-    return isConfirmed || kind === 'stream' ? undefined : 'limited';
-  }
-
   private taskRejectionReason(task: OwnerTask): NotRunReason | undefined {
     if (this.presence.backEnd?.service !== task.service) {
       return 'other-service';
--- a/src/owner/owner-report.ts
+++ b/src/owner/owner-report.ts
@@ -14,12 +14,20 @@
   readonly service: string;
   /** True if the task's route has been detected as called by running back ends. */
   readonly isCall: boolean;
-  /** Kind of the outcome, with its status or reason. */
+  /**
+   * Kind of the outcome, with its status or reason; `broken-off` with the reason if the answer was
+   * cut behind its head.
+   */
   readonly result: string;
   readonly instance: string | undefined;
   readonly queuedMs: number;
-  /** Undefined if nothing was sent to the back end. */
+  /**
+   * Milliseconds until the back end's answer began, or until the outcome was known. Undefined if
+   * nothing was sent to the back end.
+   */
   readonly backEndMs: number | undefined;
+  /** Milliseconds for the rest of a streamed answer. Undefined for any other outcome. */
+  readonly restMs: number | undefined;
 }
 
 /** State of this owner, reported to other nodes. */
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -87,6 +87,8 @@
   | 'foreign-answer'
   | 'spoilt-answer'
   | 'cancelled'
+  /** Cancelled in the middle of its answer, while the back end waited for the reader. */
+  | 'unread'
   | 'peer-lost'
   | 'body-lost';
 
--- a/src/owner/taskRecord.ts
+++ b/src/owner/taskRecord.ts
@@ -7,12 +7,16 @@
   readonly arrivedAt: number;
   admittedAt?: number;
   sentAt?: number;
+  /** When the outcome was known: for a streamed answer, its beginning. */
+  outcomeAt?: number;
 }
 
 /** A task that has ended, with the data for its record. */
 export interface EndedTask {
   readonly task: OwnerTask;
   readonly outcome: OwnerOutcome;
+  /** Differs from the outcome if an answer has broken off. */
+  readonly finalOutcome: OwnerOutcome;
   readonly times: TaskTimes;
   /** Instance id of the back end. Undefined if no back end is present. */
   readonly instance: string | undefined;
@@ -23,19 +27,26 @@
 }
 
 export function taskRecordOf(ended: EndedTask): TaskRecord {
-  const { task, outcome, times, instance, isCall, now } = ended;
-  const { arrivedAt, admittedAt, sentAt } = times;
-  const result =
-    outcome.kind === 'answer' ? `answer ${outcome.status}` : `${outcome.kind} ${outcome.reason}`;
+  const { task, times, instance, isCall, now } = ended;
+  const { arrivedAt, admittedAt, sentAt, outcomeAt = now } = times;
   return {
     requestId: task.requestId,
     fingerprint: task.fingerprint,
     route: task.route,
     service: task.service,
     isCall,
-    result,
+    result: resultOf(ended),
     instance,
     queuedMs: Math.round((admittedAt ?? now) - arrivedAt),
-    backEndMs: sentAt === undefined ? undefined : Math.round(now - sentAt),
+    backEndMs: sentAt === undefined ? undefined : Math.round(outcomeAt - sentAt),
+    restMs: outcomeAt === now ? undefined : Math.round(now - outcomeAt),
   };
 }
+
+function resultOf({ outcome, finalOutcome }: EndedTask): string {
+  if (finalOutcome.kind === 'answer') {
+    return `answer ${finalOutcome.status}`;
+  }
+  const result = `${finalOutcome.kind} ${finalOutcome.reason}`;
+  return outcome.kind === 'answer' ? `broken-off ${finalOutcome.reason}` : result;
+}
--- a/test/long-answers.test.ts
+++ b/test/long-answers.test.ts
@@ -3,9 +3,10 @@
  * passed on while it arrives, and what went wrong behind its head was noticed by nobody. See
  * docs/incidents/broken-answers.md and silent-answers.md.
  */
+import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { AnswerLook, readAnswer } from '../lab/answerReader.js';
-import { Break, Framing } from '../lab/applicationAnswer.js';
+import { Break, Framing, type LongAnswer } from '../lab/applicationAnswer.js';
 import { call, type Machine, SidecarMesh, waitFor } from '../lab/sidecar-mesh.js';
 
 /** Above what a node reads before it passes an answer on. */
@@ -21,8 +22,8 @@
 
 afterEach(() => mesh.close());
 
-async function startMesh(): Promise<{ readonly desk: Machine; readonly vault: Machine }> {
-  const desk = await mesh.add('desk');
+async function startMesh(slots = 4): Promise<{ readonly desk: Machine; readonly vault: Machine }> {
+  const desk = await mesh.add('desk', { slots });
   const vault = await mesh.add('vault');
   mesh.configure([
     { name: 'read', service: 'desk', timeoutMs: TIMEOUT_MS },
@@ -162,6 +163,84 @@
   });
 });
 
+/** Asks for an answer that breaks off; resolves when the owner has noticed it. */
+async function readBroken(machines: { desk: Machine }, machine: Machine, requestId: string) {
+  const answer = await readAnswer(clientsOf(machine), '/read/1', { requestId });
+  expect(answer.look).toBe(AnswerLook.Broken);
+  await waitFor(() => machines.desk.node.status.owner.inFlight === 0);
+}
+
+describe('the owner of a long answer', () => {
+  // Guards against back ends that got more requests than slots, as a slot was free at the head.
+  it.each(ENTRIES)('holds the slot until the end, asked beside %s', async (entry) => {
+    const machines = await startMesh(1);
+    const { desk } = machines;
+    desk.application.behaviours.push(silentOnes[0] as LongAnswer);
+    const broken = readBroken(machines, machines[entry], 'first');
+    await waitFor(() => mesh.runs().some(({ answeredAt }) => answeredAt !== undefined));
+    await delay(200);
+    expect(desk.node.status.owner.inFlight).toBe(1);
+    const second = await call(clientsOf(desk), '/read/2', { requestId: 'second', deadlineMs: 300 });
+    expect(second.status).toBe(503);
+    expect(desk.application.notices.arrivals.map(({ requestId }) => requestId)).not.toContain(
+      'second',
+    );
+    await broken;
+    expect((await call(clientsOf(desk), '/read/3')).status).toBe(200);
+  });
+
+  it.each(ENTRIES)('logs how it broke off, asked beside %s', async (entry) => {
+    const machines = await startMesh();
+    const long = { framing: Framing.Length, bytes: LONG_BYTES, breaksBy: Break.Reset };
+    machines.desk.application.behaviours.push(long);
+    await readBroken(machines, machines[entry], 'cut');
+    await waitFor(() => linesOf(machines.desk, 'cut').some(({ event }) => event === 'task'));
+    const task = linesOf(machines.desk, 'cut').find(({ event }) => event === 'task');
+    expect(task).toMatchObject({ result: 'broken-off connection-lost' });
+    expect(task?.restMs).toBeGreaterThanOrEqual(0);
+  });
+
+  it('counts a back end as failing that breaks its answers off or falls silent in them', async () => {
+    const machines = await startMesh();
+    const { desk } = machines;
+    const before = desk.node.status.owner.failureShare;
+    const long = { framing: Framing.Chunks, bytes: LONG_BYTES };
+    desk.application.behaviours.push({ ...long, breaksBy: Break.Close });
+    await readBroken(machines, desk, 'cut');
+    const afterCut = desk.node.status.owner.failureShare;
+    expect(afterCut).toBeGreaterThan(before);
+    desk.application.behaviours.push({ ...long, breaksBy: Break.Silence });
+    await readBroken(machines, desk, 'silent');
+    expect(desk.node.status.owner.failureShare).toBeGreaterThan(afterCut);
+  });
+
+  it('does not count a back end as failing whose answer is not read', async () => {
+    const { desk } = await startMesh();
+    desk.application.behaviours.push({ framing: Framing.Length, bytes: 20 * LONG_BYTES });
+    const reading = { requestId: 'unread', pauseMs: 2 * TIMEOUT_MS };
+    const answer = readAnswer(clientsOf(desk), '/read/1', reading);
+    await waitFor(() => linesOf(desk, 'unread').some(({ event }) => event === 'task'));
+    const task = linesOf(desk, 'unread').find(({ event }) => event === 'task');
+    expect(task).toMatchObject({ result: 'broken-off unread' });
+    expect(desk.node.status.owner.failureShare).toBe(0);
+    await answer;
+  });
+
+  it('counts a request as in flight when its back end crashes in its answer', async () => {
+    const { desk, vault } = await startMesh();
+    desk.application.behaviours.push(silentOnes[0] as LongAnswer);
+    const answer = readAnswer(clientsOf(vault), '/read/1', { requestId: 'crashed' });
+    await waitFor(() => mesh.runs().some(({ requestId }) => requestId === 'crashed'));
+    await delay(200);
+    desk.application.crash();
+    expect((await answer).look).toBe(AnswerLook.Broken);
+    await waitFor(() => desk.lines.some(({ event }) => event === 'crash'));
+    const line = linesOf(vault, 'crashed').find(({ event }) => event === 'request');
+    const crash = desk.lines.find(({ event }) => event === 'crash');
+    expect(crash?.suspects).toEqual([line?.fingerprint]);
+  });
+});
+
 describe('the log of a request with a long answer', () => {
   // Guards against requests that were logged as answered though their answers broke off.
   it.each(ENTRIES)('says that the answer broke off, asked beside %s', async (entry) => {
@@ -174,6 +253,8 @@
     await waitFor(() => linesOf(machine, 'cut').some(({ event }) => event === 'request'));
     const line = linesOf(machine, 'cut').find(({ event }) => event === 'request');
     expect(line).toMatchObject({ status: 200, code: 'answer-broken', brokenBy: 'lost' });
+    const result = entry === 'desk' ? 'broken-off spoilt-answer' : 'broken-off peer-lost';
+    expect(line?.offers).toMatchObject([{ result }]);
   });
 
   it('has the time until the last byte, also for one that is logged for its status', async () => {
