A long upload is not broken off by the close of its request, which Node reports before it has been passed on

Node emits 'close' on a request when it has been read, not when its connection closes. restOfBody took that for a break and destroyed a stream that its reader (a hop that waits for acknowledgements) had not read yet.

--- a/src/ingress/readAhead.test.ts
+++ b/src/ingress/readAhead.test.ts
@@ -65,6 +65,17 @@
     expect(await reading).toBe(' and the rest');
   });
 
+  it('returns the whole rest to a reader that is slower than the request', async () => {
+    const { request, body } = start(createReadAhead());
+    const { rest } = await takeStream(body);
+    request.receive(' the rest');
+    request.complete = true;
+    request.emit('end');
+    request.emit('close');
+    await new Promise(setImmediate);
+    expect(await textOf(rest)).toBe(' the rest');
+  });
+
   it('breaks the rest off if the client does', async () => {
     const { request, body } = start(createReadAhead());
     const { rest } = await takeStream(body);
--- a/src/ingress/restOfBody.ts
+++ b/src/ingress/restOfBody.ts
@@ -24,7 +24,10 @@
     }
   };
   const onLost = (): void => {
-    rest.destroy(new Error('the request ended before its body was complete'));
+    // Node.js reports the close of a whole request too, maybe before the stream has been read.
+    if (!request.complete) {
+      rest.destroy(new Error('the request ended before its body was complete'));
+    }
   };
   // Its reader may be gone when the client leaves.
   rest.on('error', () => {});
