--- a/src/ingress/ingress-server.ts
+++ b/src/ingress/ingress-server.ts
@@ -6,7 +6,8 @@
 import { type ClientAccess, createClientAccess } from './clientAccess.js';
 import { IngressRequest } from './ingress-request.js';
 import type { IngressOptions } from './ingressOptions.js';
-import { createPipelines } from './pipelines.js';
+import { createPipelines, type Pipelines } from './pipelines.js';
+import { AnswerBreak } from './requestRecord.js';
 
 /**
  * Largest request head, in bytes, that the HTTP parser accepts. The configured limit is checked
@@ -26,27 +27,54 @@
   readonly endsAt: number;
 }
 
+/**
+ * Closes idle connections when it stops listening. Node.js would also close those on which an
+ * answer has been ended but still waits to be sent.
+ */
+class PipelineServer extends http.Server {
+  private readonly sockets = new Set<Socket>();
+
+  constructor(
+    options: http.ServerOptions,
+    private readonly pipelines: Pipelines,
+  ) {
+    super(options);
+    this.on('connection', (socket: Socket) => {
+      this.sockets.add(socket);
+      socket.on('close', () => this.sockets.delete(socket));
+    });
+  }
+
+  /** Called by Node.js in `close`. */
+  override closeIdleConnections(): void {
+    for (const socket of this.sockets) {
+      if (this.pipelines.isIdle(socket)) {
+        socket.destroySoon();
+      }
+    }
+  }
+}
+
 /** The ingress of a node. */
 export class IngressServer {
   private readonly server: http.Server;
   private readonly access: ClientAccess;
   private readonly pipelines = createPipelines();
-  private inFlightCount = 0;
+  private readonly requests = new Set<IngressRequest>();
   private isAccepting = true;
   private shutdown: ShutdownTimes | undefined;
 
   constructor(private readonly options: IngressOptions) {
     this.access = createClientAccess(options);
-    this.server = http.createServer(
-      {
-        requestTimeout: 0,
-        headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
-        keepAliveTimeout: DEFAULT_IDLE_MS,
-        maxHeaderSize: MAX_HEAD_BYTES,
-        noDelay: true,
-      },
-      (request, response) => void this.serve(request, response),
-    );
+    const serverOptions = {
+      requestTimeout: 0,
+      headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
+      keepAliveTimeout: DEFAULT_IDLE_MS,
+      maxHeaderSize: MAX_HEAD_BYTES,
+      noDelay: true,
+    };
+    this.server = new PipelineServer(serverOptions, this.pipelines);
+    this.server.on('request', (request, response) => void this.serve(request, response));
     this.server.on('clientError', (error, socket) => this.onClientError(error, socket as Socket));
   }
 
@@ -54,9 +82,9 @@
     return listenOn(this.server, host, port);
   }
 
-  /** Number of requests without a final answer. */
+  /** Number of requests whose answers have not been sent to the end. */
   get inFlight(): number {
-    return this.inFlightCount;
+    return this.requests.size;
   }
 
   /** Applies the limits of a configuration. */
@@ -80,8 +108,12 @@
     this.server.close();
   }
 
+  /** Closes everything immediately. Clients see that the answers in flight are cut. */
   close(): void {
     this.server.close();
+    for (const request of [...this.requests]) {
+      request.breakOff(AnswerBreak.Stopping);
+    }
     this.server.closeAllConnections();
   }
 
@@ -99,17 +131,23 @@
     }
     const closeIfLast = () => this.shutdown !== undefined && this.pipelines.closeIfLast(socket);
     const place = { turn: pipelined.turn, closeIfLast };
-    const served = new IngressRequest(this.options, this.access, request, response, place);
+    const served = new IngressRequest({
+      options: this.options,
+      access: this.access,
+      request,
+      response,
+      place,
+      latestEnd: this.latestEnd(),
+      onEnded: () => this.requests.delete(served),
+    });
+    this.requests.add(served);
     pipelined.onDeparture((departure) => served.onDeparture(departure));
     response.on('close', pipelined.end);
-    this.inFlightCount += 1;
     try {
-      await served.run(this.latestEnd());
+      await served.run();
     } catch {
       // The code cannot tell whether the request has run, so no status would be correct.
       response.destroy();
-    } finally {
-      this.inFlightCount -= 1;
     }
   }
 
--- a/src/ingress/pipelines.ts
+++ b/src/ingress/pipelines.ts
@@ -35,6 +35,8 @@
 export interface Pipelines {
   /** Adds a new request. Undefined if its connection is closing, so that it must not be served. */
   begin(socket: Socket): PipelinedRequest | undefined;
+  /** True if no request on the connection waits for an answer, or for the end of one. */
+  isIdle(socket: Socket): boolean;
   /**
    * True if no other request on the connection waits for an answer. From then on, no further
    * request on it is served.
@@ -99,6 +101,7 @@
         end: () => end(entry, pipeline),
       };
     },
+    isIdle: (socket) => (pipelines.get(socket)?.entries.length ?? 0) === 0,
     closeIfLast: (socket) => {
       const pipeline = pipelineOf(socket);
       pipeline.isClosing ||= pipeline.entries.length <= 1;
--- a/src/ingress/requestRecord.ts
+++ b/src/ingress/requestRecord.ts
@@ -28,6 +28,8 @@
   Lost = 'lost',
   /** The client's deadline or the route's timeout has passed. */
   Deadline = 'deadline',
+  /** The node has ended. */
+  Stopping = 'stopping',
 }
 
 /** A request that has ended, for logs and metrics. */
