A planned stop waits until the ingress of another node has an answer to its last chunk

An answer of 64 to 256 KiB is then still to be sent in chunks, as fast as the ingress acknowledges them, and the process could end in the middle of that.

Change: PeerServer counts an exchange until the ingress has acknowledged the last chunk and the operating system has taken every other message (PeerConnection.flushed); gracefulShutdown waits for it. An answer in one message costs no extra write.

--- a/src/peer/bodyReceiver.test.ts
+++ b/src/peer/bodyReceiver.test.ts
@@ -21,7 +21,9 @@
     setPaused: (paused) => {
       state.isPaused = paused;
     },
+    flushed: () => Promise.resolve(),
     destroy: () => {},
+    end: () => {},
     reset: () => {},
   };
   return { state, connection };
--- a/src/peer/bodySender.ts
+++ b/src/peer/bodySender.ts
@@ -50,6 +50,8 @@
 export interface BodySender {
   /** Sends a body; rejects if the body cannot be read to its end or the connection is lost. */
   sendBody(body: MessageBody): Promise<void>;
+  /** Resolves when all chunks have been acknowledged, or when the connection is lost. */
+  allAcknowledged(): Promise<void>;
   /** Called when the receiver has acknowledged a chunk. */
   onAcknowledged(): void;
   /** Called when the connection is lost. */
@@ -60,18 +62,19 @@
   let unacknowledged = 0;
   let isLost = false;
   let wake: () => void = () => {};
-  const waitForWindow = async (): Promise<void> => {
-    while (unacknowledged >= window.chunks && !isLost) {
+  /** Waits until at most so many chunks are unacknowledged, or until the connection is lost. */
+  const waitUntilAtMost = async (chunks: number): Promise<void> => {
+    while (unacknowledged > chunks && !isLost) {
       await new Promise<void>((resolve) => {
         wake = resolve;
       });
     }
+  };
+  const sendChunk = async (bytes: Buffer, isLast: boolean): Promise<void> => {
+    await waitUntilAtMost(window.chunks - 1);
     if (isLost) {
       throw new Error('the connection was lost');
     }
-  };
-  const sendChunk = async (bytes: Buffer, isLast: boolean): Promise<void> => {
-    await waitForWindow();
     unacknowledged += 1;
     sink.send({ kind: MessageKind.Chunk, bytes, isLast });
     await sink.writable();
@@ -94,6 +97,7 @@
       }
       await sendChunk(NO_BYTES, true);
     },
+    allAcknowledged: () => waitUntilAtMost(0),
     onAcknowledged: () => {
       unacknowledged -= 1;
       wake();
--- a/src/peer/peerConnection.ts
+++ b/src/peer/peerConnection.ts
@@ -29,9 +29,16 @@
    * be read to its end or the connection is lost.
    */
   sendBody(body: MessageBody): Promise<void>;
+  /**
+   * Resolves when the receiver has acknowledged all chunks and the operating system has taken all
+   * other messages, or when the connection is lost.
+   */
+  flushed(): Promise<void>;
   /** Pauses or resumes reading, so that a slow consumer slows the sender down. */
   setPaused(paused: boolean): void;
   destroy(): void;
+  /** Closes the connection when everything has been sent. */
+  end(): void;
   /** Closes the connection with a reset, so that what was sent and has not left yet is dropped. */
   reset(): void;
 }
@@ -46,6 +53,8 @@
   readonly window?: SendWindow | undefined;
 }
 
+const NO_BYTES = Buffer.alloc(0);
+
 const NO_LISTENER: PeerListener = { onMessage: () => {}, onClose: () => {} };
 
 /** Wraps a socket that is connected or connecting. */
@@ -112,6 +121,10 @@
     },
     send,
     sendBody: (body) => bodySender.sendBody(body),
+    flushed: async () => {
+      await bodySender.allAcknowledged();
+      await written(socket);
+    },
     setPaused: (paused) => {
       if (paused) {
         socket.pause();
@@ -120,6 +133,7 @@
       }
     },
     destroy: () => socket.destroy(),
+    end: () => socket.destroySoon(),
     reset: () => {
       // Node.js would delay the reset of a connecting socket until it has connected.
       if (socket.connecting) {
@@ -136,6 +150,16 @@
   return body.kind === 'bytes' && body.bytes.length <= MAX_CHUNK_BYTES ? body.bytes : undefined;
 }
 
+/** Resolves when the operating system has taken all data, or when the socket is closed. */
+function written(socket: Socket): Promise<void> {
+  if (socket.destroyed || socket.writableLength === 0) {
+    return Promise.resolve();
+  }
+  return new Promise((resolve) => {
+    socket.write(NO_BYTES, () => resolve());
+  });
+}
+
 /** Resolves when the socket can take more data; rejects if it closes first. */
 function writable(socket: Socket): Promise<void> {
   if (socket.destroyed) {
--- a/src/peer/peerServer.test.ts
+++ b/src/peer/peerServer.test.ts
@@ -1,9 +1,13 @@
+import net from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, describe, expect, it, vi } from 'vitest';
 import { ownerTask, peerReport } from '../../test/fixtures.js';
 import { monotonicClock } from '../model/clock.js';
 import { Cancellation } from '../owner/cancellation.js';
 import type { MessageBody } from '../owner/message-body.js';
 import type { OwnerOutcome, OwnerTask } from '../owner/owner.js';
+import { createPeerConnection, type PeerConnection } from './peerConnection.js';
+import { MessageKind, type PeerMessage, taskFieldsOf } from './peerMessages.js';
 import { PeerServer } from './peerServer.js';
 import { RemoteOwner } from './remoteOwner.js';
 
@@ -11,7 +15,11 @@
 
 const ROUNDS = 20;
 
+/** Below what an owner reads before it passes an answer on, and above what fits into one message. */
+const ANSWER_BYTES = 250_000;
+
 let server: PeerServer | undefined;
+let port = 0;
 
 afterEach(() => {
   server?.close();
@@ -34,7 +42,7 @@
     onAnnouncement: () => {},
     onPeerContact,
   });
-  const port = await server.listen('127.0.0.1', 0);
+  port = await server.listen('127.0.0.1', 0);
   return new RemoteOwner(`127.0.0.1:${port}`, {
     clock: monotonicClock,
     sender: () => ({ address: '127.0.0.1:1', version: 1 }),
@@ -58,6 +66,28 @@
   });
 }
 
+/** The ingress' side of a connection, on which nothing is read until it is resumed. */
+function connectPaused(): { connection: PeerConnection; messages: PeerMessage[] } {
+  const messages: PeerMessage[] = [];
+  const connection = createPeerConnection(net.connect(port, '127.0.0.1'));
+  connection.setPaused(true);
+  connection.setListener({ onMessage: (message) => messages.push(message), onClose: () => {} });
+  return { connection, messages };
+}
+
+function offerOf(task: OwnerTask): PeerMessage {
+  const { method, target, headers } = task;
+  return {
+    kind: MessageKind.Offer,
+    sender: { address: '127.0.0.1:1', version: 1 },
+    task: taskFieldsOf(task, monotonicClock.now()),
+    method,
+    target,
+    headers,
+    body: Buffer.alloc(0),
+  };
+}
+
 function answerWith(text: string): OwnerOutcome {
   const body: MessageBody = { kind: 'bytes', bytes: Buffer.from(text) };
   return { kind: 'answer', status: 200, headers: [], body };
@@ -102,6 +132,24 @@
     }
   });
 
+  // Guards against stops that cut an answer on its way to the node of another machine (LOST).
+  it('counts a task as in flight until its answer has been received to the end', async () => {
+    let runs = 0;
+    await startOwner(async () => {
+      runs += 1;
+      return answerWith('y'.repeat(ANSWER_BYTES));
+    });
+    const { connection, messages } = connectPaused();
+    connection.send(offerOf(ownerTask({ deadlineAt: monotonicClock.now() + 5_000 })));
+    await vi.waitFor(() => expect(runs).toBe(1));
+    await delay(100);
+    expect(server?.inFlight).toBe(1);
+    connection.setPaused(false);
+    await vi.waitFor(() => expect(server?.inFlight).toBe(0));
+    expect(messages.at(-1)).toMatchObject({ kind: MessageKind.Chunk, isLast: true });
+    connection.destroy();
+  });
+
   // Guards against tasks that are sent to a back end though their cancellation has arrived.
   it.each(['with its offer', 'while the offer was read'])(
     'gives the owner no task as running whose cancellation arrived %s',
--- a/src/peer/peerServer.ts
+++ b/src/peer/peerServer.ts
@@ -66,16 +66,22 @@
 export class PeerServer {
   private readonly server: net.Server;
   private readonly connections = new Set<PeerConnection>();
+  private readonly exchanges = new Set<TaskExchange>();
 
   constructor(private readonly context: PeerServerContext) {
     this.server = net.createServer((socket) => {
       const connection = createPeerConnection(socket, this.context.connectionOptions);
       this.connections.add(connection);
       socket.on('close', () => this.connections.delete(connection));
-      serveConnection(connection, this.context);
+      serveConnection(connection, this.context, this.exchanges);
     });
   }
 
+  /** Number of tasks of other nodes whose outcomes have not been received there to the end. */
+  get inFlight(): number {
+    return this.exchanges.size;
+  }
+
   listen(host: string, port: number): Promise<number> {
     return listenOn(this.server, host, port);
   }
@@ -88,15 +94,18 @@
   }
 }
 
-function serveConnection(connection: PeerConnection, context: PeerServerContext): void {
+function serveConnection(
+  connection: PeerConnection,
+  context: PeerServerContext,
+  exchanges: Set<TaskExchange>,
+): void {
   let exchange: TaskExchange | undefined;
   connection.setListener({
     onMessage: (message) => {
       switch (message.kind) {
         case MessageKind.Offer:
           context.onPeerContact(message.sender, undefined);
-          exchange = new TaskExchange(connection, message, context);
-          void exchange.run();
+          exchange = startExchange(connection, message, context, exchanges);
           return;
         case MessageKind.Ask:
           context.onPeerContact(message.sender, message.report);
@@ -135,6 +144,18 @@
   });
 }
 
+function startExchange(
+  connection: PeerConnection,
+  offer: OfferMessage,
+  context: PeerServerContext,
+  exchanges: Set<TaskExchange>,
+): TaskExchange {
+  const exchange = new TaskExchange(connection, offer, context);
+  exchanges.add(exchange);
+  void exchange.run().finally(() => exchanges.delete(exchange));
+  return exchange;
+}
+
 function answerQuery({ question }: QueryMessage, context: PeerServerContext): PeerMessage {
   return {
     kind: MessageKind.Told,
@@ -179,6 +200,7 @@
     whenEnded(outcome, () => this.receiver?.discard());
     if (!this.cancellation.cancelled) {
       await this.sendOutcome(outcome).catch(() => this.connection.destroy());
+      await this.connection.flushed();
     }
     this.hasEnded = true;
   }
--- a/src/sidecar/gracefulShutdown.ts
+++ b/src/sidecar/gracefulShutdown.ts
@@ -6,6 +6,7 @@
 import type { IngressServer } from '../ingress/ingress-server.js';
 import type { Clock } from '../model/clock.js';
 import type { LocalOwner } from '../owner/local-owner.js';
+import type { PeerServer } from '../peer/peerServer.js';
 import { type Lifecycle, LifecycleEvent } from './lifecycle.js';
 
 /** Share of the grace after which the back end receives no new tasks. */
@@ -37,6 +38,7 @@
   readonly clock: Clock;
   readonly ingress: IngressServer;
   readonly owner: LocalOwner;
+  readonly peers: PeerServer;
   /** Milliseconds from the start of the stop until the process is killed. */
   readonly graceMs: number;
   readonly lifecycle: Lifecycle;
@@ -44,7 +46,7 @@
 
 /** Resolves when nothing is in flight, or shortly before the end of the grace. */
 export async function shutDownGracefully(context: ShutdownContext): Promise<void> {
-  const { clock, ingress, owner, graceMs, lifecycle } = context;
+  const { clock, ingress, owner, peers, graceMs, lifecycle } = context;
   const startedAt = clock.now();
   const waitUntil = async (condition: () => boolean, atMs: number) => {
     while (!condition() && clock.now() < startedAt + atMs) {
@@ -61,7 +63,8 @@
   await waitUntil(() => owner.report.inFlight === 0, graceMs * ACCEPTING_SHARE);
   lifecycle.send(LifecycleEvent.TasksEnded);
   ingress.stopAccepting();
-  const isIdle = () => ingress.inFlight === 0 && owner.report.inFlight === 0;
+  const isIdle = () =>
+    ingress.inFlight === 0 && owner.report.inFlight === 0 && peers.inFlight === 0;
   await waitUntil(isIdle, endsAt - startedAt);
   lifecycle.send(isIdle() ? LifecycleEvent.Idle : LifecycleEvent.GraceSpent);
 }
--- a/src/sidecar/sidecar-node.ts
+++ b/src/sidecar/sidecar-node.ts
@@ -157,10 +157,10 @@
   async stop(): Promise<void> {
     this.lifecycle.send(LifecycleEvent.Stop);
     const { clock, lifecycle, log } = this;
-    const { ingress, owner, sync, configuration } = this.parts;
+    const { ingress, owner, peers, sync, configuration } = this.parts;
     const { graceMs } = this.settings;
     log.event('stopping', { inFlight: ingress.inFlight, version: configuration.version });
-    await shutDownGracefully({ clock, ingress, owner, graceMs, lifecycle });
+    await shutDownGracefully({ clock, ingress, owner, peers, graceMs, lifecycle });
     await Promise.race([
       sync.stop(owner.isDraining),
       new Promise((resolve) => setTimeout(resolve, REMOVE_TIMEOUT_MS)),
