An owner ends a task after its deadline itself, as its ingress may be gone without a trace

Cause: the owner's only timer was the ingress'. Change: TaskExchange has one, 250 ms behind the task's time limit, until its outcome has been received.

--- a/src/peer/peerServer.test.ts
+++ b/src/peer/peerServer.test.ts
@@ -3,11 +3,12 @@
 import { afterEach, describe, expect, it, vi } from 'vitest';
 import { ownerTask, peerReport } from '../../test/fixtures.js';
 import { monotonicClock } from '../model/clock.js';
+import { createSuspendAwareTimers } from '../model/suspendAwareTimers.js';
 import { Cancellation } from '../owner/cancellation.js';
 import type { MessageBody } from '../owner/message-body.js';
 import type { OwnerOutcome, OwnerTask } from '../owner/owner.js';
 import { createPeerConnection, type PeerConnection } from './peerConnection.js';
-import { MessageKind, type PeerMessage, taskFieldsOf } from './peerMessages.js';
+import { MessageKind, type OfferMessage, type PeerMessage, taskFieldsOf } from './peerMessages.js';
 import { PeerServer } from './peerServer.js';
 import { RemoteOwner } from './remoteOwner.js';
 
@@ -32,6 +33,7 @@
 ): Promise<RemoteOwner> {
   server = new PeerServer({
     clock: monotonicClock,
+    timers: createSuspendAwareTimers({ clock: monotonicClock, onResume: () => {} }),
     owner: { run },
     report: () => peerReport(),
     configuration: () => undefined,
@@ -75,7 +77,7 @@
   return { connection, messages };
 }
 
-function offerOf(task: OwnerTask): PeerMessage {
+function offerOf(task: OwnerTask): OfferMessage {
   const { method, target, headers } = task;
   return {
     kind: MessageKind.Offer,
@@ -150,6 +152,31 @@
     connection.destroy();
   });
 
+  // Guards against slots that stay taken for good when an ingress is gone without a trace.
+  it.each(['its body', 'its outcome'])(
+    'ends a task after its deadline although the ingress says nothing, while it waits for %s',
+    async (awaited) => {
+      const ends: string[] = [];
+      await startOwner(async (task) => {
+        const cancelled = new Promise<OwnerOutcome>((resolve) => {
+          task.cancellation.onCancel(() => resolve({ kind: 'unknown', reason: 'cancelled' }));
+        });
+        const body = awaited === 'its body' ? task.loadBody().then(() => cancelled) : cancelled;
+        const outcome = await body.catch(() => cancelled);
+        ends.push(outcome.kind);
+        return outcome;
+      });
+      const { connection } = connectPaused();
+      const deadlineAt = monotonicClock.now() + 200;
+      const offer = offerOf(ownerTask({ deadlineAt, repeatable: false }));
+      connection.send(awaited === 'its body' ? { ...offer, body: undefined } : offer);
+      await vi.waitFor(() => expect(ends).toEqual(['unknown']), { timeout: 1_000 });
+      expect(monotonicClock.now()).toBeGreaterThan(deadlineAt);
+      await vi.waitFor(() => expect(server?.inFlight).toBe(0));
+      connection.destroy();
+    },
+  );
+
   // Guards against tasks that are sent to a back end though their cancellation has arrived.
   it.each(['with its offer', 'while the offer was read'])(
     'gives the owner no task as running whose cancellation arrived %s',
--- a/src/peer/peerServer.ts
+++ b/src/peer/peerServer.ts
@@ -5,6 +5,7 @@
 import net from 'node:net';
 import type { Clock } from '../model/clock.js';
 import { afterPendingReads } from '../model/readBarrier.js';
+import type { SuspendAwareTimers } from '../model/suspendAwareTimers.js';
 import { Cancellation } from '../owner/cancellation.js';
 import { whenEnded } from '../owner/outcomeEnd.js';
 import type { Owner, OwnerAnswer, OwnerOutcome, OwnerTask } from '../owner/owner.js';
@@ -31,6 +32,15 @@
 /** Largest body, in bytes, that is buffered whole before it is sent to the back end. */
 const MAX_BUFFERED_BODY_BYTES = 1024 * 1024;
 
+/**
+ * Milliseconds after a task's deadline at which the owner ends the task itself. The ingress usually
+ * has done so by then.
+ */
+const EXPIRY_SLACK_MS = 250;
+
+/** Longest delay in milliseconds that the runtime's timers can have. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /**
  * Answer of a node that holds no part of a quota. `dryMs` is here the time in milliseconds after
  * which the requester asks this node again.
@@ -40,6 +50,7 @@
 /** Dependencies of the server. */
 export interface PeerServerContext {
   readonly clock: Clock;
+  readonly timers: SuspendAwareTimers;
   readonly owner: Owner;
   readonly report: () => PeerReport;
   /** The encoded configuration. Undefined while the node has none. */
@@ -195,16 +206,29 @@
   async run(): Promise<void> {
     // The ingress may have cancelled the task while this node had no time to read.
     await afterPendingReads();
-    const outcome = await this.context.owner.run(this.task());
+    const task = this.task();
+    const cancelTimer = this.startTimer(task);
+    const outcome = await this.context.owner.run(task);
     // A back end may answer before it has read the whole body of the request.
     whenEnded(outcome, () => this.receiver?.discard());
     if (!this.cancellation.cancelled) {
       await this.sendOutcome(outcome).catch(() => this.connection.destroy());
       await this.connection.flushed();
     }
+    cancelTimer();
     this.hasEnded = true;
   }
 
+  /** Ends the task if the ingress has not done so: it may be gone without a trace. */
+  private startTimer({ deadlineAt }: OwnerTask): () => void {
+    const leftMs = Math.max(0, deadlineAt - this.context.clock.now());
+    const onExpired = (): void => {
+      this.cancellation.cancel();
+      this.connection.destroy();
+    };
+    return this.context.timers.set(onExpired, Math.min(leftMs + EXPIRY_SLACK_MS, MAX_TIMER_MS));
+  }
+
   /** Returns false if no chunk is expected. */
   onChunk(chunk: PeerMessage & { kind: MessageKind.Chunk }): boolean {
     if (!this.receiver || this.receiver.isComplete) {
--- a/src/sidecar/sidecarParts.ts
+++ b/src/sidecar/sidecarParts.ts
@@ -237,6 +237,7 @@
 
   const peers = new PeerServer({
     clock,
+    timers,
     owner,
     report,
     connectionOptions: { onSent, window: sendWindowOf(settings().linkMbps) },
