An owner tells the ingress of another node why an answer broke off

What operators saw: 'broken-off peer-lost' in the ingress' line for an answer that the back end had broken off; and an answer that broke off before the ingress had enough of it made that owner absent as unreachable.

Cause: the owner could only close the connection. Change: a last chunk carries the reason (a node of an older build ignores it and sees the close behind it, as before). The ingress breaks its answer off when the end of the answer is known, so that a crash is recorded before the client can ask again.

--- a/src/ingress/answerDelivery.ts
+++ b/src/ingress/answerDelivery.ts
@@ -68,6 +68,8 @@
     try {
       await writer.answer(answer);
     } catch {
+      // By the end of the answer its owner has found out whether the back end has crashed.
+      await answer.end;
       end.breakOff(isTimeUp ? AnswerBreak.Deadline : AnswerBreak.Lost);
     }
   };
--- a/src/peer/peerCodec.ts
+++ b/src/peer/peerCodec.ts
@@ -7,11 +7,12 @@
 
 import { encodeFrame } from '../codec/frame.js';
 import { isNonNegativeInteger, isNonNegativeNumber } from '../codec/numberGuards.js';
-import type { NotRunReason, OwnerNotRun, OwnerUnknown } from '../owner/owner.js';
+import type { NotRunReason, OwnerNotRun, OwnerUnknown, UnknownReason } from '../owner/owner.js';
 import {
   type AnnouncementMessage,
   AnnouncementTopic,
   type AnswerMessage,
+  type ChunkMessage,
   MessageKind,
   type OfferMessage,
   type PeerMessage,
@@ -46,7 +47,7 @@
         message.body,
       ];
     case MessageKind.Chunk:
-      return [message.bytes, message.isLast];
+      return [message.bytes, message.isLast, message.breakReason];
     case MessageKind.Ask:
       return [message.question, encodeSender(message.sender), encodeReport(message.report)];
     case MessageKind.Read: {
@@ -90,10 +91,8 @@
   switch (kind) {
     case MessageKind.Offer:
       return decodeOffer(content);
-    case MessageKind.Chunk: {
-      const [bytes, isLast] = content;
-      return Buffer.isBuffer(bytes) ? { kind, bytes, isLast: isLast === true } : undefined;
-    }
+    case MessageKind.Chunk:
+      return decodeChunk(content);
     case MessageKind.Ask:
       return decodeQuery(content);
     case MessageKind.Read:
@@ -139,6 +138,16 @@
   }
 }
 
+function decodeChunk([bytes, isLast, breakReason]: unknown[]): ChunkMessage | undefined {
+  if (!Buffer.isBuffer(bytes)) {
+    return undefined;
+  }
+  const chunk = { kind: MessageKind.Chunk, bytes, isLast: isLast === true } as const;
+  return typeof breakReason === 'string'
+    ? { ...chunk, breakReason: breakReason as UnknownReason }
+    : chunk;
+}
+
 function decodeOffer([encodedSender, encodedTask, method, target, headers, body]: unknown[]):
   | OfferMessage
   | undefined {
--- a/src/peer/peerMessages.test.ts
+++ b/src/peer/peerMessages.test.ts
@@ -69,6 +69,7 @@
   kind: fc.constant(MessageKind.Chunk as const),
   bytes,
   isLast: fc.boolean(),
+  breakReason: fc.constantFrom('connection-lost' as const, 'cancelled' as const, undefined),
 });
 
 const requestKeys = fc.array(fc.record({ fingerprint: fc.string(), caller: fc.string() }));
--- a/src/peer/peerMessages.ts
+++ b/src/peer/peerMessages.ts
@@ -5,7 +5,7 @@
  * the ingress sends the body only after the owner has sent `Admitted`. Until then the owner cannot
  * run the task, so an owner that does not respond to the offer has certainly not run it.
  */
-import type { OwnerNotRun, OwnerTask, OwnerUnknown } from '../owner/owner.js';
+import type { OwnerNotRun, OwnerTask, OwnerUnknown, UnknownReason } from '../owner/owner.js';
 import type { OwnerReport } from '../owner/owner-report.js';
 import type { StoreQuery } from '../source/object-store.js';
 
@@ -119,6 +119,11 @@
   readonly kind: MessageKind.Chunk;
   readonly bytes: Buffer;
   readonly isLast: boolean;
+  /**
+   * Why the body of an answer ends here although this is not its last chunk. The sender then closes
+   * the connection.
+   */
+  readonly breakReason?: UnknownReason | undefined;
 }
 
 export interface QueryMessage {
--- a/src/peer/remoteOwner.test.ts
+++ b/src/peer/remoteOwner.test.ts
@@ -75,6 +75,27 @@
 };
 
 describe('RemoteOwner', () => {
+  it('learns from the owner why an answer broke off before enough of it had arrived', async () => {
+    const { owner, failures } = await startPeer((message, connection) => {
+      if (message.kind !== MessageKind.Offer) {
+        return;
+      }
+      connection.send({ ...ANSWER, body: undefined });
+      connection.send({ kind: MessageKind.Chunk, bytes: Buffer.from('part'), isLast: false });
+      connection.send({
+        kind: MessageKind.Chunk,
+        bytes: Buffer.alloc(0),
+        isLast: false,
+        breakReason: 'connection-lost',
+      });
+      connection.end();
+    });
+    const outcome = await owner.run(task(true));
+    expect(outcome).toEqual({ kind: 'unknown', reason: 'connection-lost' });
+    // The node itself is well.
+    expect(failures).toEqual([]);
+  });
+
   it.each([true, false])(
     'reports a task as not run if the owner does not respond to the offer (repeatable: %s)',
     async (repeatable) => {
--- a/src/peer/remoteRun.ts
+++ b/src/peer/remoteRun.ts
@@ -177,6 +177,10 @@
       this.connection.destroy();
       return;
     }
+    if (message.breakReason !== undefined) {
+      this.onBreak(message.breakReason);
+      return;
+    }
     this.receiver.onChunk(message);
     if (message.isLast) {
       this.release();
@@ -184,12 +188,21 @@
     }
   }
 
-  private onClose(): void {
+  /** The owner has stated why the rest of the answer does not come. */
+  private onBreak(reason: UnknownReason): void {
+    this.endAnswer(reason);
     this.receiver?.abort();
+    this.settle({ kind: 'unknown', reason });
+    this.connection.destroy();
+  }
+
+  private onClose(): void {
     if (this.settled) {
       this.endAnswer(PEER_LOST.reason);
+      this.receiver?.abort();
       return;
     }
+    this.receiver?.abort();
     this.context.onFailure('unreachable');
     this.settle(this.mayHaveRun ? PEER_LOST : createRejection('peer-unreachable'));
   }
--- a/test/long-answers.test.ts
+++ b/test/long-answers.test.ts
@@ -253,8 +253,7 @@
     await waitFor(() => linesOf(machine, 'cut').some(({ event }) => event === 'request'));
     const line = linesOf(machine, 'cut').find(({ event }) => event === 'request');
     expect(line).toMatchObject({ status: 200, code: 'answer-broken', brokenBy: 'lost' });
-    const result = entry === 'desk' ? 'broken-off spoilt-answer' : 'broken-off peer-lost';
-    expect(line?.offers).toMatchObject([{ result }]);
+    expect(line?.offers).toMatchObject([{ result: 'broken-off spoilt-answer' }]);
   });
 
   it('has the time until the last byte, also for one that is logged for its status', async () => {
