A node that was started again spends no slack of the retry budget for one window

Cause: a process starts with an empty count of its repeats and its whole part of the slack, so each life granted the slack anew; and with unknown call rates, so that a retry paid nothing for the calls of its run. The earned part is not at fault: a request earns for the life that has seen it only.

Change: for one window after a restart a node uses what its requests have earned, and a retry whose run's calls nobody has reported is charged one arrival at every service. Settings name the first start of a mesh (isFirstStart, the platform's bootstrap), after which nothing can be owed.

Evidence: retryBudget.model.test.ts now restarts nodes at any rate and all at once (it left out more than one restart in a window).

--- a/lab/machine.ts
+++ b/lab/machine.ts
@@ -96,6 +96,7 @@
       service: this.application.service,
       backEndAddress: this.application.address,
       listen: listen ?? { clients: any, peers: any, readiness: any, registrations: any },
+      isFirstStart: listen === undefined,
       drainMs: 1_000,
       graceMs: this.options.graceMs ?? DEFAULT_GRACE_MS,
       configurationApplyMs: this.options.applyMs ?? DEFAULT_APPLY_MS,
--- a/lab/sidecarProcesses.ts
+++ b/lab/sidecarProcesses.ts
@@ -67,20 +67,21 @@
         ...plan.settings,
       };
       const { store } = plan;
-      const told: SidecarPlan = {
-        settings,
-        store: typeof store === 'function' ? store(index) : { records, configuration: store },
+      const start = (isFirstStart: boolean) => {
+        const told: SidecarPlan = {
+          settings: { ...settings, isFirstStart },
+          store: typeof store === 'function' ? store(index) : { records, configuration: store },
+        };
+        writeFileSync(file, JSON.stringify(told));
+        return ProcessHandle.start(record.node, 'lab/sidecarMain.js', [file], plan.nodeFlags);
       };
-      writeFileSync(file, JSON.stringify(told));
-      const start = () =>
-        ProcessHandle.start(record.node, 'lab/sidecarMain.js', [file], plan.nodeFlags);
       const sidecar: Sidecar = {
         name: record.node,
         listen,
         application,
-        process: await start(),
+        process: await start(true),
         restart: async () => {
-          sidecar.process = await start();
+          sidecar.process = await start(false);
         },
       };
       await application.heartbeat(listen.registrations);
--- a/src/directory/owner-directory.ts
+++ b/src/directory/owner-directory.ts
@@ -119,8 +119,11 @@
   }
 
   /** Calls that a run of a service makes, as a mean over the owners that know theirs. */
-  callRatesOf(service: string): readonly CallRate[] {
+  callRatesOf(service: string): readonly CallRate[] | undefined {
     const known = this.ownersOf(service).flatMap(({ callRates }) => (callRates ? [callRates] : []));
+    if (known.length === 0) {
+      return undefined;
+    }
     const sums = new Map<string, number>();
     for (const { service: called, perRun } of known.flat()) {
       sums.set(called, (sums.get(called) ?? 0) + perRun);
--- a/src/ingress/requestAccount.ts
+++ b/src/ingress/requestAccount.ts
@@ -6,7 +6,7 @@
 import type { CallRates } from '../owner/callRates.js';
 import type { OwnerOutcome, OwnerTask } from '../owner/owner.js';
 import type { CallRoutes } from './callRoutes.js';
-import { retryCostOf } from './retryCost.js';
+import { type RetryCost, retryCostOf, unknownRetryCostOf } from './retryCost.js';
 import type { RetryPayment, SharedRetryBudget } from './shared-retry-budget.js';
 
 /** Dependencies on the node, which the accounts of all requests share. */
@@ -51,6 +51,12 @@
   let retry: RetryRecord | undefined;
   let paid: RetryPayment | undefined;
   const payments = new Map<OwnerEntry, RetryPayment>();
+  const costAt = (now: number): RetryCost => {
+    const isUnknown = directory.callRatesOf(service) === undefined;
+    return isUnknown && retryBudget.mayOweRepeats(now)
+      ? unknownRetryCostOf(service, directory.nodesByService().keys())
+      : retryCostOf(service, (name) => directory.callRatesOf(name));
+  };
   return {
     get retry() {
       return retry;
@@ -64,8 +70,8 @@
       }
     },
     payRetry: () => {
-      const cost = retryCostOf(service, (name) => directory.callRatesOf(name));
       const now = clock.now();
+      const cost = costAt(now);
       const spentAt = retryBudget.lacking(cost, now);
       const rounded = [...cost].map(([name, arrivals]) => [name, roundToHundredths(arrivals)]);
       retry = { cost: Object.fromEntries(rounded), spentAt };
--- a/src/ingress/retryBudget.model.test.ts
+++ b/src/ingress/retryBudget.model.test.ts
@@ -1,6 +1,7 @@
 /**
  * Guards against repeats beyond the budget at a service that is called: a repeated run makes its
- * calls anew. Nodes are played without sockets; clients send, attempts fail, runs make calls.
+ * calls anew. Nodes are played without sockets; clients send, attempts fail, runs make calls, and
+ * nodes restart, also all at once and several times in a window.
  */
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
@@ -8,7 +9,7 @@
 import { seededRandom } from '../../lab/random.js';
 import { budgetExcesses, type ServiceHistory } from '../../lab/retryBudgetCheck.js';
 import type { CallRate } from '../owner/callRates.js';
-import { retryCostOf } from './retryCost.js';
+import { type RetryCost, retryCostOf, unknownRetryCostOf } from './retryCost.js';
 import { SharedRetryBudget } from './shared-retry-budget.js';
 
 const BOUND = { ratio: 0.2, windowMs: 2_000, slack: 60 };
@@ -25,12 +26,17 @@
   readonly failureShare: number;
   /** Steps after which one more node restarts, and knows nothing of its retries; 0 for none. */
   readonly restartEvery: number;
+  /** Steps after which all nodes restart at once and know no rates of calls; 0 for never. */
+  readonly restartAllEvery: number;
   /** Requests of clients for each service, in each step. */
   readonly steps: readonly (readonly [number, number, number])[];
 }
 
 const STEP_MS = 100;
 
+/** Time after a restart of all nodes for which no node knows the calls of any service. */
+const RATES_UNKNOWN_MS = 300;
+
 const scenarios: fc.Arbitrary<Scenario> = fc.record({
   seed: fc.nat(),
   nodes: fc.integer({ min: 1, max: 6 }),
@@ -40,7 +46,8 @@
     fc.constantFrom(0, 1, 2),
   ),
   failureShare: fc.constantFrom(0.05, 0.4, 0.9),
-  restartEvery: fc.constantFrom(0, 4, 20),
+  restartEvery: fc.constantFrom(0, 1, 4, 20),
+  restartAllEvery: fc.constantFrom(0, 3, 10),
   steps: fc.array(
     fc.tuple(
       fc.integer({ min: 0, max: 20 }),
@@ -60,6 +67,7 @@
   private readonly random: () => number;
   private readonly budgets: SharedRetryBudget[];
   private requests = 0;
+  private ratesKnownFrom = 0;
   now = 0;
 
   constructor(private readonly scenario: Scenario) {
@@ -67,16 +75,21 @@
     this.budgets = Array.from({ length: scenario.nodes }, () => this.createBudget());
   }
 
-  /** Restarts the nodes in turn; each of them once in a window at the most. */
+  /** Restarts the nodes in turn. */
   restart(index: number): void {
-    this.budgets[index % this.budgets.length] = this.createBudget();
+    this.budgets[index % this.budgets.length] = this.createBudget(this.now);
   }
 
-  private createBudget(): SharedRetryBudget {
-    return new SharedRetryBudget(
-      () => BOUND,
-      () => this.scenario.nodes,
-    );
+  restartAll(): void {
+    this.budgets.forEach((_budget, index) => {
+      this.restart(index);
+    });
+    this.ratesKnownFrom = this.now + RATES_UNKNOWN_MS;
+  }
+
+  private createBudget(restartedAt?: number): SharedRetryBudget {
+    const { nodes } = this.scenario;
+    return new SharedRetryBudget({ bound: () => BOUND, nodes: () => nodes, restartedAt });
   }
 
   /** A client's request, with its retries. */
@@ -90,7 +103,7 @@
 
   /** A run, and as many repeats of it as fail and are paid for. All of them make the same calls. */
   private attempts(budget: SharedRetryBudget, service: Service, id: string): void {
-    const cost = retryCostOf(service, (name) => this.ratesOf(name));
+    const cost = this.costOf(service, budget);
     const calls = this.drawCalls(service);
     this.run(service, id, calls);
     while (this.random() < this.scenario.failureShare) {
@@ -110,6 +123,15 @@
     }
   }
 
+  private costOf(service: Service, budget: SharedRetryBudget): RetryCost {
+    if (this.now >= this.ratesKnownFrom) {
+      return retryCostOf(service, (name) => this.ratesOf(name));
+    }
+    return budget.mayOweRepeats(this.now)
+      ? unknownRetryCostOf(service, SERVICES)
+      : retryCostOf(service, () => undefined);
+  }
+
   private ratesOf(service: string): readonly CallRate[] {
     const [deskToVault, deskToStore, vaultToStore] = this.scenario.calls;
     switch (service) {
@@ -138,18 +160,20 @@
   }
 }
 
-function isRestartDue({ restartEvery, nodes }: Scenario, step: number): boolean {
-  const isOncePerWindow = restartEvery * nodes * STEP_MS >= BOUND.windowMs;
-  return restartEvery > 0 && isOncePerWindow && step % restartEvery === 0;
+function isDue(every: number, step: number): boolean {
+  return every > 0 && step > 0 && step % every === 0;
 }
 
 function play(scenario: Scenario): readonly ServiceHistory[] {
   const mesh = new Mesh(scenario);
   for (const [step, counts] of scenario.steps.entries()) {
     mesh.now += STEP_MS;
-    if (isRestartDue(scenario, step)) {
+    if (isDue(scenario.restartEvery, step)) {
       mesh.restart(step / scenario.restartEvery);
     }
+    if (isDue(scenario.restartAllEvery, step)) {
+      mesh.restartAll();
+    }
     for (const [index, service] of SERVICES.entries()) {
       for (let request = 0; request < (counts[index] ?? 0); request += 1) {
         mesh.request(service);
--- a/src/ingress/retryCost.ts
+++ b/src/ingress/retryCost.ts
@@ -13,10 +13,11 @@
 /** Smaller parts, in arrivals, are left out, which also ends circles of calls. */
 const MIN_PART = 0.01;
 
-export function retryCostOf(
-  service: string,
-  ratesOf: (service: string) => readonly CallRate[],
-): RetryCost {
+/** The calls of a service per run; undefined while no owner has reported them. */
+export type CallRatesOf = (service: string) => readonly CallRate[] | undefined;
+
+/** The cost if the calls of the service are known, or if it can be taken to make none. */
+export function retryCostOf(service: string, ratesOf: CallRatesOf): RetryCost {
   const cost = new Map<string, number>();
   let level: RetryCost = new Map([[service, 1]]);
   for (let depth = 0; depth <= MAX_DEPTH && level.size > 0; depth += 1) {
@@ -28,10 +29,15 @@
   return cost;
 }
 
-function callsOf(level: RetryCost, ratesOf: (service: string) => readonly CallRate[]): RetryCost {
+/** The cost if nothing is known of the calls: a run may call every service. */
+export function unknownRetryCostOf(service: string, services: Iterable<string>): RetryCost {
+  return new Map([...services, service].map((name) => [name, 1]));
+}
+
+function callsOf(level: RetryCost, ratesOf: CallRatesOf): RetryCost {
   const calls = new Map<string, number>();
   for (const [service, arrivals] of level) {
-    for (const { service: called, perRun } of ratesOf(service)) {
+    for (const { service: called, perRun } of ratesOf(service) ?? []) {
       const part = arrivals * perRun;
       if (part >= MIN_PART) {
         calls.set(called, (calls.get(called) ?? 0) + part);
--- a/src/ingress/shared-retry-budget.test.ts
+++ b/src/ingress/shared-retry-budget.test.ts
@@ -25,11 +25,7 @@
       fc.property(fc.array(step, { minLength: 50, maxLength: 600 }), (steps) => {
         const budgets = Array.from(
           { length: 4 },
-          () =>
-            new SharedRetryBudget(
-              () => BOUND,
-              () => 4,
-            ),
+          () => new SharedRetryBudget({ bound: () => BOUND, nodes: () => 4 }),
         );
         const requests: number[] = [];
         const retries: number[] = [];
@@ -59,11 +55,7 @@
     (nodes) => {
       const budgets = Array.from(
         { length: nodes },
-        () =>
-          new SharedRetryBudget(
-            () => BOUND,
-            () => nodes,
-          ),
+        () => new SharedRetryBudget({ bound: () => BOUND, nodes: () => nodes }),
       );
       const retries = budgets.flatMap((budget) =>
         Array.from({ length: BOUND.slack }, () => withdraw(budget, 'desk', 0)).filter(Boolean),
@@ -74,10 +66,7 @@
 
   it('has no slack while the number of nodes is unknown', () => {
     let nodeCount = Number.POSITIVE_INFINITY;
-    const budget = new SharedRetryBudget(
-      () => BOUND,
-      () => nodeCount,
-    );
+    const budget = new SharedRetryBudget({ bound: () => BOUND, nodes: () => nodeCount });
     expect(withdraw(budget, 'desk', 0)).toBe(false);
     nodeCount = 2;
     expect(withdraw(budget, 'desk', 0)).toBe(true);
@@ -85,30 +74,21 @@
 
   it('does not take a larger part of the slack while other nodes are away', () => {
     let nodeCount = 64;
-    const budget = new SharedRetryBudget(
-      () => BOUND,
-      () => nodeCount,
-    );
+    const budget = new SharedRetryBudget({ bound: () => BOUND, nodes: () => nodeCount });
     expect(withdraw(budget, 'desk', 0)).toBe(true);
     nodeCount = 1;
     expect(withdraw(budget, 'desk', 0)).toBe(false);
   });
 
   it('allows no retry once it is spent, separately for each service', () => {
-    const budget = new SharedRetryBudget(
-      () => BOUND,
-      () => 64,
-    );
+    const budget = new SharedRetryBudget({ bound: () => BOUND, nodes: () => 64 });
     expect(withdraw(budget, 'desk', 0)).toBe(true);
     expect(withdraw(budget, 'desk', 0)).toBe(false);
     expect(withdraw(budget, 'vault', 0)).toBe(true);
   });
 
   it('can be spent at once with all that the window has earned', () => {
-    const budget = new SharedRetryBudget(
-      () => BOUND,
-      () => 32,
-    );
+    const budget = new SharedRetryBudget({ bound: () => BOUND, nodes: () => 32 });
     for (let now = 0; now < 10_000; now += 50) {
       budget.noteRequest('desk', now);
     }
@@ -132,11 +112,7 @@
     fc.assert(
       fc.property(fc.array(wave, { minLength: 3, maxLength: 25 }), (waves) => {
         const budgets = [0, 1, 2, 3].map(
-          () =>
-            new SharedRetryBudget(
-              () => bound,
-              () => 4,
-            ),
+          () => new SharedRetryBudget({ bound: () => bound, nodes: () => 4 }),
         );
         const requests: number[] = [];
         const retries: number[] = [];
--- a/src/ingress/shared-retry-budget.ts
+++ b/src/ingress/shared-retry-budget.ts
@@ -39,17 +39,34 @@
   refund(): void;
 }
 
+/** Dependencies on the node. */
+export interface SharedRetryBudgetContext {
+  readonly bound: () => RetryBudgetBounds;
+  /** Number of nodes that share the slack; infinite while it is unknown. */
+  readonly nodes: () => number;
+  /**
+   * Steady time in milliseconds at which this node was started again. Undefined if it has not run
+   * before.
+   */
+  readonly restartedAt?: number | undefined;
+}
+
 /** The retry budget of a node. */
 export class SharedRetryBudget {
   private readonly counts = new Map<string, ServiceCounts>();
   /** Largest number of nodes since this node started. */
   private maxNodes = 1;
 
-  constructor(
-    private readonly bound: () => RetryBudgetBounds,
-    /** Number of nodes that share the slack; infinite while it is unknown. */
-    private readonly nodes: () => number,
-  ) {}
+  constructor(private readonly context: SharedRetryBudgetContext) {}
+
+  /**
+   * True for one window after a restart. The node may have spent its part of the slack shortly
+   * before, and does not know it, so it spends only what it has earned since.
+   */
+  mayOweRepeats(now: number): boolean {
+    const { bound, restartedAt } = this.context;
+    return restartedAt !== undefined && now < restartedAt + bound().windowMs;
+  }
 
   /** Counts a client's request for a service; calls of back ends don't count. It raises the number of allowed repeats by less than one. */
   noteRequest(service: string, now: number): void {
@@ -85,20 +102,20 @@
    * `wanted` of them.
    */
   private remaining(service: string, now: number, wanted: number): number {
-    const { ratio, slack } = this.bound();
+    const { ratio, slack } = this.context.bound();
     const { requests, repeats } = this.countsOf(service);
     const earned = ratio * USED_SHARE * requests.lowerBound(now);
-    return this.ownSlack(slack, wanted) + earned - repeats.upperBound(now);
+    return this.ownSlack(slack, wanted, now) + earned - repeats.upperBound(now);
   }
 
   /**
    * This node's part of the slack. A part below one retry is not rounded up, as many nodes together
    * would then exceed the bound. Requests must earn the missing fraction.
    */
-  private ownSlack(slack: number, wanted: number): number {
+  private ownSlack(slack: number, wanted: number, now: number): number {
     // The part does not grow while other nodes are away, as they may come back.
-    const nodes = this.nodes();
-    if (!Number.isFinite(nodes)) {
+    const nodes = this.context.nodes();
+    if (!Number.isFinite(nodes) || this.mayOweRepeats(now)) {
       return 0;
     }
     this.maxNodes = Math.max(this.maxNodes, nodes);
@@ -111,7 +128,7 @@
     if (existing) {
       return existing;
     }
-    const { windowMs } = this.bound();
+    const { windowMs } = this.context.bound();
     const created = {
       requests: createSlidingWindowCounter(windowMs),
       repeats: createSlidingWindowCounter(windowMs),
--- a/src/sidecar/ingressPart.ts
+++ b/src/sidecar/ingressPart.ts
@@ -35,7 +35,11 @@
     ...shared,
     clock: clocks.clock,
     names: platform.names,
-    retryBudget: new SharedRetryBudget(() => settings().retryBudget, nodes),
+    retryBudget: new SharedRetryBudget({
+      bound: () => settings().retryBudget,
+      nodes,
+      restartedAt: settings().isFirstStart ? undefined : clocks.clock.now(),
+    }),
     crossZoneBudget: createCrossZoneBudget(),
     retryAfterPacer: createRetryAfterPacer(),
     offerLimit: createOfferLimit(),
--- a/src/sidecar/sidecar-settings.ts
+++ b/src/sidecar/sidecar-settings.ts
@@ -37,6 +37,8 @@
   configurationApplyMs: z.number().positive().default(2_000),
   /** Milliseconds from SIGTERM to SIGKILL. */
   graceMs: z.number().positive().default(6_000),
+  /** True if no node of the mesh has run before. */
+  isFirstStart: z.boolean().default(false),
   retryBudget: z
     .object({
       ratio: z.number().min(0).default(0.2),
--- a/test/dispatchContext.ts
+++ b/test/dispatchContext.ts
@@ -13,10 +13,7 @@
   return {
     clock: { now: () => 0 },
     directory,
-    retryBudget: new SharedRetryBudget(
-      () => bound,
-      () => 1,
-    ),
+    retryBudget: new SharedRetryBudget({ bound: () => bound, nodes: () => 1 }),
     callRoutes: createCallRoutes(),
     callRates: createCallRates(),
     crossZoneBudget: createCrossZoneBudget(),
