--- a/src/cli/failures.ts
+++ b/src/cli/failures.ts
@@ -15,3 +15,15 @@
   output.failure({ failure }, `The call to the store failed: ${failure}.`);
   return ExitCode.Unavailable;
 }
+
+/** Reports a failed write. After `unknown` the store may have done it. */
+export function reportFailedWrite(failure: StoreFailure, output: Output): ExitCode {
+  if (failure !== 'unknown') {
+    return reportUnavailable(failure, output);
+  }
+  output.failure(
+    { kind: 'unknown' },
+    'It is unknown whether the change was written: run the command again.',
+  );
+  return ExitCode.Unknown;
+}
--- a/src/cli/quarantineCommands.ts
+++ b/src/cli/quarantineCommands.ts
@@ -3,7 +3,7 @@
 import { type ObjectStore, ReadConsistency } from '../source/object-store.js';
 import type { CommandContext } from './commands.js';
 import { ExitCode } from './exitCode.js';
-import { reportRejected, reportUnavailable } from './failures.js';
+import { reportFailedWrite, reportRejected, reportUnavailable } from './failures.js';
 import { tableOf } from './output.js';
 
 /** Prints the quarantines in the store. */
@@ -53,7 +53,7 @@
   for (const { name, revision } of records) {
     const result = await store.remove(CRASH_KIND, name, revision);
     if (!result.ok) {
-      return reportUnavailable(result.failure, output);
+      return reportFailedWrite(result.failure, output);
     }
   }
   output.result({ lifted: fingerprint }, () => `The quarantine of ${fingerprint} is lifted.`);
--- a/src/cli/rolloutCommands.ts
+++ b/src/cli/rolloutCommands.ts
@@ -213,7 +213,12 @@
     return store.replace(kind, { ...object, spec });
   }
   const removed = await store.remove(kind, request.service, object.revision);
-  return removed.ok ? store.create(kind, request.service, spec) : removed;
+  if (!removed.ok) {
+    return removed;
+  }
+  const created = await store.create(kind, request.service, spec);
+  // The removal has been done.
+  return created.ok ? created : { ...created, failure: 'unknown' };
 }
 
 async function readOrder(
--- a/src/cli/secretCommands.ts
+++ b/src/cli/secretCommands.ts
@@ -5,7 +5,7 @@
 import { ReadConsistency } from '../source/object-store.js';
 import type { CommandContext } from './commands.js';
 import { ExitCode } from './exitCode.js';
-import { reportUnavailable } from './failures.js';
+import { reportFailedWrite, reportUnavailable } from './failures.js';
 import { reportWrite } from './writeReport.js';
 
 /** Writes the value of a secret and prints the digest to use in a configuration. */
@@ -26,7 +26,7 @@
   if (!result.ok) {
     return result.failure === 'conflict'
       ? reportWrite({ kind: 'conflict', version: undefined }, output)
-      : reportUnavailable(result.failure, output);
+      : reportFailedWrite(result.failure, output);
   }
   const digest = secretDigest(value);
   output.result({ name, digest }, () => `Secret ${name} has the digest ${digest}.`);
--- a/src/cli/storedConfiguration.ts
+++ b/src/cli/storedConfiguration.ts
@@ -11,7 +11,7 @@
 import { mayBeLost } from '../source/storeRevision.js';
 import type { OperatorPlatform } from './operatorPlatform.js';
 
-/** Number of attempts of a write whose result is unknown. */
+/** Number of attempts of a write that an earlier attempt may have done. */
 const MAX_WRITES = 6;
 
 /** Pause between two attempts, in milliseconds. */
@@ -69,6 +69,7 @@
   const version = Math.max(base?.version ?? 0, newestHeld) + 1;
   const spec = platform.encodeConfiguration({ ...configuration, version });
   const { configurationKind: kind, configurationName: name } = platform;
+  let mayBeWritten = false;
   for (let attempt = 1; ; attempt += 1) {
     const result = base
       ? await store.replace(kind, { name, revision: base.object.revision, spec })
@@ -76,33 +77,45 @@
     if (result.ok) {
       return { kind: 'accepted', version, object: result.value };
     }
-    if (result.failure === 'conflict' || result.failure === 'not-found') {
-      return resolveConflict(store, platform, spec, version);
+    const { failure } = result;
+    if (failure === 'conflict' || failure === 'not-found') {
+      return resolveConflict(store, platform, { spec, version, mayBeWritten });
     }
-    if (result.failure !== 'unknown') {
-      const isRejected = result.failure === 'rejected';
-      return { kind: isRejected ? 'rejected' : 'unavailable', failure: result.failure };
+    mayBeWritten ||= failure === 'unknown';
+    if (!mayBeWritten) {
+      return { kind: failure === 'rejected' ? 'rejected' : 'unavailable', failure };
     }
     if (attempt >= MAX_WRITES) {
-      return { kind: 'unknown', failure: result.failure };
+      return { kind: 'unknown', failure };
     }
     await delay(WRITE_RETRY_MS);
   }
 }
 
+/** A write that was not accepted because the store holds another revision. */
+interface ConflictingWrite {
+  readonly spec: unknown;
+  readonly version: number;
+  /** True if the result of an earlier attempt is unknown. */
+  readonly mayBeWritten: boolean;
+}
+
 async function resolveConflict(
   store: ObjectStore,
   platform: OperatorPlatform,
-  spec: unknown,
-  version: number,
+  { spec, version, mayBeWritten }: ConflictingWrite,
 ): Promise<WriteResult> {
   const current = await readStored(store, platform);
   if (current.kind === 'unavailable') {
     return { kind: 'unknown', failure: current.failure };
   }
   const { stored } = current;
-  return stored && hasSpec(stored, spec)
-    ? { kind: 'accepted', version, object: stored.object }
+  if (stored && hasSpec(stored, spec)) {
+    return { kind: 'accepted', version, object: stored.object };
+  }
+  // Another writer may have replaced what an earlier attempt has written.
+  return mayBeWritten
+    ? { kind: 'unknown', failure: 'conflict' }
     : { kind: 'conflict', version: stored?.version };
 }
 
--- a/src/cli/writeReport.ts
+++ b/src/cli/writeReport.ts
@@ -32,7 +32,9 @@
         'Nothing was written.'
       );
     case 'unknown':
-      return 'It is unknown whether the change was written: apply the same file again.';
+      return result.failure === 'conflict'
+        ? 'Another writer has changed it. It is unknown whether the change was written before.'
+        : 'It is unknown whether the change was written: apply the same file again.';
     default:
       return `Nothing was written: the store reported ${result.failure}.`;
   }
