A node that cannot start ends its process

Cause: the rejection of node.start() went to the handler of unexpected errors, which logs and goes on. Change: the line start-failed and exit code 3.

--- a/src/sidecar/sidecar-process.ts
+++ b/src/sidecar/sidecar-process.ts
@@ -13,6 +13,12 @@
 /** Exit code for invalid settings. */
 const EXIT_SETTINGS = 2;
 
+/** Exit code if the node cannot start, for example because an address is in use. */
+const EXIT_START = 3;
+
+/** Time in milliseconds for the last log lines of a process that cannot start. */
+const LAST_LINES_MS = 100;
+
 /** Components of a process. */
 export interface SidecarProcess {
   readonly clocks: NodeClocks;
@@ -26,7 +32,7 @@
 
 /**
  * Starts a node, which then runs until SIGTERM. Resolves when it has started. With invalid
- * settings, it starts no node and sets the exit code.
+ * settings, it starts no node and sets the exit code. A node that cannot start ends the process.
  */
 export async function runSidecar(sidecarProcess: SidecarProcess): Promise<void> {
   const settings = await load(sidecarProcess);
@@ -52,7 +58,13 @@
     sidecarProcess.log.event('unexpected', { error: String(error) });
   });
   watchSettings(sidecarProcess, node);
-  await node.start();
+  try {
+    await node.start();
+  } catch (error) {
+    sidecarProcess.log.event('start-failed', { error: String(error) });
+    node.close();
+    setTimeout(() => process.exit(EXIT_START), LAST_LINES_MS);
+  }
 }
 
 async function load(sidecarProcess: SidecarProcess): Promise<SidecarSettings | undefined> {
